--- /dev/null
+++ b/src/bin/lemoncove-drill/settings.rs
@@ -0,0 +1,184 @@
+//! Settings as the simulator tells them: `path=value` lines. Unknown keys are skipped; missing ones take the
+//! defaults of [`Settings::default`], [`Class::default`] and [`Plan::default`].
+
+use lemoncove::*;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// The order in which a load report tells its values.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Metric {
+    InFlight,
+    Queue,
+    Utilisation,
+    Latency,
+    Throughput,
+    Errors,
+    Unknown,
+}
+
+struct Facts<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Facts<'_> {
+    fn get<T: FromStr>(&self, path: &str, otherwise: T) -> Result<T, String> {
+        match self.0.get(path) {
+            None => Ok(otherwise),
+            Some(text) => text.trim().parse().map_err(|_| format!("settings: {path}={text} cannot be read")),
+        }
+    }
+
+    fn number(&self, path: &str, otherwise: f64) -> Result<f64, String> {
+        let value: f64 = self.get(path, otherwise)?;
+        if value.is_finite() {
+            Ok(value)
+        } else {
+            Err(format!("settings: {path}={value} is not a finite number"))
+        }
+    }
+
+    fn choice<T: Copy>(&self, path: &str, otherwise: T, choices: &[(&str, T)]) -> Result<T, String> {
+        let Some(text) = self.0.get(path) else { return Ok(otherwise) };
+        let found = choices.iter().find(|(word, _)| word == text);
+        found.map(|(_, value)| *value).ok_or_else(|| format!("settings: {path}={text} is not a known choice"))
+    }
+}
+
+/// Reads the settings and the order of the report's values.
+pub fn parse(text: &str) -> Result<(Settings, Vec<Metric>), String> {
+    let facts = Facts(text.lines().filter_map(|line| line.split_once('=')).collect());
+    let base = Settings::default();
+    let settings = Settings {
+        gateways: facts.get("fleet_size", base.gateways)?,
+        zone: ZoneId(facts.get("my_zone", base.zone.0)?),
+        tick: facts.number("tick", base.tick)?,
+        classes: (0..facts.get("grades.count", 0)?).map(|i| class(&facts, i)).collect::<Result<_, _>>()?,
+        plans: (0..facts.get("plans.count", 0)?).map(|i| plan(&facts, i)).collect::<Result<_, _>>()?,
+        max_units: facts.number("extra.max_units", base.max_units)?,
+        meter_period: facts.number("extra.meter", base.meter_period)?,
+        discovery: facts.choice(
+            "registry_mode",
+            base.discovery,
+            &[("pushed", Discovery::Pushed), ("on_request", Discovery::OnRequest)],
+        )?,
+        reports: facts.choice(
+            "report.via",
+            base.reports,
+            &[("off", Reports::Off), ("inline", Reports::Inline), ("on_probe", Reports::OnProbe)],
+        )?,
+        max_attempts: facts.get("policy_limits.send_cap", base.max_attempts)?,
+        second_copies: facts.get("policy_limits.second_copies", base.second_copies)?,
+        cancel: facts.get("policy_limits.cancel", base.cancel)?,
+        probes: facts.get("policy_limits.probes", base.probes)?,
+        retry_after: facts.get("policy_limits.retry_after", base.retry_after)?,
+        max_retry_after: facts.number("policy_limits.max_retry_after", base.max_retry_after)?,
+        cross_zone_price: facts.number("charges.cross_zone", base.cross_zone_price)?,
+        answer_slack: facts.number("rules.answer_slack", base.answer_slack)?,
+        drain_grace: facts.number("rules.stop_sending_within", base.drain_grace)?,
+        ask_within: facts.number("rules.ask_within", base.ask_within)?,
+        start_capacity: facts.number("rules.start_capacity", base.start_capacity)?,
+        warm_up: facts.number("rules.warm_up", base.warm_up)?,
+        overload_factor: facts.number("rules.overload_factor", base.overload_factor)?,
+        overload_window: facts.number("rules.fall", base.overload_window)?,
+    };
+    Ok((settings, metrics(&facts)))
+}
+
+fn class(facts: &Facts<'_>, index: usize) -> Result<Class, String> {
+    let path = |key: &str| format!("grades.{index}.{key}");
+    let base = Class::default();
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let keyed = Effect::Keyed {
+        group: facts.choice(&path("group"), Group::Cell, &groups)?,
+        memory: facts.number(&path("memory_span"), 0.0)?,
+    };
+    let effects = [("safe", Effect::Safe), ("keyed", keyed), ("unsafe", Effect::Unsafe)];
+    Ok(Class {
+        aim: facts.number(&path("aim"), base.aim)?,
+        deadline: facts.number(&path("give_up"), base.deadline)?,
+        worth: facts.number(&path("credit"), base.worth)?,
+        late_worth: facts.number(&path("late_worth"), base.late_worth)?,
+        effect: facts.choice(&path("idempotency"), base.effect, &effects)?,
+        streaming: facts.get(&path("streaming"), base.streaming)?,
+    })
+}
+
+fn plan(facts: &Facts<'_>, index: usize) -> Result<Plan, String> {
+    let path = |key: &str| format!("plans.{index}.{key}");
+    let base = Plan::default();
+    let ceiling = Ceiling {
+        rate: facts.number(&path("cap_rate"), 0.0)?,
+        burst: facts.number(&path("never_over_depth"), 0.0)?,
+        slack: facts.number(&path("hard_slack"), 0.0)?,
+    };
+    Ok(Plan {
+        rate: facts.number(&path("per_second"), base.rate)?,
+        burst: facts.number(&path("peak_units"), base.burst)?,
+        max_open: facts.get(&path("max_out"), base.max_open)?,
+        price: facts.number(&path("pays"), base.price)?,
+        over_worth: facts.number(&path("excess_worth"), base.over_worth)?,
+        over_cost: facts.number(&path("over_cost"), base.over_cost)?,
+        ceiling: (ceiling.rate > 0.0).then_some(ceiling),
+    })
+}
+
+fn metrics(facts: &Facts<'_>) -> Vec<Metric> {
+    let names = facts.0.get("report.names").copied().unwrap_or_default();
+    let metric = |name: &str| match name {
+        "concurrent" => Metric::InFlight,
+        "depth" => Metric::Queue,
+        "load_share" => Metric::Utilisation,
+        "mean_ms" => Metric::Latency,
+        "tps" => Metric::Throughput,
+        "err_ps" => Metric::Errors,
+        _ => Metric::Unknown,
+    };
+    names.split(',').filter(|name| !name.is_empty()).map(metric).collect()
+}
+
+/// Puts the values of a load report in their places.
+pub fn report(metrics: &[Metric], values: &[f32]) -> Report {
+    let mut report = Report::default();
+    for (metric, value) in metrics.iter().zip(values) {
+        let value = Some(f64::from(*value));
+        match metric {
+            Metric::InFlight => report.in_flight = value,
+            Metric::Queue => report.queue = value,
+            Metric::Utilisation => report.utilisation = value,
+            Metric::Latency => report.latency = value,
+            Metric::Throughput => report.throughput = value,
+            Metric::Errors => report.errors = value,
+            Metric::Unknown => {}
+        }
+    }
+    report
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_told_is_read_and_the_rest_defaulted() {
+        let text = "fleet_size=3\nplans.count=1\nplans.0.per_second=2.5\nplans.0.cap_rate=5\nnew.key=x\n\
+                    grades.count=1\ngrades.0.idempotency=keyed\ngrades.0.group=zone\ngrades.0.memory_span=6000\n\
+                    report.names=depth,strange,concurrent\nregistry_mode=on_request";
+        let (settings, order) = parse(text).unwrap();
+        assert_eq!((settings.gateways, settings.plans[0].rate), (3, 2.5));
+        assert_eq!(settings.plans[0].ceiling, Some(Ceiling { rate: 5.0, burst: 0.0, slack: 0.0 }));
+        assert_eq!(settings.classes[0].effect, Effect::Keyed { group: Group::Zone, memory: 6000.0 });
+        assert_eq!(settings.discovery, Discovery::OnRequest);
+        assert_eq!(settings.max_attempts, Settings::default().max_attempts);
+        let told = report(&order, &[4.0, 9.0, 6.0]);
+        assert_eq!((told.queue, told.in_flight, told.utilisation), (Some(4.0), Some(6.0), None));
+    }
+
+    #[test]
+    fn what_cannot_be_read_is_named() {
+        assert_eq!(parse("tick=soon").unwrap_err(), "settings: tick=soon cannot be read");
+        assert_eq!(
+            parse("registry_mode=maybe").unwrap_err(),
+            "settings: registry_mode=maybe is not a known choice"
+        );
+        assert!(parse("extra.meter=NaN").unwrap_err().contains("extra.meter"));
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,437 @@
+//! What passes between a front door and the decision module: settings in, events in, actions out.
+//!
+//! All times are milliseconds on the clock of the caller; the module never reads a clock of its own.
+
+/// A point in time or a span, in milliseconds.
+pub type Millis = f64;
+
+/// A request as the front door numbers it; an id is never used twice in one life of a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u32);
+
+/// A backend as the list of backends names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BackendId(pub u32);
+
+/// A customer, the owner of one quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CustomerId(pub u64);
+
+/// The place of a class in [`Settings::classes`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+
+/// The place of a plan in [`Settings::plans`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PlanId(pub usize);
+
+/// A zone, by number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+
+/// A cell: a handful of backends that remember the same idempotency keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u32);
+
+/// An alarm, named by the module.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AlarmId(pub u64);
+
+/// The backends that drop a repeat of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Every backend.
+    All,
+    /// Those in the zone of the first attempt.
+    Zone,
+    /// Those in the cell of the first attempt.
+    Cell,
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    /// Repeating it is harmless.
+    Safe,
+    /// Repeats are dropped within a group of backends for a time.
+    Keyed {
+        /// Who drops the repeats.
+        group: Group,
+        /// For how long, from the send of the first attempt that may have run.
+        memory: Millis,
+    },
+    /// It must never run twice.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// An answer within this time earns its full worth.
+    pub aim: Millis,
+    /// How long a client waits at most, over all its tries.
+    pub deadline: Millis,
+    /// Worth of one unit of it.
+    pub worth: f64,
+    /// Part of the worth that an answer after the aim still earns.
+    pub late_worth: f64,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// Whether its answer is a stream.
+    pub streaming: bool,
+}
+
+/// A hard ceiling on what all gateways send on for one customer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ceiling {
+    /// Units a second that refill it.
+    pub rate: f64,
+    /// Units it holds at most.
+    pub burst: f64,
+    /// Units by which it may be overdrawn.
+    pub slack: f64,
+}
+
+/// A plan that customers buy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Quota in units a second over all gateways; 0 means none.
+    pub rate: f64,
+    /// Units of quota that may be used at once.
+    pub burst: f64,
+    /// Attempts out at once that the quota covers; 0 means no such quota.
+    pub max_open: u32,
+    /// Factor on the worth of a request.
+    pub price: f64,
+    /// Part of its worth that a request sent on beyond the quota earns.
+    pub over_worth: f64,
+    /// Part of its worth that a request sent on beyond the quota costs.
+    pub over_cost: f64,
+    /// The hard ceiling, if the plan has one.
+    pub ceiling: Option<Ceiling>,
+}
+
+/// How the list of backends reaches a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Changes arrive by themselves.
+    Pushed,
+    /// Changes arrive only after a subscription or a query.
+    OnRequest,
+}
+
+/// How load reports of backends reach a gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reports {
+    /// Not at all.
+    Off,
+    /// In every outcome and probe result.
+    Inline,
+    /// In probe results only.
+    OnProbe,
+}
+
+/// What a deployment permits and how it is shaped, told once at the start of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Number of gateways in this tier.
+    pub gateways: u32,
+    /// Zone this gateway stands in.
+    pub zone: ZoneId,
+    /// Shortest time between two batches of events.
+    pub tick: Millis,
+    /// The request classes.
+    pub classes: Vec<Class>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+    /// Most units that one request counts.
+    pub max_units: f64,
+    /// Period of the use meter; 0 means there is no meter.
+    pub meter_period: Millis,
+    /// How the list of backends arrives.
+    pub discovery: Discovery,
+    /// How load reports arrive.
+    pub reports: Reports,
+    /// Most attempts for one request.
+    pub max_attempts: u32,
+    /// Whether one request may have two attempts out at a time.
+    pub second_copies: bool,
+    /// Whether attempts may be called off.
+    pub cancel: bool,
+    /// Whether probes are permitted.
+    pub probes: bool,
+    /// Whether clients are handed a retry-after time.
+    pub retry_after: bool,
+    /// Longest retry-after time that clients follow.
+    pub max_retry_after: Millis,
+    /// Price of an attempt that crosses zones, as a part of the whole worth.
+    pub cross_zone_price: f64,
+    /// Time after the client's deadline in which a final answer still counts.
+    pub answer_slack: Millis,
+    /// Grace within which sends to a draining or gone backend must stop.
+    pub drain_grace: Millis,
+    /// With [`Discovery::OnRequest`]: how old an unasked list may be before it counts as known.
+    pub ask_within: Millis,
+    /// Part of its capacity with which a backend starts, at least.
+    pub start_capacity: f64,
+    /// Time after which a started backend is warm, at most.
+    pub warm_up: Millis,
+    /// Multiple of its present capacity that pushes a cold backend over.
+    pub overload_factor: f64,
+    /// Time for which it takes that multiple.
+    pub overload_window: Millis,
+}
+
+/// State of a backend in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Availability {
+    /// May be sent to.
+    Ready,
+    /// Finishing its work.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// One line of the list of backends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackendEntry {
+    /// Which backend.
+    pub id: BackendId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its state.
+    pub availability: Availability,
+    /// Time of its last start; `None` if long ago.
+    pub started: Option<Millis>,
+    /// Size relative to others; 1 where nothing is known.
+    pub size: f64,
+}
+
+/// What a [`Event::Backends`] holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only the changed lines.
+    Changes,
+    /// The whole list.
+    Full,
+    /// The whole list as this gateway last had it in an earlier life.
+    Cached,
+    /// A query or subscription failed; the old list stays.
+    Failed,
+}
+
+/// A request of a client.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// The customer's plan.
+    pub plan: PlanId,
+    /// Its class.
+    pub class: ClassId,
+    /// Units it takes from the quota; a guess where units are settled with the answer.
+    pub units: f64,
+    /// When the client stops waiting for this try.
+    pub deadline: Millis,
+    /// Through how many gateways this customer's requests come.
+    pub spread: f64,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// The backend answered with an error; it may have run.
+    Error,
+    /// Turned away unseen; it never ran.
+    Full,
+    /// No answer in time; it may have run or may still run.
+    Timeout,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent.
+    NotSent,
+}
+
+/// A load report of a backend; late and not exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests it holds.
+    pub in_flight: Option<f64>,
+    /// Requests that wait.
+    pub queue: Option<f64>,
+    /// Part of its processors that is busy.
+    pub utilisation: Option<f64>,
+    /// Its recent service time.
+    pub latency: Option<Millis>,
+    /// Requests it serves a second.
+    pub throughput: Option<f64>,
+    /// Errors a second.
+    pub errors: Option<f64>,
+}
+
+/// The end of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settled {
+    /// Whose attempt.
+    pub request: RequestId,
+    /// Which attempt of the request, from 0.
+    pub attempt: u32,
+    /// Where it went.
+    pub backend: BackendId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was sent.
+    pub elapsed: Millis,
+    /// Whether the request is over.
+    pub closed: bool,
+    /// The customer's use by all gateways in the last metered period, as a part of its rate.
+    pub use_of_quota: Option<f64>,
+    /// True units, where they are settled with the answer.
+    pub true_units: Option<f64>,
+    /// The backend's load, if it came along.
+    pub report: Report,
+}
+
+/// Something that happened at a front door.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The list of backends, or changes of it.
+    Backends(ListKind, Vec<BackendEntry>),
+    /// A request came in.
+    Arrival(Request),
+    /// A streamed answer has begun.
+    StreamStarted(RequestId),
+    /// An attempt ended.
+    Settled(Settled),
+    /// The client went away.
+    ClientGone(RequestId),
+    /// An alarm came due.
+    Alarm(AlarmId),
+    /// A probe ended.
+    Probed {
+        /// Which backend.
+        backend: BackendId,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Millis,
+        /// The load report, if it came along.
+        report: Report,
+    },
+}
+
+/// Something the front door is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start an attempt; `limit` is its time-out, `None` until the client gives up.
+    Send {
+        /// Which request.
+        request: RequestId,
+        /// To which backend.
+        backend: BackendId,
+        /// Its time-out.
+        limit: Option<Millis>,
+    },
+    /// Final answer: turned away, trying again is harmless.
+    Refuse {
+        /// Which request.
+        request: RequestId,
+        /// When to come back, if advised.
+        retry_after: Option<Millis>,
+    },
+    /// Final answer: failed, nothing promised.
+    Fail(RequestId),
+    /// Stop waiting for an attempt.
+    CallOff {
+        /// Which request.
+        request: RequestId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Ask for an [`Event::Alarm`] at a time.
+    SetAlarm {
+        /// When.
+        at: Millis,
+        /// Its name.
+        alarm: AlarmId,
+    },
+    /// Check a backend.
+    Probe(BackendId),
+    /// Close idle connections to a backend.
+    CloseIdle(BackendId),
+    /// Ask for changes of the list of backends from now on.
+    Subscribe,
+    /// Ask for the whole list once.
+    FetchList,
+    /// A line for the operators.
+    Log(String),
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Class {
+            aim: 1000.0,
+            deadline: 2000.0,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::Unsafe,
+            streaming: false,
+        }
+    }
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            rate: 0.0,
+            burst: 0.0,
+            max_open: 0,
+            price: 1.0,
+            over_worth: 0.0,
+            over_cost: 0.0,
+            ceiling: None,
+        }
+    }
+}
+
+impl Default for Settings {
+    /// One gateway and the most careful reading of what is not told: nothing is permitted that needs leave.
+    fn default() -> Self {
+        Settings {
+            gateways: 1,
+            zone: ZoneId(0),
+            tick: 1.0,
+            classes: Vec::new(),
+            plans: Vec::new(),
+            max_units: 1.0,
+            meter_period: 0.0,
+            discovery: Discovery::Pushed,
+            reports: Reports::Off,
+            max_attempts: 1,
+            second_copies: false,
+            cancel: false,
+            probes: false,
+            retry_after: false,
+            max_retry_after: 0.0,
+            cross_zone_price: 0.0,
+            answer_slack: 0.0,
+            drain_grace: 0.0,
+            ask_within: 10_000.0,
+            start_capacity: 0.1,
+            warm_up: 30_000.0,
+            overload_factor: 2.0,
+            overload_window: 1000.0,
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,52 @@
+//! The decisions of an admission gateway for a service sold by plan.
+//!
+//! A front door owns sockets, clients and connections; this library decides. The front door makes one
+//! [`Gateway`] from its [`Settings`] and a seed, hands it every event with the time it happened, and carries
+//! out the actions that come back. Nothing here reads a clock, opens a file or keeps shared state.
+//!
+//! ```
+//! use lemoncove::*;
+//!
+//! let settings = Settings {
+//!     classes: vec![Class { aim: 500.0, deadline: 2000.0, ..Class::default() }],
+//!     plans: vec![Plan { rate: 10.0, burst: 20.0, ..Plan::default() }],
+//!     ..Settings::default()
+//! };
+//! let mut gateway = Gateway::new(settings, 7);
+//! let mut actions = Vec::new();
+//! let backend = BackendEntry {
+//!     id: BackendId(1),
+//!     zone: ZoneId(0),
+//!     cell: CellId(0),
+//!     availability: Availability::Ready,
+//!     started: None,
+//!     size: 1.0,
+//! };
+//! gateway.handle(0.0, Event::Backends(ListKind::Cached, vec![backend]), &mut actions);
+//! let request = Request {
+//!     id: RequestId(1),
+//!     customer: CustomerId(42),
+//!     plan: PlanId(0),
+//!     class: ClassId(0),
+//!     units: 1.0,
+//!     deadline: 2000.0,
+//!     spread: 1.0,
+//! };
+//! gateway.handle(5.0, Event::Arrival(request), &mut actions);
+//! for action in actions.drain(..) {
+//!     match action {
+//!         Action::Send { request, backend, .. } => assert_eq!((request.0, backend.0), (1, 1)),
+//!         Action::SetAlarm { at, .. } => assert!(at <= 2000.0),
+//!         other => panic!("a quiet gateway would not do {other:?}"),
+//!     }
+//! }
+//! ```
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod interface;
+mod rules;
+
+pub use interface::*;
+pub use rules::{Cewma, Gateway};
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,884 @@
+//! The decisions of a gateway. Settings, events and actions are in `src/interface.rs`.
+//!
+//! Read from the top: constants, admission (the design: recent average, box, slice), the rules' own stores
+//! (ceiling, cold start), choice of backend, attempts and answers, the list of backends.
+
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::BTreeMap;
+
+/// The box shuts at this many times the quota rate (and the burst's share on top): the design's figure.
+const BOX_FACTOR: f64 = 3.0;
+/// A slice refills at up to this many times the local recent rate: the design's figure.
+const RISE_FACTOR: f64 = 2.0;
+/// Largest requests that a slice holds at least: the design's figure.
+const SLICE_LEAST: f64 = 2.0;
+/// Halflife of the recent average, in burst lengths (the design asks for one at least): a bunch of retries
+/// should not shut the box, a lasting flood should.
+const HALFLIFE_BURSTS: f64 = 4.0;
+/// Halflife where a plan has no burst length, in longest deadlines.
+const HALFLIFE_DEADLINES: f64 = 1.0;
+/// Entries of customers are looked through for eviction once in this many halflives.
+const EVICT_HALFLIVES: f64 = 8.0;
+/// A slice rises toward its target over this many halflives: slower than a spike, faster than a shift.
+const RISE_HALFLIVES: f64 = 0.5;
+/// Longest wait at the chosen backend, as a part of the shortest aim, before a request is refused at once.
+const WAIT_LIMIT: f64 = 0.33;
+/// A client's patience must hold this many times the expected answer: half of the answers take longer.
+const PATIENCE: f64 = 1.5;
+/// Pressure is averaged over this many shortest aims.
+const PRESSURE_AIMS: f64 = 2.0;
+/// An answer is slow beyond this part of its aim.
+const SLOW_AIMS: f64 = 0.5;
+/// Step of the opening for an answer that took no time, for each shortest aim that has passed.
+const OPENING_STEP: f64 = 0.15;
+/// The opening rests where answers take this part of their aims on average, a slow one counted as a whole.
+const TARGET_AIMS: f64 = 0.25;
+/// Requests over which their usual size is averaged.
+const USUAL_MEMORY: f64 = 30.0;
+/// The opening at the start of one of very many gateways.
+const OPENING_START: f64 = 0.6;
+/// Usual requests that the evidence of a new customer begins with; it is taken to ask for half of its quota.
+const PRIOR: f64 = 0.5;
+/// What the meter told is forgotten this many times as fast as the average.
+const RECALL: f64 = 2.0;
+/// Standard deviations of chance by which evidence must pass the box limit.
+const BOX_DOUBT: f64 = 2.0;
+/// The opening stays above this, so that there are answers to learn from.
+const OPENING_LEAST: f64 = 0.05;
+/// Answers over which a backend's time per unit of load is averaged.
+const PACE_MEMORY: f64 = 16.0;
+/// A backend is overdue once it is silent for this many times what its oldest attempt should have taken.
+const SILENCE: f64 = 3.0;
+/// Distrust halves in this many shortest aims without news.
+const DISTRUST_AIMS: f64 = 4.0;
+/// Distrust up to this is no hindrance: it lets one request try a backend that has failed before.
+const FORGOTTEN: f64 = 0.1;
+/// How far one failure moves distrust toward one.
+const DISTRUST_STEP: f64 = 0.4;
+/// How far one good answer moves distrust toward nought.
+const TRUST_STEP: f64 = 0.2;
+/// Distrust at which a backend is reported as set aside, and half of which takes it back.
+const SET_ASIDE: f64 = 0.5;
+/// A crossing between zones is worth this many times its price of the aim in waiting.
+const CROSSING_AIMS: f64 = 10.0;
+/// Further attempts allowed for each first attempt.
+const RETRY_SHARE: f64 = 0.2;
+/// Further attempts saved up at most.
+const RETRY_DEPTH: f64 = 10.0;
+/// Part of a ceiling's slack that the parts make use of; the rest is for rounding.
+const SLACK_USED: f64 = 0.9;
+/// Alarm that asks again for the list of backends.
+const LIST_ALARM: AlarmId = AlarmId(u64::MAX);
+
+/// The recent average rate of the design: an impulse `n` at time `t`, decaying with a halflife.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cewma {
+    n: f64,
+    t: Millis,
+}
+
+impl Cewma {
+    /// Counts an arrival of `units`; `lambda` is ln 2 / halflife, per millisecond.
+    pub fn feed(&mut self, now: Millis, units: f64, lambda: f64) {
+        self.n = units + self.n * (lambda * (self.t - now)).exp();
+        self.t = now;
+    }
+
+    /// The recent rate, in units a second.
+    pub fn rate(&self, now: Millis, lambda: f64) -> f64 {
+        1000.0 * self.n * lambda * (lambda * (self.t - now)).exp()
+    }
+}
+
+/// What a gateway holds of one customer.
+#[derive(Clone, Debug)]
+struct Customer {
+    average: Cewma,
+    /// Units of its largest request so far.
+    largest: f64,
+    /// Units in this gateway's slice, and in its part of the ceiling, as of `t`.
+    slice: f64,
+    ceiling: f64,
+    t: Millis,
+    /// Refill of the slice, in units a second.
+    flow: f64,
+    /// Attempts out, and the time in which more might have been, as of `opened`.
+    open: u32,
+    spare: Millis,
+    opened: Millis,
+    metered: Millis,
+    /// Units asked of all gateways by the meter, and what the quota held meanwhile, as of `metered`.
+    asked: f64,
+    held: f64,
+    /// Share of its requests that is let in at present.
+    share: f64,
+}
+
+/// A quota's figures at this gateway.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    lambda: f64,
+    /// Lambda with which what the meter told is forgotten: a sliver hears too seldom to forget sooner.
+    recall: f64,
+    limit: f64,
+    even: f64,
+    depth: f64,
+    spread: f64,
+    /// Attempts that may be open at once.
+    open: f64,
+    /// Whether the even share of the burst does not hold one usual request.
+    sliver: bool,
+}
+
+/// An attempt that is out.
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    at: Millis,
+    load: f64,
+    units: f64,
+}
+
+/// How far a backend is shunned, as of `at`; it fades.
+#[derive(Clone, Copy, Debug, Default)]
+struct Distrust {
+    value: f64,
+    at: Millis,
+}
+
+/// What a gateway holds of one backend.
+#[derive(Clone, Debug)]
+struct Backend {
+    entry: BackendEntry,
+    out: BTreeMap<RequestId, Flight>,
+    /// Sums of time and of load at the send over recent answers: their ratio is the time per unit of load.
+    time: f64,
+    load: f64,
+    last_answer: Millis,
+    distrust: Distrust,
+    /// Distrust for one plan alone, from what it was turned away as full.
+    full: BTreeMap<PlanId, Distrust>,
+    set_aside: bool,
+    /// Units it may be sent while cold.
+    budget: f64,
+    budget_at: Millis,
+}
+
+/// A request that has no final answer yet, or whose last attempt is still out.
+#[derive(Clone, Debug)]
+struct Live {
+    request: Request,
+    arrived: Millis,
+    sends: u32,
+    out: Option<BackendId>,
+    /// Send time, zone and cell of the first attempt that may have run.
+    may_have_run: Option<(Millis, ZoneId, CellId)>,
+    started: bool,
+    answered: bool,
+    /// Whether it is known to be slow.
+    slow: bool,
+}
+
+/// Where a request may be sent next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Reach {
+    Anywhere,
+    Zone(ZoneId),
+    Cell(CellId),
+    Nowhere,
+}
+
+/// The decisions of one gateway.
+pub struct Gateway {
+    set: Settings,
+    rng: Pcg32,
+    born: Option<Millis>,
+    aim: Millis,
+    customers: BTreeMap<CustomerId, Customer>,
+    evict_at: Millis,
+    backends: BTreeMap<BackendId, Backend>,
+    requests: BTreeMap<RequestId, Live>,
+    time: f64,
+    load: f64,
+    pressure: f64,
+    pressure_at: Millis,
+    retries: f64,
+    /// Part of the quotas that the backends can bear, as slow answers tell; last told at `answer_at`.
+    opening: f64,
+    answer_at: Millis,
+    /// Units of a request, on average.
+    usual: f64,
+    /// Units within the quotas that ask to be sent on, as a recent average.
+    demand: Cewma,
+}
+
+impl Gateway {
+    /// A gateway with these settings; `seed` is its only source of chance.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        let aim = if aim.is_finite() { aim.max(1.0) } else { 1000.0 };
+        let gateways = f64::from(settings.gateways.max(1));
+        Gateway {
+            set: settings,
+            rng: Pcg32::seed_from_u64(seed),
+            born: None,
+            aim,
+            customers: BTreeMap::new(),
+            evict_at: 0.0,
+            backends: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            time: 0.0,
+            load: 0.0,
+            pressure: 0.0,
+            pressure_at: 0.0,
+            retries: RETRY_DEPTH,
+            // One of many does not see what all let in at once, so it begins part open; one alone, open.
+            opening: OPENING_START + (1.0 - OPENING_START) / gateways,
+            usual: 1.0,
+            answer_at: 0.0,
+            demand: Cewma::default(),
+        }
+    }
+
+    /// Takes one event that happened at `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.born.get_or_insert(now);
+        match event {
+            Event::Backends(kind, entries) => self.list_changed(now, kind, &entries, actions),
+            Event::Arrival(request) => self.arrived(now, request, actions),
+            Event::StreamStarted(id) => {
+                if let Some(live) = self.requests.get_mut(&id) {
+                    live.started = true;
+                }
+            }
+            Event::Settled(settled) => self.settled(now, &settled, actions),
+            Event::ClientGone(id) => self.abandon(id, actions),
+            Event::Alarm(LIST_ALARM) => actions.push(Action::Subscribe),
+            Event::Alarm(AlarmId(name)) => self.out_of_time(now, name, actions),
+            // No probes are sent: load is judged by this gateway's own attempts.
+            Event::Probed { .. } => {}
+        }
+    }
+
+    /// How many customers the gateway holds an entry of.
+    pub fn customers_held(&self) -> usize {
+        self.customers.len()
+    }
+
+    // ---- Admission: the design's recent average, box and slice --------------------------------------
+
+    fn arrived(&mut self, now: Millis, mut request: Request, actions: &mut Vec<Action>) {
+        if self.set.plans.get(request.plan.0).is_none() || self.set.classes.get(request.class.0).is_none() {
+            actions.push(Action::Refuse { request: request.id, retry_after: None });
+            return;
+        }
+        request.units = in_range(request.units, 0.0, self.set.max_units.max(1.0), 1.0);
+        request.spread = in_range(request.spread, 1.0, f64::from(self.set.gateways.max(1)), 1.0).round();
+        let class = &self.set.classes[request.class.0];
+        request.deadline = in_range(request.deadline, now, now + class.deadline, now + class.deadline);
+        self.evict(now);
+        let live = Live {
+            request,
+            arrived: now,
+            sends: 0,
+            out: None,
+            may_have_run: None,
+            started: false,
+            answered: false,
+            slow: false,
+        };
+        match self.admit(now, &live) {
+            Ok(backend) => {
+                self.retries = (self.retries + RETRY_SHARE).min(RETRY_DEPTH);
+                let alarm = AlarmId(u64::from(request.id.0));
+                actions.push(Action::SetAlarm { at: self.slow_mark(&live).min(self.cut(&live)), alarm });
+                self.requests.insert(request.id, live);
+                self.send(now, request.id, backend, actions);
+            }
+            Err(wait) => actions.push(self.refusal(request.id, wait)),
+        }
+    }
+
+    /// Lets a request in and names its backend, or tells how long the reason to refuse it will last.
+    fn admit(&mut self, now: Millis, live: &Live) -> Result<BackendId, Option<Millis>> {
+        let request = &live.request;
+        let part = self.part(request);
+        let born = self.born.unwrap_or(now);
+        let per_unit = self.common_pace() / 1000.0;
+        self.feel_pressure(now);
+        let luck = chance(&mut self.rng);
+        let plan = &self.set.plans[request.plan.0];
+        let pressure = self.pressure.max(1.0 - self.opening);
+        let opening = self.opening;
+        self.usual += (request.units - self.usual) / USUAL_MEMORY;
+        let usual = self.usual;
+        let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
+            average: Cewma::default(),
+            largest: 0.0,
+            slice: part.depth,
+            ceiling: 0.0,
+            t: born,
+            flow: part.even,
+            open: 0,
+            spare: 0.0,
+            opened: now,
+            metered: now,
+            asked: 0.0,
+            held: 0.0,
+            share: 1.0,
+        });
+        customer.largest = customer.largest.max(request.units);
+        let (asked, held) = customer.evidence(now, plan, &part, now - born, usual);
+        let excess = asked / held;
+        customer.refill(now, plan, &part, pressure, excess > 1.0);
+        customer.average.feed(now, request.units, part.lambda);
+        if plan.rate > 0.0 {
+            // The box: beyond the limit everything is refused until the estimate has decayed.
+            let rate = customer.average.rate(now, part.lambda);
+            // For a sliver it shuts on all evidence, less what chance may add.
+            let sure = (asked - BOX_DOUBT * (asked * usual).sqrt()) * plan.rate / held;
+            let sure = if part.sliver { sure } else { 0.0 };
+            let rate = rate.max(sure);
+            if rate > part.limit {
+                return Err(Some((rate / part.limit).ln() / part.lambda));
+            }
+            // Guards against slices too small to tell use past the quota from a few requests that happen to
+            // meet at one of many gateways: a sliver lets in by chance, by what all evidence says.
+            let strain = if part.sliver { excess } else { excess.min(1.0) };
+            customer.share = opening / strain.max(opening);
+            // By Little's law a cap on attempts out is a rate too: what others have out is not seen.
+            let others = excess.min(1.0) * plan.rate * per_unit * (1.0 - 1.0 / part.spread);
+            let spare = f64::from(plan.max_open) - f64::from(customer.open);
+            let fits = if part.open < 1.0 && others > 0.0 { spare / (others + others.sqrt()) } else { 1.0 };
+            if luck > customer.share.min(fits) {
+                return Err(None);
+            }
+            // Under pressure a slice keeps a reserve: those nearest the end of their quotas give way first.
+            let reserve = pressure * (part.depth - request.units).max(0.0);
+            let short = request.units + reserve - customer.slice;
+            if short > 0.0 {
+                return Err(Some(1000.0 * short / part.even));
+            }
+        }
+        // An open cap is held in parts; what a part has beyond whole attempts is a share of the time.
+        customer.pass_time(now, part.open, self.aim);
+        let open = f64::from(customer.open + 1);
+        let most = if part.open < 1.0 { f64::from(plan.max_open) } else { part.open };
+        if open > most.ceil() || (open > most.floor() && customer.spare <= 0.0) {
+            return Err(None);
+        }
+        if plan.ceiling.is_some() && customer.ceiling < request.units {
+            return Err(None);
+        }
+        self.demand.feed(now, request.units, self.demand_lambda());
+        let (backend, wait) = self.choose(now, live, Reach::Anywhere).ok_or(None)?;
+        // A client that leaves before an answer can be expected would come again after work done for nothing.
+        let expected = wait + self.backends.get(&backend).map_or(0.0, |b| self.pace(b)) * request.units;
+        if wait > WAIT_LIMIT * self.aim || PATIENCE * expected > request.deadline - now {
+            return Err(None);
+        }
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            customer.slice -= request.units;
+            customer.ceiling -= request.units;
+        }
+        Ok(backend)
+    }
+
+    /// Halflife of the recent average of a plan that has a rate.
+    fn halflife(plan: &Plan) -> Millis {
+        HALFLIFE_BURSTS * 1000.0 * plan.burst / plan.rate
+    }
+
+    fn part(&self, request: &Request) -> Part {
+        let plan = &self.set.plans[request.plan.0];
+        let largest = self.customers.get(&request.customer).map_or(0.0, |c| c.largest).max(request.units);
+        let halflife = if plan.rate > 0.0 && plan.burst > 0.0 {
+            Self::halflife(plan)
+        } else {
+            HALFLIFE_DEADLINES * self.set.classes.iter().map(|c| c.deadline).fold(1000.0, f64::max)
+        };
+        let lambda = std::f64::consts::LN_2 / halflife;
+        let least = (largest + 0.5 * HALFLIFE_BURSTS * plan.burst.max(largest) / request.spread)
+            .min(SLICE_LEAST * largest);
+        let sliver = request.spread > 1.0 && plan.burst / request.spread < self.usual;
+        Part {
+            lambda,
+            recall: if sliver { lambda } else { RECALL * lambda },
+            limit: BOX_FACTOR * plan.rate + 1000.0 * lambda * plan.burst,
+            even: plan.rate / request.spread,
+            sliver,
+            depth: (plan.burst / request.spread).max(least),
+            spread: request.spread,
+            open: if plan.max_open > 0 { f64::from(plan.max_open) / request.spread } else { f64::INFINITY },
+        }
+    }
+
+    /// Forgets customers whose entry says no more than a new one would.
+    fn evict(&mut self, now: Millis) {
+        if now < self.evict_at {
+            return;
+        }
+        let rated = self.set.plans.iter().filter(|p| p.rate > 0.0);
+        let longest = rated.map(Self::halflife).fold(1000.0, f64::max);
+        let age = EVICT_HALFLIVES * longest;
+        self.evict_at = now + age / 4.0;
+        let left = |c: &Customer| c.average.n * (-(now - c.t) * std::f64::consts::LN_2 / longest).exp();
+        self.customers.retain(|_, c| c.open > 0 || now - c.t < age || left(c) > 0.01);
+    }
+
+    /// How short of capacity the gateway finds the backends, from nought to one.
+    fn feel_pressure(&mut self, now: Millis) {
+        let keep = (-(now - self.pressure_at) / (PRESSURE_AIMS * self.aim)).exp();
+        let best = self.ready().map(|b| self.wait(b)).fold(f64::INFINITY, f64::min);
+        let felt = if best.is_finite() { (best / (WAIT_LIMIT * self.aim)).min(1.0) } else { 0.0 };
+        let felt = (2.0 * felt - 1.0).clamp(0.0, 1.0);
+        self.pressure = self.pressure * keep + felt * (1.0 - keep);
+        self.pressure_at = now;
+    }
+
+    /// Guards against queues that others fill: where many gateways share a fleet, each has hardly any
+    /// attempt out at a backend, so its own load tells nothing while answers get slow everywhere. All let in
+    /// less by the same measure, until answers take the target part of their aims on average.
+    fn feel_answer(&mut self, now: Millis, part_of_aim: f64) {
+        let step = OPENING_STEP * ((now - self.answer_at) / self.aim).min(1.0);
+        // One alone or one of two sees much of the queues itself.
+        let target = TARGET_AIMS * (1.0 + 1.0 / f64::from(self.set.gateways.max(1)).powi(2));
+        let change = step * (1.0 - part_of_aim / target);
+        self.opening = (self.opening + change).clamp(OPENING_LEAST, 1.0);
+        self.answer_at = now;
+    }
+
+    fn refusal(&self, request: RequestId, wait: Option<Millis>) -> Action {
+        let advised = if self.set.retry_after { wait } else { None };
+        Action::Refuse { request, retry_after: advised.map(|w| w.clamp(0.0, self.set.max_retry_after)) }
+    }
+
+    // ---- Choice of backend --------------------------------------------------------------------------
+
+    /// The backend with the least expected time, and the wait expected there.
+    fn choose(&mut self, now: Millis, live: &Live, reach: Reach) -> Option<(BackendId, Millis)> {
+        let even_rate = self.even_rate(now);
+        let mut best: Option<(f64, BackendId, Millis)> = None;
+        let mut rng = self.rng.clone();
+        for (id, backend) in &self.backends {
+            let fits = match reach {
+                Reach::Anywhere => true,
+                Reach::Zone(zone) => backend.entry.zone == zone,
+                Reach::Cell(cell) => backend.entry.cell == cell,
+                Reach::Nowhere => false,
+            };
+            let ready = backend.entry.availability == Availability::Ready;
+            if !fits || !ready || !self.warm_enough(now, backend, even_rate) {
+                continue;
+            }
+            let wait = self.wait(backend);
+            let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng));
+            if best.is_none_or(|(least, _, _)| cost < least) {
+                best = Some((cost, *id, wait));
+            }
+        }
+        self.rng = rng;
+        best.map(|(_, id, wait)| (id, wait))
+    }
+
+    /// What sending a request to a backend is expected to cost, as time.
+    fn cost(&self, now: Millis, live: &Live, backend: &Backend, wait: Millis) -> Millis {
+        let unsafe_one = self.set.classes[live.request.class.0].effect == Effect::Unsafe;
+        let mut cost = wait.max(self.overdue(now, backend)) + self.pace(backend) * live.request.units;
+        let distrust = self.distrust(now, backend, live.request.plan) * if unsafe_one { 2.0 } else { 1.0 };
+        cost += (distrust - FORGOTTEN).max(0.0) * self.aim;
+        if backend.entry.zone != self.set.zone {
+            cost += CROSSING_AIMS * self.set.cross_zone_price * self.aim;
+        }
+        cost
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.values().filter(|b| b.entry.availability == Availability::Ready)
+    }
+
+    /// Time per unit of load at all backends.
+    fn common_pace(&self) -> f64 {
+        if self.load > 0.0 {
+            self.time / self.load
+        } else {
+            self.aim / 10.0
+        }
+    }
+
+    /// Time per unit of load at a backend; with few answers, nearer to that of all.
+    fn pace(&self, backend: &Backend) -> f64 {
+        let common = self.common_pace();
+        let mean = self.load / PACE_MEMORY;
+        let prior = if mean > 0.0 { mean } else { 1.0 };
+        (backend.time + prior * common) / (backend.load + prior)
+    }
+
+    /// Load at a backend: the units this gateway has out there. Reports are not counted: they come late and
+    /// every gateway reads the same ones; what others send shows in the time per unit.
+    fn load_of(backend: &Backend) -> f64 {
+        backend.out.values().map(|f| f.units).sum()
+    }
+
+    /// Time until a request sent now would be begun, as far as own attempts tell.
+    fn wait(&self, backend: &Backend) -> Millis {
+        self.pace(backend) * Self::load_of(backend)
+    }
+
+    /// Guards against a backend that has gone silent: how long its oldest attempt is overdue without news. It
+    /// turns the choice elsewhere but refuses nothing: answers may be lost where there is no queue.
+    fn overdue(&self, now: Millis, backend: &Backend) -> Millis {
+        let oldest = backend.out.values().min_by(|a, b| a.at.total_cmp(&b.at));
+        let Some(oldest) = oldest else { return 0.0 };
+        let silent = now - oldest.at.max(backend.last_answer);
+        silent - SILENCE * self.pace(backend) * oldest.load
+    }
+
+    fn faded(&self, now: Millis, distrust: Distrust) -> f64 {
+        let age = (now - distrust.at) / (DISTRUST_AIMS * self.aim);
+        distrust.value * (-age * std::f64::consts::LN_2).exp()
+    }
+
+    fn distrust(&self, now: Millis, backend: &Backend, plan: PlanId) -> f64 {
+        let full = backend.full.get(&plan).map_or(0.0, |d| self.faded(now, *d));
+        self.faded(now, backend.distrust).max(full)
+    }
+
+    /// Units a second that a backend of size one gets of this gateway, if all are used alike.
+    fn even_rate(&self, now: Millis) -> f64 {
+        let size: f64 = self.ready().map(|b| b.entry.size).sum();
+        self.demand.rate(now, self.demand_lambda()) / size.max(0.01)
+    }
+
+    fn demand_lambda(&self) -> f64 {
+        std::f64::consts::LN_2 / (self.set.warm_up / 4.0).max(1.0)
+    }
+
+    /// Share of its capacity that a started backend has at least.
+    fn warmth(&self, now: Millis, backend: &Backend) -> f64 {
+        match backend.entry.started {
+            None => 1.0,
+            Some(at) => {
+                let part = ((now - at) / self.set.warm_up.max(1.0)).clamp(0.0, 1.0);
+                self.set.start_capacity + (1.0 - self.set.start_capacity) * part
+            }
+        }
+    }
+
+    fn warm_enough(&self, now: Millis, backend: &Backend, even_rate: f64) -> bool {
+        self.warmth(now, backend) >= 1.0 || self.cold_budget(now, backend, even_rate) > 0.0
+    }
+
+    /// Guards a cold backend: a gateway sends it no more than its warmth of what a warm one gets, evenly. It
+    /// has to have earned a request before it sends one: hundreds of gateways make one each a crowd.
+    fn cold_budget(&self, now: Millis, backend: &Backend, even_rate: f64) -> f64 {
+        let rate = self.warmth(now, backend) * even_rate * backend.entry.size;
+        (backend.budget + rate * (now - backend.budget_at) / 1000.0).min(self.set.max_units.max(1.0))
+    }
+
+    // ---- Attempts and answers -----------------------------------------------------------------------
+
+    /// When a request gets its final answer at the latest: with its aim where later is worth nothing.
+    fn cut(&self, live: &Live) -> Millis {
+        let class = &self.set.classes[live.request.class.0];
+        let last = live.request.deadline - 2.0 * self.set.tick;
+        if class.late_worth > 0.0 {
+            last
+        } else {
+            last.min(live.arrived + class.aim)
+        }
+    }
+
+    /// When an answer is slow. It is felt at once: a time-out is news when queues have long filled.
+    fn slow_mark(&self, live: &Live) -> Millis {
+        let size = (live.request.units / self.usual.max(0.01)).max(1.0);
+        live.arrived + (SLOW_AIMS * size).min(1.0) * self.set.classes[live.request.class.0].aim
+    }
+
+    fn send(&mut self, now: Millis, id: RequestId, to: BackendId, actions: &mut Vec<Action>) {
+        let even_rate = self.even_rate(now);
+        let (Some(live), Some(backend)) = (self.requests.get(&id), self.backends.get(&to)) else { return };
+        let units = live.request.units.max(0.01);
+        let budget = self.cold_budget(now, backend, even_rate) - units;
+        let load = Self::load_of(backend) + units;
+        let left = self.cut(live) - now;
+        if let Some(backend) = self.backends.get_mut(&to) {
+            backend.out.insert(id, Flight { at: now, load, units });
+            (backend.budget, backend.budget_at) = (budget, now);
+        }
+        let Some(live) = self.requests.get_mut(&id) else { return };
+        live.sends += 1;
+        live.out = Some(to);
+        if let Some(customer) = self.customers.get_mut(&live.request.customer) {
+            customer.open += 1;
+        }
+        actions.push(Action::Send { request: id, backend: to, limit: Some(left.max(self.set.tick)) });
+    }
+
+    fn settled(&mut self, now: Millis, settled: &Settled, actions: &mut Vec<Action>) {
+        let Some(mut live) = self.requests.remove(&settled.request) else { return };
+        if live.out != Some(settled.backend) || settled.attempt + 1 != live.sends {
+            self.requests.insert(settled.request, live);
+            return;
+        }
+        live.out = None;
+        if settled.outcome == Outcome::Ok && !live.slow {
+            let mark = self.slow_mark(&live) - live.arrived;
+            self.feel_answer(now, (SLOW_AIMS * (now - live.arrived) / mark).min(1.0));
+        }
+        self.learn(now, &live.request, settled, actions);
+        self.settle_quota(now, &live.request, settled);
+        let over = settled.closed || live.answered || settled.outcome == Outcome::Ok;
+        if over {
+            return;
+        }
+        let proven = matches!(settled.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
+        if !proven && live.may_have_run.is_none() {
+            let place = self.backends.get(&settled.backend).map(|b| (b.entry.zone, b.entry.cell));
+            let (zone, cell) = place.unwrap_or((ZoneId(u32::MAX), CellId(u32::MAX)));
+            live.may_have_run = Some((now - settled.elapsed.max(0.0), zone, cell));
+        }
+        let reach = self.reach(now, &live);
+        let time_left = self.cut(&live) - now > self.set.tick;
+        if !live.started && time_left && self.retries >= 1.0 && live.sends < self.set.max_attempts {
+            if let Some((backend, _)) = self.choose(now, &live, reach) {
+                self.retries -= 1.0;
+                let id = live.request.id;
+                self.requests.insert(id, live);
+                self.send(now, id, backend, actions);
+                return;
+            }
+        }
+        actions.push(self.last_word(now, &live));
+    }
+
+    /// Where a request may be sent after what has happened to it.
+    fn reach(&self, now: Millis, live: &Live) -> Reach {
+        let Some((since, zone, cell)) = live.may_have_run else { return Reach::Anywhere };
+        match self.set.classes[live.request.class.0].effect {
+            Effect::Safe => Reach::Anywhere,
+            Effect::Unsafe => Reach::Nowhere,
+            Effect::Keyed { memory, .. } if now - since >= memory - 2.0 * self.set.tick => Reach::Nowhere,
+            Effect::Keyed { group: Group::All, .. } => Reach::Anywhere,
+            Effect::Keyed { group: Group::Zone, .. } => Reach::Zone(zone),
+            Effect::Keyed { group: Group::Cell, .. } => Reach::Cell(cell),
+        }
+    }
+
+    /// The final answer for a request that will not be served: a refusal only where repeating is harmless.
+    fn last_word(&self, now: Millis, live: &Live) -> Action {
+        let mut seen = live.clone();
+        if let (None, Some(to)) = (seen.may_have_run, seen.out) {
+            let flight = self.backends.get(&to).and_then(|b| b.out.get(&live.request.id));
+            seen.may_have_run = Some((flight.map_or(0.0, |f| f.at), ZoneId(0), CellId(0)));
+        }
+        let safe = self.set.classes[live.request.class.0].effect == Effect::Safe;
+        if safe || self.reach(now, &seen) == Reach::Anywhere {
+            self.refusal(live.request.id, None)
+        } else {
+            Action::Fail(live.request.id)
+        }
+    }
+
+    fn out_of_time(&mut self, now: Millis, name: u64, actions: &mut Vec<Action>) {
+        let Ok(id) = u32::try_from(name).map(RequestId) else { return };
+        let Some(live) = self.requests.get(&id) else { return };
+        if live.answered || live.started {
+            return;
+        }
+        let cut = self.cut(live);
+        if now < cut && !live.slow {
+            actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(name) });
+            self.feel_answer(now, 1.0);
+            self.requests.entry(id).and_modify(|live| live.slow = true);
+            return;
+        }
+        actions.push(self.last_word(now, live));
+        self.abandon(id, actions);
+    }
+
+    /// Ends a request, calling off an attempt that is still out.
+    fn abandon(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(live) = self.requests.get_mut(&id) else { return };
+        live.answered = true;
+        if live.out.is_none() {
+            self.requests.remove(&id);
+        } else if self.set.cancel && !live.started {
+            actions.push(Action::CallOff { request: id, attempt: live.sends - 1 });
+        }
+    }
+
+    fn settle_quota(&mut self, now: Millis, request: &Request, settled: &Settled) {
+        let part = self.part(request);
+        let plan = &self.set.plans[request.plan.0];
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        customer.pass_time(now, part.open, self.aim);
+        customer.open = customer.open.saturating_sub(1);
+        if let Some(true_units) = settled.true_units.filter(|u| u.is_finite()) {
+            // The quota counts the true units, so the slice does; the ceiling goes by the guess.
+            customer.slice = (customer.slice + request.units - true_units).min(part.depth);
+        }
+        if let Some(used) = settled.use_of_quota.filter(|u| u.is_finite()) {
+            let span = (now - customer.metered).min(self.set.meter_period) / 1000.0;
+            let keep = (part.recall * (customer.metered - now)).exp();
+            let held = plan.rate * span;
+            customer.held = customer.held * keep + held;
+            customer.asked = customer.asked * keep + used * held / customer.share;
+            customer.metered = now;
+        }
+    }
+
+    /// What an outcome tells of its backend.
+    fn learn(&mut self, now: Millis, request: &Request, settled: &Settled, actions: &mut Vec<Action>) {
+        let Some(mut backend) = self.backends.remove(&settled.backend) else { return };
+        let flight = backend.out.remove(&request.id);
+        backend.last_answer = now;
+        let answered = matches!(settled.outcome, Outcome::Ok);
+        let slow = matches!(settled.outcome, Outcome::Timeout | Outcome::Cancelled);
+        if let Some(flight) = flight.filter(|_| answered || slow) {
+            let keep = 1.0 - 1.0 / PACE_MEMORY;
+            let elapsed = settled.elapsed.max(0.0);
+            backend.time = backend.time * keep + elapsed;
+            backend.load = backend.load * keep + flight.load;
+            let keep = 1.0 - 1.0 / (PACE_MEMORY * self.backends.len().max(1) as f64);
+            self.time = self.time * keep + elapsed;
+            self.load = self.load * keep + flight.load;
+        }
+        // Guards against a backend that turns one plan away with room for others: full is held against it for
+        // that plan alone. One that is full for all is found out by each.
+        let known = match settled.outcome {
+            Outcome::Full => backend.full.entry(request.plan).or_default(),
+            _ => &mut backend.distrust,
+        };
+        let before = self.faded(now, *known);
+        let value = match settled.outcome {
+            Outcome::Ok => before * (1.0 - TRUST_STEP),
+            Outcome::ConnectFailed => 1.0,
+            Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::Full => {
+                before + DISTRUST_STEP * (1.0 - before)
+            }
+            Outcome::Cancelled | Outcome::NotSent => before,
+        };
+        *known = Distrust { value, at: now };
+        let after = self.faded(now, backend.distrust);
+        if !backend.set_aside && after > SET_ASIDE {
+            backend.set_aside = true;
+            actions
+                .push(Action::Log(format!("backend {} set aside: {:?}", settled.backend.0, settled.outcome)));
+        } else if backend.set_aside && after < SET_ASIDE / 2.0 {
+            backend.set_aside = false;
+            actions.push(Action::Log(format!("backend {} taken back", settled.backend.0)));
+        }
+        self.backends.insert(settled.backend, backend);
+    }
+
+    // ---- The list of backends -----------------------------------------------------------------------
+
+    fn list_changed(
+        &mut self,
+        now: Millis,
+        kind: ListKind,
+        entries: &[BackendEntry],
+        actions: &mut Vec<Action>,
+    ) {
+        if self.set.discovery == Discovery::OnRequest {
+            match kind {
+                ListKind::Cached => actions.push(Action::Subscribe),
+                ListKind::Failed => {
+                    let pause = self.set.ask_within / 8.0 * (0.5 + chance(&mut self.rng));
+                    actions.push(Action::SetAlarm { at: now + pause, alarm: LIST_ALARM });
+                }
+                ListKind::Full | ListKind::Changes => {}
+            }
+        }
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            for backend in self.backends.values_mut() {
+                backend.entry.availability = Availability::Gone;
+            }
+        }
+        for entry in entries {
+            let mut entry = *entry;
+            entry.size = in_range(entry.size, 0.01, 1e6, 1.0);
+            // Guards against all gateways' first requests in one instant: each has yet to earn a part.
+            let debt = self.set.max_units.max(1.0) * chance(&mut self.rng);
+            let known = self.backends.entry(entry.id).or_insert_with(|| Backend::new(entry, now, debt));
+            if known.entry.started != entry.started {
+                let out = std::mem::take(&mut known.out);
+                *known = Backend::new(entry, now, debt);
+                known.out = out;
+            }
+            known.entry = entry;
+        }
+        self.backends.retain(|_, b| b.entry.availability != Availability::Gone || !b.out.is_empty());
+    }
+}
+
+impl Customer {
+    /// Units asked of all gateways and what the quota held meanwhile, as far as one of many can tell: by the
+    /// meter and, for a sliver, by its own recent average. Both begin with a little: few prove nothing.
+    fn evidence(&self, now: Millis, plan: &Plan, part: &Part, age: Millis, usual: f64) -> (f64, f64) {
+        let keep = (part.recall * (self.metered - now)).exp();
+        let (asked, held) = (PRIOR * usual + self.asked * keep, 2.0 * PRIOR * usual + self.held * keep);
+        if !part.sliver {
+            return (asked, held);
+        }
+        let seen = self.average.n * (part.lambda * (self.average.t - now)).exp();
+        let own =
+            part.even / 1000.0 / part.lambda * (1.0 - (-part.lambda * age).exp()) + plan.burst / part.spread;
+        (asked + usual + seen, held + own)
+    }
+
+    /// Counts the time in which fewer attempts were open than this gateway's part of the cap allows, or more.
+    fn pass_time(&mut self, now: Millis, part: f64, most: Millis) {
+        let gained = (part.min(1e6) - f64::from(self.open)) * (now - self.opened).max(0.0);
+        self.spare = (self.spare + gained).clamp(-most, most);
+        self.opened = now;
+    }
+
+    /// Brings slice and ceiling part up to now; their flow follows demand as the design says.
+    fn refill(&mut self, now: Millis, plan: &Plan, part: &Part, pressure: f64, past_quota: bool) {
+        let span = (now - self.t).max(0.0) / 1000.0;
+        let wanted = (RISE_FACTOR * self.average.rate(now, part.lambda)).min(plan.rate).max(part.even);
+        let target = if past_quota { part.even } else { part.even + (wanted - part.even) * (1.0 - pressure) };
+        let rise = 1.0 - (-part.lambda * 1000.0 * span / (RISE_HALFLIVES * std::f64::consts::LN_2)).exp();
+        self.flow = target.min(self.flow + (target - self.flow).max(0.0) * rise).max(part.even);
+        self.slice = (self.slice + self.flow * span).min(part.depth);
+        if let Some(ceiling) = plan.ceiling {
+            let depth = (ceiling.burst + SLACK_USED * ceiling.slack) / part.spread;
+            self.ceiling = (self.ceiling + ceiling.rate / part.spread * span).min(depth);
+        }
+        self.t = now;
+    }
+}
+
+impl Backend {
+    fn new(entry: BackendEntry, now: Millis, debt: f64) -> Self {
+        Backend {
+            entry,
+            out: BTreeMap::new(),
+            time: 0.0,
+            load: 0.0,
+            last_answer: now,
+            distrust: Distrust::default(),
+            full: BTreeMap::new(),
+            set_aside: false,
+            budget: -debt,
+            budget_at: now,
+        }
+    }
+}
+
+/// A number drawn evenly from nought to one.
+fn chance(rng: &mut Pcg32) -> f64 {
+    f64::from(rng.next_u32()) / 4_294_967_296.0
+}
+
+/// A figure from outside, held within bounds; `otherwise` stands in for what is not a number.
+fn in_range(value: f64, least: f64, most: f64, otherwise: f64) -> f64 {
+    if value.is_finite() {
+        value.clamp(least, most.max(least))
+    } else {
+        otherwise
+    }
+}
--- /dev/null
+++ b/tests/admission.rs
@@ -0,0 +1,191 @@
+//! The design's recent average, box and slice, against numbers worked by hand.
+
+mod common;
+use common::*;
+use lemoncove::*;
+
+const LAMBDA: f64 = std::f64::consts::LN_2 / 2000.0;
+
+fn plan() -> Plan {
+    Plan { rate: 10.0, burst: 20.0, ..Plan::default() } // burst length: 2 s
+}
+
+#[test]
+fn the_average_halves_in_a_halflife() {
+    let mut average = Cewma::default();
+    average.feed(0.0, 8.0, LAMBDA);
+    let first = average.rate(0.0, LAMBDA);
+    assert!((first - 8.0 * std::f64::consts::LN_2 / 2.0).abs() < 1e-9);
+    assert!((average.rate(2000.0, LAMBDA) - first / 2.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_steady_rate_is_found() {
+    let mut average = Cewma::default();
+    (0..4000).for_each(|i| average.feed(f64::from(i) * 10.0, 1.0, LAMBDA));
+    assert!((average.rate(39_990.0, LAMBDA) - 100.0).abs() < 0.5);
+}
+
+#[test]
+fn use_within_quota_and_burst_is_never_refused() {
+    let mut stage = Stage::new(settings(plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+    for i in 0..20 {
+        assert!(stage.serve(f64::from(i) * 11.0, request(i, 0, 0.0)), "request {i} of the burst");
+    }
+    for i in 20..200 {
+        let now = 220.0 + f64::from(i - 19) * 100.0;
+        assert!(stage.serve(now, request(i, 0, now)), "request {i} at the quota's rate");
+    }
+}
+
+#[test]
+fn beyond_the_slice_is_refused_at_once_and_the_slice_refills() {
+    let mut stage = Stage::new(settings(plan(), 1), vec![ready(1, 0)]);
+    let served = (0..40).filter(|i| stage.serve(1.0 + f64::from(*i), request(*i, 0, 0.0))).count();
+    assert_eq!(served, 20);
+    assert!(!stage.serve(50.0, request(100, 0, 50.0)));
+    assert!(stage.serve(50.0 + 1000.0, request(101, 0, 1050.0)));
+}
+
+#[test]
+fn refused_arrivals_feed_the_box_and_it_opens_by_itself() {
+    let mut stage = Stage::new(settings(plan(), 1), vec![ready(1, 0)]);
+    // 1000 arrivals at once: with a halflife of four bursts (8 s) the average stands at
+    // 1000 ln 2 / 8 s = 87 a second; the limit is 30 + 20 ln 2 / 8 s = 31.7.
+    (0..1000).for_each(|i| {
+        stage.serve(1.0, request(i, 0, 1.0));
+    });
+    // The slice holds units again after a second, yet the box is shut for 8 s log2(87 / 31.7) = 11.6 s.
+    assert!(!stage.serve(2000.0, request(2000, 0, 2000.0)));
+    assert!(!stage.serve(11_000.0, request(2001, 0, 11_000.0)));
+    assert!(stage.serve(13_000.0, request(2002, 0, 13_000.0)));
+}
+
+#[test]
+fn a_slice_follows_local_demand_and_falls_back_when_the_meter_shows_use_past_the_quota() {
+    let served = |used: f64| {
+        let set = Settings { meter_period: 1000.0, ..settings(plan(), 2) };
+        let mut stage = Stage::new(set, vec![ready(1, 0), ready(2, 0)]);
+        let mut served = 0;
+        for i in 0..400 {
+            let now = f64::from(i) * 100.0;
+            let Some(at) = stage.arrive(now, Request { spread: 2.0, ..request(i, 0, now) }) else { continue };
+            served += u32::from(i >= 240); // the slice has had time to rise
+            let end = Settled { use_of_quota: Some(used), ..settled(i, 0, at, Outcome::Ok) };
+            stage.play(now + 10.0, Event::Settled(end));
+        }
+        served
+    };
+    let all = served(0.9); // all of the quota comes through this gateway, so its slice follows
+    assert!((155..=160).contains(&all), "{all}");
+    let even = served(2.0); // the others use it up: 5 a second are this gateway's share
+    assert!((75..=85).contains(&even), "{even}");
+}
+
+#[test]
+fn true_units_settle_the_slice() {
+    let mut stage = Stage::new(Settings { max_units: 20.0, ..settings(plan(), 1) }, vec![ready(1, 0)]);
+    let first = Request { units: 2.0, ..request(1, 0, 0.0) };
+    let at = stage.arrive(1.0, first).unwrap();
+    let end = Settled { true_units: Some(19.0), ..settled(1, 0, at, Outcome::Ok) };
+    stage.play(2.0, Event::Settled(end));
+    assert!(stage.serve(3.0, request(2, 0, 3.0)));
+    assert!(!stage.serve(4.0, request(3, 0, 4.0)));
+}
+
+#[test]
+fn customers_seen_once_are_forgotten_and_forgetting_changes_nothing() {
+    let mut stage = Stage::new(settings(plan(), 1), vec![ready(1, 0)]);
+    (0..20).for_each(|i| assert!(stage.serve(1.0 + f64::from(i), request(i, 0, 0.0))));
+    for i in 0..3000u32 {
+        let now = 1000.0 + f64::from(i) * 100.0;
+        let once = Request { customer: CustomerId(u64::from(i) + 10), ..request(i + 100, 0, now) };
+        assert!(stage.serve(now, once));
+    }
+    assert!(stage.gateway.customers_held() < 1000);
+    // The first customer is back: its slice is full, as it would have been.
+    let now = 302_000.0;
+    let served = (0..40).filter(|i| stage.serve(now + f64::from(*i), request(i + 9000, 0, now))).count();
+    assert_eq!(served, 20);
+}
+
+#[test]
+fn the_part_of_a_ceiling_starts_empty_and_holds_through_restarts() {
+    let ceiling = Ceiling { rate: 20.0, burst: 40.0, slack: 4.0 };
+    let plan = Plan { rate: 10.0, burst: 2000.0, ceiling: Some(ceiling), ..Plan::default() };
+    let mut sent = 0.0;
+    // Two gateways share the ceiling; one is killed and started again each second for a minute.
+    for life in 0..60 {
+        let mut stage = Stage::new(settings(plan.clone(), 2), vec![ready(1, 0)]);
+        for i in 0..100 {
+            let now = f64::from(i) * 10.0;
+            sent += f64::from(u8::from(stage.serve(now, Request { spread: 2.0, ..request(i, 0, now) })));
+        }
+        assert!(sent <= 10.0 * f64::from(life + 1), "{sent} units after {life} lives");
+    }
+    assert!(sent > 400.0, "a part is there to be used: {sent}");
+}
+
+#[test]
+fn attempts_open_at_once_keep_to_this_gateways_part_rounded_up_while_time_is_spare() {
+    let plan = Plan { max_open: 3, ..plan() };
+    let mut stage = Stage::new(settings(plan, 2), vec![ready(1, 0), ready(2, 0), ready(3, 0)]);
+    assert!(stage.serve(1.0, Request { spread: 2.0, ..request(99, 0, 1.0) }));
+    let late = |i| Request { spread: 2.0, ..request(i, 0, 2000.0) };
+    let sent = (0..5).filter(|i| stage.arrive(2000.0, late(*i)).is_some());
+    assert_eq!(sent.count(), 2);
+}
+
+#[test]
+fn a_spike_does_not_raise_the_slice_before_the_meter_can_tell() {
+    let mut stage = Stage::new(settings(plan(), 2), vec![ready(1, 0), ready(2, 0)]);
+    // One and a half seconds at three times the quota: half a burst, the even refill, and little of a rise.
+    let spike = |i: u32| 1.0 + f64::from(i) * 33.0;
+    let served = (0..45).filter(|i| stage.serve(spike(*i), Request { spread: 2.0, ..request(*i, 0, 0.0) }));
+    let served = served.count();
+    assert!((17..=20).contains(&served), "{served}");
+}
+
+#[test]
+fn a_cap_on_attempts_out_below_one_a_gateway_holds_for_the_sum_and_is_made_use_of() {
+    // Twelve gateways, a cap of six and use that would keep twelve out: no gateway sees more than its own.
+    let plan = Plan { rate: 120.0, burst: 240.0, max_open: 6, ..Plan::default() };
+    let backends = || (1..=8).map(|id| ready(id, 0)).collect::<Vec<_>>();
+    let set = Settings { meter_period: 1000.0, ..settings(plan, 12) };
+    let mut stages: Vec<Stage> = (0..12).map(|seed| Stage::seeded(set.clone(), seed, backends())).collect();
+    let mut out: Vec<(usize, u32, BackendId, f64)> = Vec::new();
+    let (mut time_out, mut alone) = (0.0, 0);
+    for i in 0..3600u32 {
+        let now = 1.0 + f64::from(i) * 10.0;
+        let (due, rest) = out.into_iter().partition(|(.., since)| now - since >= 100.0);
+        out = rest;
+        for (door, id, at, _) in Vec::<(usize, u32, BackendId, f64)>::from_iter(due) {
+            let end = Settled { elapsed: 100.0, use_of_quota: Some(0.8), ..settled(id, 0, at, Outcome::Ok) };
+            stages[door].play(now, Event::Settled(end));
+        }
+        let door = (i as usize * 7) % 12;
+        let asked = Request { spread: 12.0, deadline: now + 3000.0, ..request(i, 0, now) };
+        if let Some(at) = stages[door].arrive(now, asked) {
+            alone += u32::from(out.is_empty());
+            out.push((door, i, at, now));
+        }
+        time_out += if i >= 1200 { out.len() as f64 / 2400.0 } else { 0.0 };
+    }
+    assert!((2.5..=6.5).contains(&time_out), "{time_out} out on average");
+    assert!(alone < 600, "the cap is made use of");
+}
+
+#[test]
+fn the_burst_and_the_quota_with_each_request_tried_twice_do_not_shut_the_box() {
+    let mut stage = Stage::new(settings(plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+    let mut served = 0;
+    (0..40).for_each(|i| served += u32::from(stage.serve(1.0 + f64::from(i) * 11.0, request(i, 0, 0.0))));
+    assert!(served >= 20);
+    // Ten a second are the quota; each comes twice, and every second one finds the slice empty at most.
+    let mut later = 0;
+    for i in 0..400u32 {
+        let now = 500.0 + f64::from(i) * 50.0;
+        later += u32::from(stage.serve(now, request(i + 100, 0, now)));
+    }
+    assert!((190..=210).contains(&later), "{later}");
+}
--- /dev/null
+++ b/tests/attempts.rs
@@ -0,0 +1,373 @@
+//! Rules a gateway keeps alone: answers, repeats, drains and cold starts; and what it does when backends fail.
+
+mod common;
+use common::*;
+use lemoncove::*;
+
+fn open_plan() -> Plan {
+    Plan { rate: 1000.0, burst: 1000.0, ..Plan::default() }
+}
+
+fn answer(actions: &[Action]) -> &'static str {
+    let mut words = actions.iter().filter_map(|a| match a {
+        Action::Send { .. } => Some("send"),
+        Action::Refuse { .. } => Some("refuse"),
+        Action::Fail(_) => Some("fail"),
+        _ => None,
+    });
+    let first = words.next().unwrap_or("nothing");
+    assert_eq!(words.next(), None, "one step only: {actions:?}");
+    first
+}
+
+/// After one attempt has ended so: what follows for a safe, a keyed and an unsafe request.
+#[test]
+fn the_next_step_after_each_outcome_is_the_one_its_class_allows() {
+    let table = [
+        (Outcome::Ok, ["nothing", "nothing", "nothing"]),
+        (Outcome::Full, ["send", "send", "send"]),
+        (Outcome::ConnectFailed, ["send", "send", "send"]),
+        (Outcome::NotSent, ["send", "send", "send"]),
+        (Outcome::Error, ["send", "send", "fail"]),
+        (Outcome::Timeout, ["send", "send", "fail"]),
+        (Outcome::Reset, ["send", "send", "fail"]),
+        (Outcome::Cancelled, ["send", "send", "fail"]),
+    ];
+    for (outcome, expected) in table {
+        for (class, word) in expected.into_iter().enumerate() {
+            let backends = (1..=4).map(|id| ready(id, 0)).collect();
+            let mut stage = Stage::new(settings(open_plan(), 1), backends);
+            let at = stage.arrive(1.0, request(1, class, 1.0)).unwrap();
+            assert_eq!(answer(stage.settle(11.0, 1, 0, at, outcome)), word, "{outcome:?} of class {class}");
+        }
+    }
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_in_its_group_and_its_time() {
+    for group in [Group::All, Group::Zone, Group::Cell] {
+        for late in [false, true] {
+            let mut set = settings(open_plan(), 1);
+            set.classes[1].effect = Effect::Keyed { group, memory: 500.0 };
+            // One backend in each zone and cell, so the group of the first attempt has no other member.
+            let mut stage = Stage::new(set, vec![ready(1, 0), ready(2, 1)]);
+            let at = stage.arrive(1.0, request(1, 1, 1.0)).unwrap();
+            let now = if late { 601.0 } else { 101.0 };
+            let end = Settled { elapsed: now - 1.0, ..settled(1, 0, at, Outcome::Error) };
+            stage.play(now, Event::Settled(end));
+            match (late, group) {
+                (true, _) => assert_eq!(answer(&stage.actions), "fail", "{group:?}: its key is forgotten"),
+                (false, Group::All) => assert_eq!(answer(&stage.actions), "send"),
+                (false, _) => assert_eq!(stage.sent(), Some(at), "{group:?}"),
+            }
+        }
+    }
+}
+
+#[test]
+fn the_memory_counts_from_the_first_attempt_that_may_have_run() {
+    let mut set = settings(open_plan(), 1);
+    set.classes[1].effect = Effect::Keyed { group: Group::All, memory: 500.0 };
+    let mut stage = Stage::new(set, (1..=4).map(|id| ready(id, 0)).collect());
+    let first = stage.arrive(1.0, request(1, 1, 1.0)).unwrap();
+    stage.play(301.0, Event::Settled(Settled { elapsed: 300.0, ..settled(1, 0, first, Outcome::Error) }));
+    let second = stage.sent().unwrap();
+    stage.play(551.0, Event::Settled(Settled { elapsed: 250.0, ..settled(1, 1, second, Outcome::Error) }));
+    assert_eq!(answer(&stage.actions), "fail");
+}
+
+#[test]
+fn every_request_has_one_answer_before_its_client_leaves() {
+    for class in 0..3 {
+        let mut stage = Stage::new(Settings { cancel: true, ..settings(open_plan(), 1) }, vec![ready(1, 0)]);
+        let asked = Request { deadline: 400.0, ..request(1, class, 1.0) };
+        let at = stage.arrive(1.0, asked).unwrap();
+        let alarm = stage.actions.iter().find_map(|a| match a {
+            Action::SetAlarm { at, alarm } => Some((*at, *alarm)),
+            _ => None,
+        });
+        let (when, alarm) = alarm.unwrap();
+        assert!(when < 400.0);
+        let word = if class == 0 { "refuse" } else { "fail" };
+        assert_eq!(answer(stage.play(when, Event::Alarm(alarm))), word);
+        assert!(stage.actions.contains(&Action::CallOff { request: RequestId(1), attempt: 0 }));
+        // Nothing more is said of it, whatever still comes.
+        assert_eq!(answer(stage.settle(when + 1.0, 1, 0, at, Outcome::Cancelled)), "nothing");
+        assert_eq!(answer(stage.play(when + 2.0, Event::Alarm(alarm))), "nothing");
+        assert_eq!(answer(stage.play(when + 3.0, Event::ClientGone(RequestId(1)))), "nothing");
+    }
+}
+
+#[test]
+fn attempts_end_at_the_stated_number() {
+    let mut stage = Stage::new(settings(open_plan(), 1), (1..=8).map(|id| ready(id, 0)).collect());
+    let mut at = stage.arrive(1.0, request(1, 0, 1.0)).unwrap();
+    for attempt in 0..3 {
+        stage.settle(2.0 + f64::from(attempt), 1, attempt, at, Outcome::Full);
+        at = stage.sent().unwrap();
+    }
+    assert_eq!(answer(stage.settle(9.0, 1, 3, at, Outcome::Full)), "refuse");
+}
+
+#[test]
+fn nothing_goes_to_a_backend_that_drains_or_is_gone() {
+    for availability in [Availability::Draining, Availability::Gone] {
+        let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+        let leaving = BackendEntry { availability, ..ready(1, 0) };
+        stage.play(1.0, Event::Backends(ListKind::Changes, vec![leaving]));
+        for id in 0..2 {
+            assert_eq!(stage.arrive(2.0, request(id, 0, 2.0)), Some(BackendId(2)));
+        }
+        // A further attempt does not go there either.
+        stage.settle(3.0, 0, 0, BackendId(2), Outcome::Error);
+        assert_eq!(stage.sent(), Some(BackendId(2)));
+    }
+    let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+    stage.play(1.0, Event::Backends(ListKind::Full, vec![ready(2, 0)]));
+    assert_eq!(stage.arrive(2.0, request(1, 0, 2.0)), Some(BackendId(2)));
+}
+
+#[test]
+fn a_cold_backend_gets_no_more_than_its_share_and_no_early_burst() {
+    let set = Settings { start_capacity: 0.2, warm_up: 10_000.0, ..settings(open_plan(), 1) };
+    let mut stage = Stage::new(set, vec![ready(1, 0), ready(2, 0)]);
+    let mut sent = [0; 4];
+    for i in 0..4000u32 {
+        let now = f64::from(i) * 5.0;
+        if i == 2000 {
+            let cold = BackendEntry { started: Some(now), ..ready(3, 0) };
+            stage.play(now, Event::Backends(ListKind::Changes, vec![cold]));
+            sent = [0; 4];
+        }
+        if let Some(at) = stage.arrive(now, request(i, 0, now)) {
+            sent[at.0 as usize] += 1;
+            stage.settle(now + 1.0, i, 0, at, Outcome::Ok);
+        }
+        // Each warm one carries about 100 a second; the cold one has 0.2 of that growing to all in 10 s.
+        let age = (now - 10_000.0) / 1000.0;
+        if i > 2000 && age < 10.0 {
+            let share = 100.0 * (0.2 * age + 0.04 * age * age) + 3.0;
+            assert!(f64::from(sent[3]) <= share, "{} sent {age} s after the start", sent[3]);
+        }
+    }
+    assert!(sent[3] > 100, "it is made use of: {}", sent[3]);
+}
+
+#[test]
+fn a_hundred_gateways_together_do_not_crowd_a_cold_backend() {
+    // Each sends 2 a second over 10 backends: a warm one gets 20 a second of all, a cold one 4 and slowly more.
+    let set = Settings { start_capacity: 0.2, warm_up: 10_000.0, ..settings(open_plan(), 100) };
+    let cold = BackendEntry { started: Some(20_000.0), ..ready(0, 0) };
+    let (mut by_second, mut all) = ([0u32; 10], 0);
+    for seed in 0..100u32 {
+        let warm = (1..10).map(|id| ready(id, 0)).collect();
+        let mut stage = Stage::seeded(set.clone(), u64::from(seed), warm);
+        for i in 0..60u32 {
+            let now = f64::from(i) * 500.0 + f64::from(seed) * 5.0;
+            if i == 40 {
+                stage.play(20_000.0, Event::Backends(ListKind::Changes, vec![cold]));
+            }
+            if let Some(at) = stage.arrive(now, request(i, 0, now)) {
+                if at == cold.id {
+                    by_second[((now - 20_000.0) / 1000.0) as usize] += 1;
+                    all += 1;
+                }
+                stage.settle(now + 1.0, i, 0, at, Outcome::Ok);
+            }
+        }
+    }
+    for (second, sent) in (0..).zip(by_second) {
+        let share = 20.0 * (0.2 + 0.08 * (f64::from(second) + 1.0));
+        assert!(f64::from(sent) <= 1.8 * share, "{sent} in second {second}, {share} promised");
+    }
+    assert!(all >= 40, "it is made use of: {all}");
+}
+
+#[test]
+fn a_fleet_of_cold_backends_alone_is_still_made_use_of() {
+    let cold = |id| BackendEntry { started: Some(0.0), ..ready(id, 0) };
+    let mut stage = Stage::new(settings(open_plan(), 1), vec![cold(1), cold(2)]);
+    let served =
+        (0..100).filter(|i| stage.serve(f64::from(*i) * 100.0, request(*i, 0, f64::from(*i) * 100.0)));
+    assert!(served.count() > 10);
+}
+
+#[test]
+fn a_backend_that_fails_fast_is_left_alone_and_tried_again_later() {
+    let mut stage = Stage::new(settings(open_plan(), 1), (1..=3).map(|id| ready(id, 0)).collect());
+    let mut to_bad = [0, 0];
+    for i in 0..1500u32 {
+        let now = f64::from(i) * 20.0;
+        let healed = usize::from(i >= 300);
+        let Some(at) = stage.arrive(now, request(i, 2, now)) else { continue };
+        to_bad[healed] += u32::from(at == BackendId(1));
+        let outcome = if at == BackendId(1) && healed == 0 { Outcome::Error } else { Outcome::Ok };
+        let elapsed = if outcome == Outcome::Ok { 15.0 } else { 1.0 };
+        let end = Settled { elapsed, closed: outcome == Outcome::Ok, ..settled(i, 0, at, outcome) };
+        stage.play(now + elapsed, Event::Settled(end));
+    }
+    assert!(to_bad[0] < 20, "{} of 300 sent to a failing backend", to_bad[0]);
+    assert!(to_bad[1] > 30, "{} of 1200 sent to it once it is well", to_bad[1]);
+}
+
+#[test]
+fn a_silent_backend_is_passed_over_while_others_answer() {
+    let mut stage = Stage::new(settings(open_plan(), 1), (1..=3).map(|id| ready(id, 0)).collect());
+    let mut late_to_silent = 0;
+    for i in 0..400u32 {
+        let now = f64::from(i) * 10.0;
+        let Some(at) = stage.arrive(now, request(i, 0, now)) else { continue };
+        if i >= 100 && at == BackendId(1) {
+            late_to_silent += u32::from(i >= 200);
+        } else {
+            stage.play(now + 8.0, Event::Settled(Settled { elapsed: 8.0, ..settled(i, 0, at, Outcome::Ok) }));
+        }
+    }
+    assert!(late_to_silent <= 4, "{late_to_silent} sent a second after it fell silent");
+}
+
+#[test]
+fn where_every_backend_is_too_slow_requests_are_refused_at_once() {
+    let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+    let sent = (0..200).filter(|i| stage.arrive(1.0, request(*i, 0, 1.0)).is_some()).count();
+    assert!((2..60).contains(&sent), "{sent} sent before the wait was too long");
+    assert_eq!(answer(&stage.actions), "refuse");
+}
+
+#[test]
+fn what_is_unknown_or_not_a_number_does_no_harm() {
+    let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0)]);
+    stage.settle(1.0, 77, 0, BackendId(9), Outcome::Ok);
+    stage.play(2.0, Event::Alarm(AlarmId(12345)));
+    stage.play(2.0, Event::ClientGone(RequestId(5)));
+    stage.play(2.0, Event::StreamStarted(RequestId(5)));
+    for (i, odd) in [f64::NAN, f64::INFINITY, -1.0, 0.0].into_iter().enumerate() {
+        let id = i as u32;
+        let asked = Request { units: odd, spread: odd, deadline: 3000.0 + odd, ..request(id, 0, 3.0) };
+        if let Some(at) = stage.arrive(3.0, asked) {
+            let end = Settled {
+                elapsed: odd,
+                use_of_quota: Some(odd),
+                true_units: Some(odd),
+                ..settled(id, 0, at, Outcome::Ok)
+            };
+            stage.play(4.0, Event::Settled(end));
+        }
+    }
+    let unknown = Request { plan: PlanId(9), class: ClassId(9), ..request(50, 0, 5.0) };
+    assert_eq!(answer(stage.play(5.0, Event::Arrival(unknown))), "refuse");
+    assert!(stage.serve(6000.0, request(60, 0, 6000.0)));
+}
+
+#[test]
+fn the_list_is_asked_for_where_it_does_not_come_by_itself() {
+    let set = Settings { discovery: Discovery::OnRequest, ..settings(open_plan(), 1) };
+    let mut stage = Stage::new(set, vec![ready(1, 0)]);
+    assert!(stage.actions.contains(&Action::Subscribe));
+    stage.play(10.0, Event::Backends(ListKind::Failed, vec![]));
+    let Some(Action::SetAlarm { at, alarm }) = stage.actions.first().cloned() else { panic!("no new try") };
+    assert!(at < 10.0 + 10_000.0);
+    assert!(stage.play(at, Event::Alarm(alarm)).contains(&Action::Subscribe));
+    assert_eq!(stage.arrive(at, request(1, 0, at)), Some(BackendId(1)), "the old list stays");
+}
+
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let play = || {
+        let mut stage = Stage::new(settings(open_plan(), 1), (1..=5).map(|id| ready(id, 0)).collect());
+        let sent: Vec<_> =
+            (0..200).map(|i| stage.arrive(f64::from(i), request(i, 0, f64::from(i)))).collect();
+        sent
+    };
+    assert_eq!(play(), play());
+}
+
+#[test]
+fn slowness_is_felt_before_an_answer_comes() {
+    // Nothing is ever answered: the marks at half of the aim alone tell, and less is let in.
+    let set = settings(open_plan(), 1);
+    let mut stage = Stage::new(set, (0..99).map(|id| ready(id, 0)).collect());
+    let mut alarms: Vec<(f64, AlarmId)> = Vec::new();
+    let mut sent = [0; 2];
+    for i in 0..250u32 {
+        let now = f64::from(i) * 10.0;
+        let (due, rest) = std::mem::take(&mut alarms).into_iter().partition(|(at, _)| *at <= now);
+        alarms = rest;
+        for (at, alarm) in Vec::<(f64, AlarmId)>::from_iter(due) {
+            stage.play(at, Event::Alarm(alarm));
+        }
+        let asked = Request { customer: CustomerId(u64::from(i)), ..request(i, 0, now) };
+        stage.play(now, Event::Arrival(asked));
+        sent[usize::from(i >= 200)] += u32::from(stage.sent().is_some());
+        alarms.extend(stage.actions.iter().filter_map(|a| match a {
+            Action::SetAlarm { at, alarm } => Some((*at, *alarm)),
+            _ => None,
+        }));
+    }
+    assert!(sent[0] > 100 && sent[1] < 25, "{sent:?}");
+}
+
+#[test]
+fn where_answers_are_slow_everywhere_a_gateway_brings_down_what_it_has_out() {
+    // Many backends, each with hardly any of our load; answers take `time` of an aim of a second.
+    let sent_with = |time: f64| {
+        let mut stage = Stage::new(settings(open_plan(), 1), (0..30).map(|id| ready(id, 0)).collect());
+        let mut due: Vec<(f64, u32, BackendId)> = Vec::new();
+        let mut sent = 0;
+        for i in 0..4000u32 {
+            let now = f64::from(i) * 20.0;
+            let (done, rest) = due.into_iter().partition(|(at, ..)| *at <= now);
+            due = rest;
+            for (_, id, at) in done {
+                stage.play(now, Event::Settled(Settled { elapsed: time, ..settled(id, 0, at, Outcome::Ok) }));
+            }
+            let asked = Request { customer: CustomerId(u64::from(i)), ..request(i, 0, now) };
+            if let Some(at) = stage.arrive(now, asked) {
+                sent += u32::from(i >= 2000);
+                due.push((now + time, i, at));
+            }
+        }
+        sent
+    };
+    assert_eq!(sent_with(100.0), 2000);
+    let slow = sent_with(600.0);
+    assert!((20..1500).contains(&slow), "{slow}");
+}
+
+#[test]
+fn what_cannot_be_answered_before_its_client_leaves_is_refused_at_once() {
+    let mut stage = Stage::new(settings(open_plan(), 1), (0..4).map(|id| ready(id, 0)).collect());
+    for i in 0..100u32 {
+        let now = f64::from(i) * 250.0;
+        let at = stage.arrive(now, request(i, 0, now)).expect("a patient client is served");
+        stage.play(now + 200.0, Event::Settled(Settled { elapsed: 200.0, ..settled(i, 0, at, Outcome::Ok) }));
+    }
+    let now = 26_000.0;
+    assert_eq!(stage.arrive(now, Request { deadline: now + 100.0, ..request(500, 0, now) }), None);
+    assert_eq!(answer(&stage.actions), "refuse");
+    assert!(stage.arrive(now, Request { deadline: now + 400.0, ..request(501, 0, now) }).is_some());
+}
+
+#[test]
+fn a_backend_full_for_one_plan_is_still_used_by_others() {
+    let set = Settings { plans: vec![open_plan(), open_plan()], ..settings(open_plan(), 1) };
+    let mut stage = Stage::new(set, vec![ready(1, 0), ready(2, 0)]);
+    let mut sent = [[0u32; 3]; 2];
+    for i in 0..400u32 {
+        let (now, plan) = (f64::from(i) * 20.0, (i % 2) as usize);
+        let customer = CustomerId(u64::from(i % 2));
+        let asked = Request { plan: PlanId(plan), customer, ..request(i, 0, now) };
+        let Some(at) = stage.arrive(now, asked) else { continue };
+        sent[plan][at.0 as usize] += 1;
+        // Backend 1 turns plan 0 away; what is turned away once more elsewhere is answered.
+        if plan == 0 && at == BackendId(1) {
+            stage.settle(now + 1.0, i, 0, at, Outcome::Full);
+            let Some(next) = stage.sent() else { continue };
+            stage.settle(now + 2.0, i, 1, next, Outcome::Ok);
+        } else {
+            stage.settle(now + 1.0, i, 0, at, Outcome::Ok);
+        }
+    }
+    assert!(sent[0][1] < 20, "plan 0 tries it now and then: {sent:?}");
+    assert!(sent[1][1] > 60, "plan 1 uses it: {sent:?}");
+}
