--- a/src/bin/lemoncove-drill/main.rs
+++ b/src/bin/lemoncove-drill/main.rs
@@ -5,11 +5,10 @@
 #![forbid(unsafe_code)]
 
 mod codec;
-mod settings;
 
 use codec::{Record, Reply};
+use lemoncove::settings::{self, Metric, Told};
 use lemoncove::*;
-use settings::Metric;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{self, AssertUnwindSafe};
@@ -90,7 +89,7 @@
 ) -> Result<(), String> {
     match record {
         Record::Create { seed, facts } => {
-            let (settings, metrics) = settings::parse(&facts)?;
+            let Told { settings, metrics, .. } = settings::parse(&facts)?;
             let gateway = guarded(|| Gateway::new(settings, seed))?;
             instances.insert(door, Instance { gateway, metrics });
             Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 
 mod interface;
 mod rules;
+pub mod settings;
 
 pub use interface::*;
 pub use rules::{Cewma, Gateway};
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,29 @@
+//! The front door: starts up, serves until it is told to stop, and ends with an exit code.
+
+#![forbid(unsafe_code)]
+
+mod net;
+
+use net::config::Config;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match Config::from_env().map_err(|error| error.to_string()).and_then(serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lemoncove: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Serves on one thread: a front door has one core, and nothing on the path needs a lock.
+fn serve(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .map_err(|error| format!("cannot start: {error}"))?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, net::run(config))
+}
--- /dev/null
+++ b/src/net/backends.rs
@@ -0,0 +1,479 @@
+//! Attempts: pools of connections to backends, and what the end of an attempt means.
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::header::{HeaderName, HeaderValue, HOST};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use lemoncove::settings::{self, Links, Metric};
+use lemoncove::{BackendId, Millis, Outcome, Report};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest body of a request or an answer.
+pub const LONGEST_BODY: usize = 64 * 1024;
+/// Part of the backends' idle time for which a connection is kept: one closed there costs a request.
+const IDLE_PART: f64 = 0.6;
+/// How often idle connections are looked through.
+const TIDY: Duration = Duration::from_millis(500);
+/// Descriptors kept for discovery, listening and the runtime.
+const SPARE_SOCKETS: usize = 24;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
+const API_USAGE: HeaderName = HeaderName::from_static("api-usage");
+const API_CHARGE: HeaderName = HeaderName::from_static("api-charge");
+const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+
+/// Connections to backends that `sockets` descriptors leave room for; clients get as many.
+pub fn budget(sockets: usize) -> usize {
+    sockets.saturating_sub(SPARE_SOCKETS) / 2
+}
+
+/// What goes on to a backend, the same with every attempt.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The id on the wire.
+    pub id: String,
+    /// The id as it came.
+    pub id_value: HeaderValue,
+    /// The host that the client named.
+    pub host: HeaderValue,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The key of a keyed request.
+    pub key: Option<HeaderValue>,
+    /// The content type, if the client named one.
+    pub content_type: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Order {
+    fn request(&self, limit: Millis) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.insert(HOST, self.host.clone());
+        headers.insert(REQUEST_ID, self.id_value.clone());
+        if let Ok(limit) = HeaderValue::try_from(format!("{:.3}", limit / 1000.0)) {
+            headers.insert(REQUEST_TIMEOUT, limit);
+        }
+        if let Some(key) = &self.key {
+            headers.insert(IDEMPOTENCY_KEY, key.clone());
+        }
+        if let Some(kind) = &self.content_type {
+            headers.insert(hyper::header::CONTENT_TYPE, kind.clone());
+        }
+        request
+    }
+}
+
+/// How an attempt ended and what its answer told.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The whole body of a good answer.
+    pub body: Bytes,
+    /// The customer's use, as a part of its rate.
+    pub used: Option<f64>,
+    /// The true units.
+    pub charge: Option<f64>,
+    /// The backend's load.
+    pub report: Report,
+}
+
+impl Ended {
+    /// An end without an answer.
+    pub fn of(outcome: Outcome) -> Ended {
+        Ended { outcome, body: Bytes::new(), used: None, charge: None, report: Report::default() }
+    }
+}
+
+/// How load reports are read.
+pub struct Reading {
+    /// Names of their values.
+    pub names: Vec<String>,
+    /// What the values are.
+    pub metrics: Vec<Metric>,
+}
+
+impl Reading {
+    fn report(&self, text: &str) -> Report {
+        let mut report = Report::default();
+        for (name, value) in text.split(',').filter_map(|field| field.trim().split_once('=')) {
+            let place = self.names.iter().position(|known| known == name);
+            if let (Some(place), Ok(value)) = (place, value.parse::<f32>()) {
+                settings::tell(&mut report, self.metrics[place], value);
+            }
+        }
+        report
+    }
+}
+
+// ---- One connection ---------------------------------------------------------------------------------
+
+/// How much of a request has been written, as seen below the HTTP library.
+#[derive(Debug, Default)]
+struct Written {
+    /// How much of the empty line that ends the head has been seen.
+    matched: usize,
+    head_done: bool,
+    body_left: usize,
+}
+
+impl Written {
+    fn begin(body: usize) -> Written {
+        Written { matched: 0, head_done: false, body_left: body }
+    }
+
+    fn note(&mut self, bytes: &[u8]) {
+        const END: &[u8] = b"\r\n\r\n";
+        for (at, byte) in bytes.iter().enumerate() {
+            if self.head_done {
+                self.body_left = self.body_left.saturating_sub(bytes.len() - at);
+                return;
+            }
+            self.matched = match *byte {
+                byte if byte == END[self.matched] => self.matched + 1,
+                b'\r' => 1,
+                _ => 0,
+            };
+            self.head_done = self.matched == END.len();
+        }
+    }
+
+    fn whole(&self) -> bool {
+        self.head_done && self.body_left == 0
+    }
+}
+
+/// A socket that can be closed at once from outside, and that counts towards the budget until it is.
+struct Wire {
+    stream: RefCell<Option<TcpStream>>,
+    written: RefCell<Written>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Wire {
+    fn close(&self) {
+        if self.stream.borrow_mut().take().is_some() {
+            self.open.set(self.open.get() - 1);
+        }
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+/// The library's end of a [`Wire`].
+struct WireIo(Rc<Wire>);
+
+impl AsyncRead for WireIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        match self.0.stream.borrow_mut().as_mut() {
+            Some(stream) => Pin::new(stream).poll_read(cx, buf),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+}
+
+impl AsyncWrite for WireIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let mut stream = self.0.stream.borrow_mut();
+        let Some(stream) = stream.as_mut() else {
+            return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
+        };
+        let wrote = Pin::new(stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(count)) = &wrote {
+            self.0.written.borrow_mut().note(&buf[..*count]);
+        }
+        wrote
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.close();
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// A connection to a backend; dropped, it is closed at once.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    wire: Rc<Wire>,
+    task: AbortHandle,
+    idle_since: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.wire.close();
+        self.task.abort();
+    }
+}
+
+/// The hold that the driver has on an attempt that is out.
+#[derive(Clone, Default)]
+pub struct Line {
+    wire: Rc<RefCell<Option<Rc<Wire>>>>,
+    task: Rc<RefCell<Option<AbortHandle>>>,
+}
+
+impl Line {
+    /// Names the task that carries the attempt.
+    pub fn tie(&self, task: AbortHandle) {
+        *self.task.borrow_mut() = Some(task);
+    }
+
+    /// Gives the attempt up: its connection is closed before this returns.
+    pub fn give_up(&self) {
+        if let Some(wire) = self.wire.borrow_mut().take() {
+            wire.close();
+        }
+        if let Some(task) = self.task.borrow_mut().take() {
+            task.abort();
+        }
+    }
+}
+
+// ---- Pools ------------------------------------------------------------------------------------------
+
+struct Pool {
+    dial: SocketAddr,
+    born_ms: f64,
+    ready: bool,
+    /// The most recently used last.
+    idle: Vec<Connection>,
+}
+
+/// The connections to all backends.
+pub struct Pools {
+    links: Links,
+    budget: usize,
+    reading: Reading,
+    open: Rc<Cell<usize>>,
+    pools: RefCell<HashMap<BackendId, Pool>>,
+}
+
+impl Pools {
+    /// No backends yet, and at most `budget` connections.
+    pub fn new(links: Links, budget: usize, reading: Reading) -> Pools {
+        Pools { links, budget, reading, open: Rc::default(), pools: RefCell::default() }
+    }
+
+    /// A backend that may be sent to.
+    pub fn open(&self, id: BackendId, dial: SocketAddr, born_ms: f64) {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.entry(id).or_insert_with(|| Pool { dial, born_ms, ready: true, idle: Vec::new() });
+        // What was open to another address or an earlier process leads nowhere.
+        if pool.dial != dial || pool.born_ms != born_ms {
+            (pool.dial, pool.born_ms) = (dial, born_ms);
+            pool.idle.clear();
+        }
+        pool.ready = true;
+    }
+
+    /// A backend that wants nothing new.
+    pub fn drain(&self, id: BackendId) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&id) {
+            pool.ready = false;
+            pool.idle.clear();
+        }
+    }
+
+    /// A backend that is gone.
+    pub fn remove(&self, id: BackendId) {
+        self.pools.borrow_mut().remove(&id);
+    }
+
+    /// Closes idle connections to a backend.
+    pub fn close_idle(&self, id: BackendId) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&id) {
+            pool.idle.clear();
+        }
+    }
+
+    fn takes_new(&self, id: BackendId) -> bool {
+        self.pools.borrow().get(&id).is_some_and(|pool| pool.ready)
+    }
+
+    fn dial_address(&self, id: BackendId) -> Option<SocketAddr> {
+        self.pools.borrow().get(&id).filter(|pool| pool.ready).map(|pool| pool.dial)
+    }
+
+    /// The most recently used connection that is still good.
+    fn take_idle(&self, id: BackendId) -> Option<Connection> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&id)?;
+        loop {
+            let connection = pool.idle.pop()?;
+            if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.longest_idle() {
+                return Some(connection);
+            }
+        }
+    }
+
+    fn put_back(&self, id: BackendId, dial: SocketAddr, mut connection: Connection) {
+        connection.idle_since = Instant::now();
+        let mut pools = self.pools.borrow_mut();
+        let same = pools.get_mut(&id).filter(|pool| pool.ready && pool.dial == dial);
+        if let Some(pool) = same.filter(|_| !connection.sender.is_closed()) {
+            pool.idle.push(connection);
+        }
+    }
+
+    fn longest_idle(&self) -> Duration {
+        Duration::try_from_secs_f64(self.links.idle_close * IDLE_PART / 1000.0).unwrap_or_default()
+    }
+
+    /// Closes the connection that has been idle longest, wherever it leads; tells whether there was one.
+    fn close_oldest(&self) -> bool {
+        let mut pools = self.pools.borrow_mut();
+        let oldest = pools
+            .values_mut()
+            .filter(|pool| !pool.idle.is_empty())
+            .min_by_key(|pool| pool.idle[0].idle_since);
+        oldest.map(|pool| pool.idle.remove(0)).is_some()
+    }
+
+    /// Disposes of idle connections well before the backends do.
+    pub async fn tidy(&self) {
+        loop {
+            tokio::time::sleep(TIDY).await;
+            let longest = self.longest_idle();
+            for pool in self.pools.borrow_mut().values_mut() {
+                pool.idle.retain(|c| !c.sender.is_closed() && c.idle_since.elapsed() < longest);
+            }
+        }
+    }
+
+    /// A connection of this backend, idle or new; `None` if none comes up in time.
+    async fn connection(&self, id: BackendId, dial: SocketAddr) -> Option<Connection> {
+        while let Some(mut connection) = self.take_idle(id) {
+            if connection.sender.ready().await.is_ok() {
+                return Some(connection);
+            }
+        }
+        if self.open.get() >= self.budget && !self.close_oldest() {
+            return None;
+        }
+        let limit = Duration::try_from_secs_f64(self.links.dial_timeout / 1000.0).unwrap_or_default();
+        tokio::time::timeout(limit, self.dial(dial)).await.ok()?
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Option<Connection> {
+        // Counted from here on: a connection that comes up slowly holds a descriptor too.
+        self.open.set(self.open.get() + 1);
+        let dialling = Dialling(&self.open);
+        let stream = TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        std::mem::forget(dialling);
+        let wire = Rc::new(Wire {
+            stream: RefCell::new(Some(stream)),
+            written: RefCell::default(),
+            open: self.open.clone(),
+        });
+        let (sender, connection) = handshake(TokioIo::new(WireIo(wire.clone()))).await.ok()?;
+        let closing = wire.clone();
+        let task = tokio::task::spawn_local(async move {
+            // How it ended is told to the attempt on it, if there is one.
+            let _ = connection.await;
+            closing.close();
+        });
+        Some(Connection { sender, wire, task: task.abort_handle(), idle_since: Instant::now() })
+    }
+}
+
+/// Gives back the descriptor of a connection that never came up.
+struct Dialling<'a>(&'a Cell<usize>);
+
+impl Drop for Dialling<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+// ---- Attempts ---------------------------------------------------------------------------------------
+
+/// Carries out one attempt and tells how it ended.
+pub async fn attempt(pools: &Pools, backend: BackendId, order: &Order, limit: Millis, line: &Line) -> Ended {
+    let begun = Instant::now();
+    let Some(dial) = pools.dial_address(backend) else { return Ended::of(Outcome::NotSent) };
+    let Some(mut connection) = pools.connection(backend, dial).await else {
+        return Ended::of(Outcome::ConnectFailed);
+    };
+    // The wait for a connection may have outlasted the backend's place in the list.
+    if !pools.takes_new(backend) {
+        return Ended::of(Outcome::NotSent);
+    }
+    *line.wire.borrow_mut() = Some(connection.wire.clone());
+    *connection.wire.written.borrow_mut() = Written::begin(order.body.len());
+    let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
+    let answer = match connection.sender.send_request(order.request(left.max(1.0))).await {
+        Ok(answer) => read(&pools.reading, answer).await,
+        Err(_) => None,
+    };
+    match answer {
+        Some(ended) => {
+            pools.put_back(backend, dial, connection);
+            ended
+        }
+        // Only what was written whole may have run.
+        None if connection.wire.written.borrow().whole() => Ended::of(Outcome::Reset),
+        None => Ended::of(Outcome::ConnectFailed),
+    }
+}
+
+/// Reads a whole answer; `None` if the connection ends before it does.
+async fn read(reading: &Reading, answer: Response<Incoming>) -> Option<Ended> {
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, LONGEST_BODY).collect().await.ok()?.to_bytes();
+    let outcome = outcome(head.status, &head.headers);
+    Some(Ended {
+        outcome,
+        body: if outcome == Outcome::Ok { body } else { Bytes::new() },
+        used: number(&head.headers, &API_USAGE).map(|percent| percent / 100.0),
+        charge: number(&head.headers, &API_CHARGE),
+        report: text(&head.headers, &SERVER_LOAD).map(|text| reading.report(text)).unwrap_or_default(),
+    })
+}
+
+fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let unavailable = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+    match status {
+        StatusCode::OK => Outcome::Ok,
+        _ if unavailable && text(headers, &NOT_STARTED) == Some("1") => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    text(headers, name)?.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,180 @@
+//! What a front door is told: the `BALANCER_*` variables and the JSON file that one of them names.
+
+use super::discovery::Members;
+use lemoncove::settings::{self, Told};
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+/// Why a configuration cannot be used; each is one plain line.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The variable that names the file is not set.
+    #[error("BALANCER_CONFIG is not set")]
+    Missing,
+    /// The file cannot be read.
+    #[error("cannot read {path}: {error}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// The file is not what it should be.
+    #[error("{path}: {error}")]
+    Malformed {
+        /// The file.
+        path: String,
+        /// Where and why.
+        error: serde_json::Error,
+    },
+    /// An address is not one.
+    #[error("{name}: {value:?} is not an address with a port")]
+    Address {
+        /// Whose address.
+        name: &'static str,
+        /// What stood there.
+        value: String,
+    },
+    /// A figure is out of bounds.
+    #[error("{0}")]
+    Value(String),
+}
+
+/// Limits of the machine that bear on how the front door is built.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+}
+
+/// The file as it stands.
+#[derive(Debug, Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    listen: String,
+    #[serde(default)]
+    discovery: String,
+    seed: String,
+    limits: Limits,
+    known: Option<Members>,
+    settings: Value,
+}
+
+/// What a front door goes by.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name, for its log.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// Limits of the machine.
+    pub limits: Limits,
+    /// The list of backends as this front door last had it.
+    pub known: Option<Members>,
+    /// The settings.
+    pub told: Told,
+}
+
+/// Fewest descriptors with which a front door can do its work.
+const LEAST_SOCKETS: usize = 32;
+
+impl Config {
+    /// Reads the variables and the file. A variable goes before the file's own entry.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let path = std::env::var("BALANCER_CONFIG").map_err(|_| ConfigError::Missing)?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
+        let file: File =
+            serde_json::from_str(&text).map_err(|error| ConfigError::Malformed { path, error })?;
+        let told_or = |name: &str, otherwise: &str| std::env::var(name).unwrap_or(otherwise.to_owned());
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|_| ConfigError::Value(format!("seed: {:?} is not a hexadecimal number", file.seed)))?;
+        if file.limits.sockets < LEAST_SOCKETS {
+            let text = format!("limits.sockets: {} is under {LEAST_SOCKETS}", file.limits.sockets);
+            return Err(ConfigError::Value(text));
+        }
+        Ok(Config {
+            name: told_or("BALANCER_NAME", &file.name),
+            listen: address("BALANCER_LISTEN", &told_or("BALANCER_LISTEN", &file.listen))?,
+            discovery: address("BALANCER_DISCOVERY", &told_or("BALANCER_DISCOVERY", &file.discovery))?,
+            seed,
+            limits: file.limits,
+            known: file.known,
+            told: settings::parse(&facts(&file.settings)).map_err(ConfigError::Value)?,
+        })
+    }
+}
+
+fn address(name: &'static str, value: &str) -> Result<SocketAddr, ConfigError> {
+    value.parse().map_err(|_| ConfigError::Address { name, value: value.to_owned() })
+}
+
+/// Nested settings as the `path=value` lines that the simulator tells, so that both are read the same way.
+fn facts(settings: &Value) -> String {
+    let mut lines = String::new();
+    flatten("", settings, &mut lines);
+    lines
+}
+
+fn flatten(path: &str, value: &Value, lines: &mut String) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, value)| flatten(&below(key), value, lines)),
+        Value::Array(items) if items.iter().any(|item| item.is_object() || item.is_array()) => {
+            // A string takes any text; the error is that of a writer that can fail.
+            let _ = writeln!(lines, "{}={}", below("count"), items.len());
+            items.iter().enumerate().for_each(|(i, item)| flatten(&below(&i.to_string()), item, lines));
+        }
+        Value::Array(items) => {
+            let words: Vec<String> = items.iter().filter_map(word).collect();
+            let _ = writeln!(lines, "{path}={}", words.join(","));
+        }
+        value => {
+            if let Some(word) = word(value) {
+                let _ = writeln!(lines, "{path}={word}");
+            }
+        }
+    }
+}
+
+fn word(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(settings::plain(text)),
+        Value::Bool(_) | Value::Number(_) => Some(value.to_string()),
+        Value::Null | Value::Array(_) | Value::Object(_) => None,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn nested_settings_become_the_facts_of_the_wire() {
+        let value = serde_json::json!({
+            "tick": 2.0, "zones": ["a b", "c"], "none": null, "report": {"names": []},
+            "plans": [{"name": "x,y", "max_out": 2}], "policy_limits": {"cancel": true},
+        });
+        let text = facts(&value);
+        let mut lines: Vec<&str> = text.lines().collect();
+        lines.sort_unstable();
+        let expected = [
+            "plans.0.max_out=2",
+            "plans.0.name=x_y",
+            "plans.count=1",
+            "policy_limits.cancel=true",
+            "report.names=",
+            "tick=2.0",
+            "zones=a_b,c",
+        ];
+        assert_eq!(lines, expected);
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,171 @@
+//! The list of backends: a watch that is resumed where it ended, and the whole list when one is unreadable.
+
+use super::door::Door;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Discovery says something every 2 s; a watch silent for three of these has lost its other end.
+const SILENCE: Duration = Duration::from_millis(6500);
+/// Pause before discovery is asked again after a watch has ended.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Longest line that is taken in.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// A list of backends, or what changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Members {
+    /// Its version.
+    pub seq: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// Its entries.
+    pub hosts: Vec<Member>,
+}
+
+/// One entry of the list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    /// Its name, the same at every front door.
+    pub host: String,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
+    /// Its cell.
+    #[serde(default)]
+    pub block: u32,
+    /// Its state.
+    pub health: Health,
+    /// Its size relative to others.
+    #[serde(default = "whole_share")]
+    pub share: f64,
+    /// When it last started, in Unix milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub born_ms: f64,
+}
+
+/// State of a backend in the list.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum Health {
+    /// May be sent to.
+    Up,
+    /// Finishing its work.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+fn whole_share() -> f64 {
+    1.0
+}
+
+/// How a watch ended.
+#[derive(Debug, thiserror::Error)]
+enum Ended {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("silent")]
+    Silent(#[from] tokio::time::error::Elapsed),
+    #[error("unreadable line: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("a line of over {LONGEST_LINE} bytes")]
+    TooLong,
+}
+
+/// Follows discovery for as long as the front door runs, from the list that it last had.
+pub async fn follow(door: Rc<Door>, agent: SocketAddr, known: Option<Members>) {
+    let mut version = None;
+    if let Some(known) = known {
+        version = Some(known.seq);
+        door.list_changed(&known, true);
+    }
+    let mut down = false;
+    loop {
+        let before = version;
+        let ended = match version {
+            Some(seq) => {
+                let path = format!("/catalog/members?watch=1&from={seq}");
+                read(&door, agent, &path, &mut version).await
+            }
+            None => read(&door, agent, "/catalog/members", &mut version).await,
+        };
+        if matches!(ended, Err(Ended::Unreadable(_) | Ended::TooLong)) {
+            version = None;
+        }
+        let whole_list = before.is_none() && ended.is_ok();
+        if whole_list && version.is_some() {
+            continue;
+        }
+        // One line for an outage, not one for each try.
+        if !down || version != before {
+            let why = ended.err().map_or("closed".to_owned(), |error| error.to_string());
+            eprintln!("discovery: watch ended: {why}");
+        }
+        down = version == before;
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Asks for `path` and takes in each line of the answer until it ends.
+async fn read(
+    door: &Rc<Door>,
+    agent: SocketAddr,
+    path: &str,
+    version: &mut Option<u64>,
+) -> Result<(), Ended> {
+    let stream = timeout(SILENCE, TcpStream::connect(agent)).await??;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    // Ends with this function: the set ends its tasks when it is dropped.
+    let mut tied = tokio::task::JoinSet::new();
+    tied.spawn_local(connection);
+    let request = Request::get(path).header(HOST, agent.to_string()).body(Empty::<Bytes>::new())?;
+    let answer = timeout(SILENCE, sender.send_request(request)).await??;
+    if answer.status() != StatusCode::OK {
+        return Err(Ended::Status(answer.status()));
+    }
+    let mut body = answer.into_body();
+    let mut pending = Vec::new();
+    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        for byte in data {
+            if byte == b'\n' {
+                take_line(door, &pending, version)?;
+                pending.clear();
+            } else if pending.len() < LONGEST_LINE {
+                pending.push(byte);
+            } else {
+                return Err(Ended::TooLong);
+            }
+        }
+    }
+    take_line(door, &pending, version)
+}
+
+/// Hands a line to the front door; an empty one only says that discovery is there.
+fn take_line(door: &Rc<Door>, line: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
+    if line.trim_ascii().is_empty() {
+        return Ok(());
+    }
+    let members: Members = serde_json::from_slice(line)?;
+    door.list_changed(&members, false);
+    *version = Some(members.seq);
+    Ok(())
+}
--- /dev/null
+++ b/src/net/door.rs
@@ -0,0 +1,502 @@
+//! The driver: hands events to the decision module and carries out what comes back.
+//!
+//! It owns the gateway, the tables of requests and attempts, the alarms, and the maps between names on the
+//! wire and the module's numbers. [`Door::post`] is the only place that calls the module; events that arise
+//! while actions are carried out wait in a queue, so the module is never re-entered.
+
+use super::backends::{self, Ended, Line, Order, Pools, Reading};
+use super::clients::Answer;
+use super::config::Config;
+use super::discovery::{Health, Member, Members};
+use lemoncove::settings::{self, Names};
+use lemoncove::*;
+use std::cell::{Cell, RefCell};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{oneshot, Notify};
+
+/// A monotonic clock that reads as Unix milliseconds, so that start times of backends compare with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Millis,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.unix + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn instant(&self, at: Millis) -> tokio::time::Instant {
+        let after = Duration::try_from_secs_f64((at - self.unix) / 1000.0).unwrap_or_default();
+        tokio::time::Instant::from_std(self.start + after)
+    }
+}
+
+/// What comes due at a time.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    /// An alarm of the module.
+    Alarm(AlarmId),
+    /// The time-out of an attempt.
+    TimeOut(RequestId, u32),
+    /// The client of a request stops waiting.
+    Deadline(RequestId),
+}
+
+/// An entry of the timer heap; of two for one time, the one set first comes first.
+#[derive(Clone, Copy, Debug)]
+struct Timer {
+    at: Millis,
+    order: u64,
+    due: Due,
+}
+
+impl Ord for Timer {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at.total_cmp(&other.at).then(self.order.cmp(&other.order))
+    }
+}
+
+impl PartialOrd for Timer {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Timer {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Timer {}
+
+/// A client's request, read whole and found well formed.
+#[derive(Debug)]
+pub struct Incoming {
+    /// When its last byte came.
+    pub at: Millis,
+    /// When its client stops waiting.
+    pub deadline: Millis,
+    /// Its owner.
+    pub customer: CustomerId,
+    /// Its owner's plan.
+    pub plan: PlanId,
+    /// Its class.
+    pub class: ClassId,
+    /// Units that it takes.
+    pub units: f64,
+    /// Front doors in its owner's set.
+    pub spread: f64,
+    /// What goes on to a backend.
+    pub order: Order,
+}
+
+/// A request that has no final answer yet, or an attempt of which is still out.
+struct Entry {
+    order: Rc<Order>,
+    deadline: Millis,
+    /// Present until the one final answer has been handed over.
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: u32,
+    out: Option<Attempt>,
+}
+
+/// An attempt that is out.
+struct Attempt {
+    number: u32,
+    backend: BackendId,
+    sent: Millis,
+    line: Line,
+}
+
+struct State {
+    gateway: Gateway,
+    requests: HashMap<RequestId, Entry>,
+    /// Ids on the wire of the requests in the table.
+    ids: HashSet<String>,
+    last_request: u32,
+    backends: HashMap<String, BackendId>,
+    last_backend: u32,
+    timers: BinaryHeap<Reverse<Timer>>,
+    timers_set: u64,
+}
+
+/// A front door's driver.
+pub struct Door {
+    /// The one clock.
+    pub clock: Clock,
+    /// The settings.
+    pub settings: Settings,
+    /// The names that the settings give to numbers.
+    pub names: Names,
+    pools: Rc<Pools>,
+    state: RefCell<State>,
+    queue: RefCell<VecDeque<(Millis, Event)>>,
+    last_event: Cell<Millis>,
+    busy: Cell<bool>,
+    earlier: Notify,
+}
+
+/// Ends the process if the module panics: a front door that cannot decide must not go on taking requests.
+struct Deciding;
+
+impl Drop for Deciding {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            std::process::exit(70);
+        }
+    }
+}
+
+impl Door {
+    /// A front door with an empty list of backends.
+    pub fn new(config: &Config) -> Rc<Door> {
+        let told = &config.told;
+        let reading = Reading { names: told.names.metrics.clone(), metrics: told.metrics.clone() };
+        let pools = Pools::new(told.links, backends::budget(config.limits.sockets), reading);
+        Rc::new(Door {
+            clock: Clock::new(),
+            settings: told.settings.clone(),
+            names: told.names.clone(),
+            pools: Rc::new(pools),
+            state: RefCell::new(State {
+                gateway: Gateway::new(told.settings.clone(), config.seed),
+                requests: HashMap::new(),
+                ids: HashSet::new(),
+                last_request: 0,
+                backends: HashMap::new(),
+                last_backend: 0,
+                timers: BinaryHeap::new(),
+                timers_set: 0,
+            }),
+            queue: RefCell::default(),
+            last_event: Cell::new(0.0),
+            busy: Cell::new(false),
+            earlier: Notify::new(),
+        })
+    }
+
+    /// Whether there is a list to serve from.
+    pub fn ready(&self) -> bool {
+        !self.state.borrow().backends.is_empty()
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.state.borrow().requests.values().filter(|entry| entry.answer.is_some()).count()
+    }
+
+    /// Hands an event to the module, or queues it behind the one that is being handled.
+    fn post(self: &Rc<Self>, at: Millis, event: Event) {
+        self.queue.borrow_mut().push_back((at, event));
+        if self.busy.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let Some((at, event)) = self.queue.borrow_mut().pop_front() else { break };
+            // Two events may have been read in another order than they came; the clock never goes back.
+            let at = at.max(self.last_event.get());
+            self.last_event.set(at);
+            let deciding = Deciding;
+            self.state.borrow_mut().gateway.handle(at, event, &mut actions);
+            drop(deciding);
+            actions.drain(..).for_each(|action| self.carry_out(action));
+        }
+        self.busy.set(false);
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Send { request, backend, limit } => self.send(request, backend, limit),
+            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
+            Action::Fail(request) => self.answer(request, Answer::Failed),
+            Action::CallOff { request, attempt } => {
+                self.settle(request, attempt, Ended::of(Outcome::Cancelled))
+            }
+            Action::SetAlarm { at, alarm } => self.set_timer(at, Due::Alarm(alarm)),
+            Action::CloseIdle(backend) => self.pools.close_idle(backend),
+            Action::Log(text) => eprintln!("{text}"),
+            // Changes of the list come unasked, and probes are not permitted.
+            Action::Subscribe | Action::FetchList | Action::Probe(_) => {}
+        }
+    }
+
+    // ---- Requests -----------------------------------------------------------------------------------
+
+    /// Takes a request in; `None` if one with its id has no answer yet.
+    pub fn arrive(self: &Rc<Self>, incoming: Incoming) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        let (sender, receiver) = oneshot::channel();
+        let id = {
+            let mut state = self.state.borrow_mut();
+            if !state.ids.insert(incoming.order.id.clone()) {
+                return None;
+            }
+            let id = state.new_request();
+            let entry = Entry {
+                order: Rc::new(incoming.order),
+                deadline: incoming.deadline,
+                answer: Some(sender),
+                attempts: 0,
+                out: None,
+            };
+            state.requests.insert(id, entry);
+            id
+        };
+        self.set_timer(incoming.deadline, Due::Deadline(id));
+        let request = Request {
+            id,
+            customer: incoming.customer,
+            plan: incoming.plan,
+            class: incoming.class,
+            units: incoming.units,
+            deadline: incoming.deadline,
+            spread: incoming.spread,
+        };
+        self.post(incoming.at, Event::Arrival(request));
+        Some((id, receiver))
+    }
+
+    /// Notes that a client has gone away; nothing happens if its request has been answered.
+    pub fn client_gone(self: &Rc<Self>, id: RequestId) {
+        let waited = {
+            let mut state = self.state.borrow_mut();
+            state.requests.get_mut(&id).is_some_and(|entry| entry.answer.take().is_some())
+        };
+        if waited {
+            self.post(self.clock.now(), Event::ClientGone(id));
+            self.state.borrow_mut().forget_if_over(id);
+        }
+    }
+
+    /// Gives a request its final answer, unless it has one.
+    fn answer(&self, id: RequestId, answer: Answer) {
+        let mut state = self.state.borrow_mut();
+        if let Some(sender) = state.requests.get_mut(&id).and_then(|entry| entry.answer.take()) {
+            // The client may be gone; then there is nobody to tell.
+            let _ = sender.send(answer);
+        }
+        state.forget_if_over(id);
+    }
+
+    // ---- Attempts -----------------------------------------------------------------------------------
+
+    fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, limit: Option<Millis>) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let Some(entry) = state.requests.get_mut(&id) else { return };
+        let number = entry.attempts;
+        entry.attempts += 1;
+        let limit = limit.unwrap_or(f64::INFINITY).min(entry.deadline - now);
+        let over = entry.answer.is_none() || entry.out.is_some() || limit <= 0.0;
+        if over || number >= self.settings.max_attempts {
+            drop(state);
+            self.post(
+                now,
+                Event::Settled(settled(id, number, backend, 0.0, &Ended::of(Outcome::NotSent), false)),
+            );
+            return;
+        }
+        let order = entry.order.clone();
+        let line = Line::default();
+        let (door, pools, on) = (self.clone(), self.pools.clone(), line.clone());
+        let task = tokio::task::spawn_local(async move {
+            let ended = backends::attempt(&pools, backend, &order, limit, &on).await;
+            door.settle(id, number, ended);
+        });
+        line.tie(task.abort_handle());
+        entry.out = Some(Attempt { number, backend, sent: now, line });
+        drop(state);
+        self.set_timer(now + limit, Due::TimeOut(id, number));
+    }
+
+    /// Settles an attempt, once: whatever ends it later finds it gone.
+    fn settle(self: &Rc<Self>, id: RequestId, number: u32, ended: Ended) {
+        let now = self.clock.now();
+        let event = {
+            let mut state = self.state.borrow_mut();
+            let Some(entry) = state.requests.get_mut(&id) else { return };
+            let Some(attempt) = entry.out.take_if(|attempt| attempt.number == number) else { return };
+            if matches!(ended.outcome, Outcome::Cancelled | Outcome::Timeout) {
+                attempt.line.give_up();
+            }
+            if let Some(sender) = entry.answer.take_if(|_| ended.outcome == Outcome::Ok) {
+                let _ = sender.send(Answer::Served(ended.body.clone()));
+            }
+            let closed = entry.answer.is_none();
+            settled(id, number, attempt.backend, now - attempt.sent, &ended, closed)
+        };
+        self.post(now, Event::Settled(event));
+        self.state.borrow_mut().forget_if_over(id);
+    }
+
+    // ---- Time ---------------------------------------------------------------------------------------
+
+    fn set_timer(&self, at: Millis, due: Due) {
+        let mut state = self.state.borrow_mut();
+        let earliest = state.timers.peek().is_none_or(|Reverse(first)| at < first.at);
+        state.timers_set += 1;
+        let order = state.timers_set;
+        state.timers.push(Reverse(Timer { at, order, due }));
+        if earliest {
+            self.earlier.notify_one();
+        }
+    }
+
+    /// Fires what comes due, for as long as the front door runs.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let next = {
+                let mut state = self.state.borrow_mut();
+                match state.timers.peek() {
+                    Some(Reverse(first)) if first.at <= now => {
+                        state.timers.pop().map(|Reverse(first)| Ok(first))
+                    }
+                    Some(Reverse(first)) => Some(Err(first.at)),
+                    None => None,
+                }
+            };
+            match next {
+                Some(Ok(timer)) => self.fire(now, timer.due),
+                Some(Err(at)) => tokio::select! {
+                    () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                    () = self.earlier.notified() => {}
+                },
+                None => self.earlier.notified().await,
+            }
+        }
+    }
+
+    fn fire(self: &Rc<Self>, now: Millis, due: Due) {
+        match due {
+            Due::Alarm(alarm) => self.post(now, Event::Alarm(alarm)),
+            Due::TimeOut(id, number) => self.settle(id, number, Ended::of(Outcome::Timeout)),
+            Due::Deadline(id) => {
+                // The module answers before this; a request that it holds must not stay without an answer.
+                let waited = self.state.borrow().requests.get(&id).is_some_and(|e| e.answer.is_some());
+                if waited {
+                    self.answer(id, Answer::Failed);
+                    self.post(now, Event::ClientGone(id));
+                }
+            }
+        }
+    }
+
+    // ---- The list of backends -----------------------------------------------------------------------
+
+    /// Takes in a list of backends or its changes.
+    pub fn list_changed(self: &Rc<Self>, members: &Members, cached: bool) {
+        let kind = match (cached, members.whole) {
+            (true, _) => ListKind::Cached,
+            (false, true) => ListKind::Full,
+            (false, false) => ListKind::Changes,
+        };
+        let entries: Vec<BackendEntry> = {
+            let mut state = self.state.borrow_mut();
+            if kind != ListKind::Changes {
+                let listed: HashSet<&str> = members.hosts.iter().map(|m| m.host.as_str()).collect();
+                for (_, id) in state.backends.iter().filter(|(host, _)| !listed.contains(host.as_str())) {
+                    self.pools.remove(*id);
+                }
+                state.backends.retain(|host, _| listed.contains(host.as_str()));
+            }
+            members.hosts.iter().map(|member| self.entry(&mut state, member)).collect()
+        };
+        self.post(self.clock.now(), Event::Backends(kind, entries));
+    }
+
+    fn entry(&self, state: &mut State, member: &Member) -> BackendEntry {
+        let id = state.backend(&member.host);
+        let availability = match member.health {
+            Health::Up => Availability::Ready,
+            Health::Draining => Availability::Draining,
+            Health::Removed => Availability::Gone,
+        };
+        match member.health {
+            Health::Up => self.pools.open(id, member.dial, member.born_ms),
+            Health::Draining => self.pools.drain(id),
+            Health::Removed => {
+                self.pools.remove(id);
+                state.backends.remove(&member.host);
+            }
+        }
+        let site = settings::plain(&member.site);
+        let zone = self.names.zones.iter().position(|zone| *zone == site);
+        BackendEntry {
+            id,
+            zone: ZoneId(zone.map_or(u32::MAX, |zone| zone as u32)),
+            cell: CellId(member.block),
+            availability,
+            started: (member.born_ms > 0.0).then_some(member.born_ms),
+            size: member.share,
+        }
+    }
+
+    /// Disposes of idle connections before backends do, for as long as the front door runs.
+    pub async fn tidy(self: Rc<Self>) {
+        self.pools.tidy().await;
+    }
+}
+
+impl State {
+    fn new_request(&mut self) -> RequestId {
+        loop {
+            self.last_request = self.last_request.wrapping_add(1);
+            let id = RequestId(self.last_request);
+            if !self.requests.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    fn backend(&mut self, host: &str) -> BackendId {
+        if let Some(id) = self.backends.get(host) {
+            return *id;
+        }
+        self.last_backend = self.last_backend.wrapping_add(1);
+        let id = BackendId(self.last_backend);
+        self.backends.insert(host.to_owned(), id);
+        id
+    }
+
+    fn forget_if_over(&mut self, id: RequestId) {
+        let over = self.requests.get(&id).is_some_and(|entry| entry.answer.is_none() && entry.out.is_none());
+        if over {
+            if let Some(entry) = self.requests.remove(&id) {
+                self.ids.remove(&entry.order.id);
+            }
+        }
+    }
+}
+
+fn settled(
+    request: RequestId,
+    attempt: u32,
+    backend: BackendId,
+    elapsed: Millis,
+    ended: &Ended,
+    closed: bool,
+) -> Settled {
+    Settled {
+        request,
+        attempt,
+        backend,
+        outcome: ended.outcome,
+        elapsed,
+        closed,
+        use_of_quota: ended.used,
+        true_units: ended.charge,
+        report: ended.report,
+    }
+}
--- a/src/bin/lemoncove-drill/settings.rs
+++ b/src/settings.rs
@@ -1,22 +1,75 @@
-//! Settings as the simulator tells them: `path=value` lines. Unknown keys are skipped; missing ones take the
-//! defaults of [`Settings::default`], [`Class::default`] and [`Plan::default`].
+//! Settings by their wire names, as `path=value` lines: the one mapping for both programs. Unknown keys are
+//! skipped; missing ones take the defaults of [`Settings::default`], [`Class::default`] and [`Plan::default`].
 
-use lemoncove::*;
+use crate::interface::*;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-/// The order in which a load report tells its values.
+/// A value of a load report; their order is that in which a report tells them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Metric {
+    /// Requests being handled.
     InFlight,
+    /// Requests that wait.
     Queue,
+    /// Part of the processors in use.
     Utilisation,
+    /// Recent service time.
     Latency,
+    /// Requests served a second.
     Throughput,
+    /// Errors a second.
     Errors,
+    /// One that this program does not know.
     Unknown,
 }
 
+/// All that the settings tell.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// What the decisions go by.
+    pub settings: Settings,
+    /// The values of a load report, in their order.
+    pub metrics: Vec<Metric>,
+    /// The names that numbers stand for.
+    pub names: Names,
+    /// What connections to backends go by.
+    pub links: Links,
+}
+
+/// The names of classes, plans, zones and report values, each at its number.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// Of the request classes.
+    pub classes: Vec<String>,
+    /// Of the plans.
+    pub plans: Vec<String>,
+    /// Of the zones.
+    pub zones: Vec<String>,
+    /// Of the values of a load report.
+    pub metrics: Vec<String>,
+}
+
+/// Times that bound a connection to a backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Links {
+    /// A connection not made within this has failed.
+    pub dial_timeout: Millis,
+    /// A backend closes a connection that has been idle this long.
+    pub idle_close: Millis,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Links { dial_timeout: 250.0, idle_close: 10_000.0 }
+    }
+}
+
+/// A value as the facts hold it: spaces and commas as underscores.
+pub fn plain(value: &str) -> String {
+    value.replace([' ', ','], "_")
+}
+
 struct Facts<'a>(BTreeMap<&'a str, &'a str>);
 
 impl Facts<'_> {
@@ -36,6 +89,17 @@
         }
     }
 
+    fn list(&self, path: &str) -> Vec<String> {
+        let text = self.0.get(path).copied().unwrap_or_default();
+        text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect()
+    }
+
+    fn names(&self, list: &str) -> Result<Vec<String>, String> {
+        let name =
+            |i| self.0.get(format!("{list}.{i}.name").as_str()).copied().unwrap_or_default().to_owned();
+        Ok((0..self.get(&format!("{list}.count"), 0)?).map(name).collect())
+    }
+
     fn choice<T: Copy>(&self, path: &str, otherwise: T, choices: &[(&str, T)]) -> Result<T, String> {
         let Some(text) = self.0.get(path) else { return Ok(otherwise) };
         let found = choices.iter().find(|(word, _)| word == text);
@@ -43,10 +107,17 @@
     }
 }
 
-/// Reads the settings and the order of the report's values.
-pub fn parse(text: &str) -> Result<(Settings, Vec<Metric>), String> {
+/// Reads the facts; an error names the one that cannot be read.
+pub fn parse(text: &str) -> Result<Told, String> {
     let facts = Facts(text.lines().filter_map(|line| line.split_once('=')).collect());
     let base = Settings::default();
+    let links = Links::default();
+    let names = Names {
+        classes: facts.names("grades")?,
+        plans: facts.names("plans")?,
+        zones: facts.list("zones"),
+        metrics: facts.list("report.names"),
+    };
     let settings = Settings {
         gateways: facts.get("fleet_size", base.gateways)?,
         zone: ZoneId(facts.get("my_zone", base.zone.0)?),
@@ -80,7 +151,15 @@
         overload_factor: facts.number("rules.overload_factor", base.overload_factor)?,
         overload_window: facts.number("rules.fall", base.overload_window)?,
     };
-    Ok((settings, metrics(&facts)))
+    Ok(Told {
+        settings,
+        metrics: names.metrics.iter().map(|name| metric(name)).collect(),
+        names,
+        links: Links {
+            dial_timeout: facts.number("policy_limits.dial_timeout", links.dial_timeout)?,
+            idle_close: facts.number("policy_limits.idle_close", links.idle_close)?,
+        },
+    })
 }
 
 fn class(facts: &Facts<'_>, index: usize) -> Result<Class, String> {
@@ -121,9 +200,8 @@
     })
 }
 
-fn metrics(facts: &Facts<'_>) -> Vec<Metric> {
-    let names = facts.0.get("report.names").copied().unwrap_or_default();
-    let metric = |name: &str| match name {
+fn metric(name: &str) -> Metric {
+    match name {
         "concurrent" => Metric::InFlight,
         "depth" => Metric::Queue,
         "load_share" => Metric::Utilisation,
@@ -131,28 +209,32 @@
         "tps" => Metric::Throughput,
         "err_ps" => Metric::Errors,
         _ => Metric::Unknown,
-    };
-    names.split(',').filter(|name| !name.is_empty()).map(metric).collect()
+    }
 }
 
 /// Puts the values of a load report in their places.
 pub fn report(metrics: &[Metric], values: &[f32]) -> Report {
     let mut report = Report::default();
     for (metric, value) in metrics.iter().zip(values) {
-        let value = Some(f64::from(*value));
-        match metric {
-            Metric::InFlight => report.in_flight = value,
-            Metric::Queue => report.queue = value,
-            Metric::Utilisation => report.utilisation = value,
-            Metric::Latency => report.latency = value,
-            Metric::Throughput => report.throughput = value,
-            Metric::Errors => report.errors = value,
-            Metric::Unknown => {}
-        }
+        tell(&mut report, *metric, *value);
     }
     report
 }
 
+/// Puts one value of a load report in its place.
+pub fn tell(report: &mut Report, metric: Metric, value: f32) {
+    let value = Some(f64::from(value));
+    match metric {
+        Metric::InFlight => report.in_flight = value,
+        Metric::Queue => report.queue = value,
+        Metric::Utilisation => report.utilisation = value,
+        Metric::Latency => report.latency = value,
+        Metric::Throughput => report.throughput = value,
+        Metric::Errors => report.errors = value,
+        Metric::Unknown => {}
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -162,7 +244,7 @@
         let text = "fleet_size=3\nplans.count=1\nplans.0.per_second=2.5\nplans.0.cap_rate=5\nnew.key=x\n\
                     grades.count=1\ngrades.0.idempotency=keyed\ngrades.0.group=zone\ngrades.0.memory_span=6000\n\
                     report.names=depth,strange,concurrent\nregistry_mode=on_request";
-        let (settings, order) = parse(text).unwrap();
+        let Told { settings, metrics: order, .. } = parse(text).unwrap();
         assert_eq!((settings.gateways, settings.plans[0].rate), (3, 2.5));
         assert_eq!(settings.plans[0].ceiling, Some(Ceiling { rate: 5.0, burst: 0.0, slack: 0.0 }));
         assert_eq!(settings.classes[0].effect, Effect::Keyed { group: Group::Zone, memory: 6000.0 });
