--- a/src/bin/lemoncove-drill/main.rs
+++ b/src/bin/maplefall-drill/main.rs
@@ -1,4 +1,4 @@
-//! Puts the decisions of lemoncove on the simulator's wire: frames on standard input and output.
+//! Puts the decisions of maplefall on the simulator's wire: frames on standard input and output.
 //!
 //! One [`Gateway`] for each instance; this program translates and decides nothing.
 
@@ -7,8 +7,8 @@
 mod codec;
 
 use codec::{Record, Reply};
-use lemoncove::settings::{self, Metric, Told};
-use lemoncove::*;
+use maplefall::settings::{self, Metric, Told};
+use maplefall::*;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{self, AssertUnwindSafe};
@@ -32,7 +32,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("lemoncove-drill: {error}");
+            eprintln!("maplefall-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! out the actions that come back. Nothing here reads a clock, opens a file or keeps shared state.
 //!
 //! ```
-//! use lemoncove::*;
+//! use maplefall::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class { aim: 500.0, deadline: 2000.0, ..Class::default() }],
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
     match Config::from_env().map_err(|error| error.to_string()).and_then(serve) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("lemoncove: {error}");
+            eprintln!("maplefall: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,7 @@
 //! What a front door is told: the `BALANCER_*` variables and the JSON file that one of them names.
 
 use super::discovery::Members;
-use lemoncove::settings::{self, Told};
+use maplefall::settings::{self, Told};
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lemoncove::*;
+use maplefall::*;
 
 const LAMBDA: f64 = std::f64::consts::LN_2 / 2000.0;
 
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lemoncove::*;
+use maplefall::*;
 
 fn open_plan() -> Plan {
     Plan { rate: 1000.0, burst: 1000.0, ..Plan::default() }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A small stage for playing event sequences to a gateway.
 
-use lemoncove::*;
+use maplefall::*;
 
 /// A gateway with the actions of its last event.
 pub struct Stage {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use lemoncove::*;
+use maplefall::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand_core::{RngCore, SeedableRng};
