--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,13 +18,14 @@
     let listener = tokio::net::TcpListener::bind(listen)
         .await
         .map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+    let bound = listener.local_addr().map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let door = Door::new(&config);
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     tokio::task::spawn_local(discovery::follow(door.clone(), config.discovery, config.known));
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
-    eprintln!("{}: serving on {listen}", config.name);
+    eprintln!("{}: serving on {bound}", config.name);
     stop.recv().await;
     eprintln!("{}: stopping", config.name);
     clients.stop().await;
--- /dev/null
+++ b/tests/front_door.rs
@@ -0,0 +1,425 @@
+//! The front door over loopback sockets: each test names what it guards.
+
+mod sockets;
+
+use sockets::*;
+use std::io::Read;
+use std::process::ExitStatus;
+
+/// Long enough that no answer of these tests comes from a deadline.
+const LONG: &str = "8";
+
+/// Guards the way there and back: what must go on unchanged does, and the answer's body too.
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "extend", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    let sent = backend.read();
+    assert_eq!(sent.first, "POST /extend/a?b=c HTTP/1.1");
+    assert_eq!(sent.header("request-id"), Some("id-1"));
+    assert_eq!(sent.header("idempotency-key"), Some("5c0f6e1a"));
+    assert_eq!(sent.body, b"hello");
+    let wait: f64 = sent.header("request-timeout").expect("a time").parse().unwrap();
+    assert!(wait > 0.0 && wait <= 8.0, "{wait}");
+    backend.answer(200, "Api-Usage: 55\r\nApi-Charge: 2\r\n", "paid");
+    let answer = client.read();
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"paid"[..]));
+}
+
+/// Guards against a new connection for every request: they cost the backend work.
+#[test]
+fn connections_on_both_sides_are_used_again() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "read", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    for id in ["id-1", "id-2", "id-3"] {
+        assert_eq!(backend.read().header("request-id"), Some(id));
+        backend.answer(200, "", id);
+        assert_eq!(client.read().body, id.as_bytes());
+        if id != "id-3" {
+            client.write(request_of(if id == "id-1" { "id-2" } else { "id-3" }, "read", "wide", LONG));
+        }
+    }
+    assert!(scene.nobody_called());
+}
+
+/// Guards the outcome table for a request that must not run twice: what may have run is not sent again, and
+/// its answer is neither 200 nor a refusal.
+#[test]
+fn an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again() {
+    type Play = fn(&mut Wire);
+    let plays: [(&str, Play); 6] = [
+        ("500", |b| b.answer(500, "", "")),
+        ("500 that claims not to have started", |b| b.answer(500, "Not-Started: 1\r\n", "")),
+        ("503 without a word", |b| b.answer(503, "", "")),
+        ("504 with another word", |b| b.answer(504, "Not-Started: 0\r\n", "")),
+        ("end without an answer", |b| b.reader.get_mut().shutdown(std::net::Shutdown::Both).unwrap()),
+        ("end within an answer", |b| {
+            b.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+            b.reader.get_mut().shutdown(std::net::Shutdown::Both).unwrap();
+        }),
+    ];
+    for (name, play) in plays {
+        let scene = Scene::new(2);
+        let mut client = scene.program.client();
+        client.write(request_of("id-1", "charge", "wide", LONG));
+        let (_, mut backend) = scene.accept_any();
+        backend.read();
+        play(&mut backend);
+        let status = client.read().status();
+        assert!(status >= 500 && status != 503, "{name}: {status}");
+        assert!(scene.nobody_called(), "{name}: sent again");
+    }
+}
+
+/// Guards the other half of the table: what never ran goes out again, an unsafe request too.
+#[test]
+fn an_unsafe_request_that_never_ran_is_sent_again() {
+    for status in [503, 504] {
+        let scene = Scene::new(2);
+        let mut client = scene.program.client();
+        client.write(request_of("id-1", "charge", "wide", LONG));
+        let (first, mut backend) = scene.accept_any();
+        backend.read();
+        backend.answer(status, "Not-Started: 1\r\n", "");
+        // The one that turned it away is shunned for a while.
+        let mut backend = scene.backends[1 - first].accept();
+        assert_eq!(backend.read().header("request-id"), Some("id-1"));
+        backend.answer(200, "", "done");
+        assert_eq!(client.read().status(), 200, "{status}");
+    }
+}
+
+/// Guards the row for connections that are refused: an unsafe request never ran, so it may be refused.
+#[test]
+fn a_refused_connection_counts_as_never_run() {
+    let discovery = Place::new();
+    // Its port is free again once this line is over.
+    let gone = Place::new().address();
+    let program =
+        Program::start(settings(), discovery.address(), members(1, true, &[member("s", gone, "up")]));
+    let mut client = program.client();
+    client.write(request_of("id-1", "charge", "wide", LONG));
+    assert_eq!(client.read().status(), 429);
+}
+
+/// Guards against a request written to a connection that the backend closed while it was idle.
+#[test]
+fn a_closed_idle_connection_is_not_used_again() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    backend.answer(200, "", "one");
+    assert_eq!(client.read().body, b"one");
+    backend.reader.get_mut().shutdown(std::net::Shutdown::Write).unwrap();
+    // The front door has seen the end once it has closed its own side.
+    backend.expect_end();
+    client.write(request_of("id-2", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    assert_eq!(backend.read().header("request-id"), Some("id-2"));
+    backend.answer(200, "", "two");
+    assert_eq!(client.read().body, b"two");
+}
+
+/// Guards the time limit: a silent backend is given up by closing its connection, and the client has its
+/// answer before it stops waiting; a late answer goes nowhere, and the next request gets its own.
+#[test]
+fn a_silent_backend_is_given_up_in_time_and_its_late_answer_dropped() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    let begun = std::time::Instant::now();
+    client.write(request_of("id-1", "charge", "wide", "1.0"));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    let answer = client.read();
+    assert!(answer.status() >= 500 && answer.status() != 503, "{}", answer.status());
+    assert!(begun.elapsed().as_secs_f64() >= 0.9, "given up early");
+    // The answer crosses the end of the connection; either way the client must not see it.
+    let _ = std::io::Write::write_all(
+        backend.reader.get_mut(),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate",
+    );
+    backend.expect_end();
+    client.write(request_of("id-2", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    assert_eq!(backend.read().header("request-id"), Some("id-2"));
+    backend.answer(200, "", "own");
+    assert_eq!(client.read().body, b"own");
+}
+
+/// Guards against work for nobody: when a client goes away its attempt is called off.
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "read", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    drop(client);
+    backend.expect_end();
+    // The front door goes on serving.
+    let mut client = scene.program.client();
+    client.write(request_of("id-2", "read", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    assert_eq!(backend.read().header("request-id"), Some("id-2"));
+    backend.answer(200, "", "ok");
+    assert_eq!(client.read().status(), 200);
+}
+
+/// Guards against two attempts out for one id: a copy that comes while the first is out is turned down.
+#[test]
+fn an_id_that_is_out_is_not_taken_twice() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    let mut second = scene.program.client();
+    second.write(request_of("id-1", "charge", "wide", LONG));
+    assert_eq!(second.read().status(), 409);
+    assert!(scene.nobody_called());
+    backend.answer(200, "", "once");
+    assert_eq!(client.read().body, b"once");
+}
+
+/// Guards drains: once told, a draining backend gets nothing new and its idle connection is closed; with no
+/// backend left a request is refused at once.
+#[test]
+fn a_draining_backend_gets_nothing_new() {
+    let mut scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "read", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    backend.answer(200, "", "ok");
+    assert_eq!(client.read().status(), 200);
+    let line = members(8, false, &[member("s-0", scene.backends[0].address(), "draining")]);
+    scene.watch.line(&line.to_string());
+    backend.expect_end();
+    client.write(request_of("id-2", "read", "wide", LONG));
+    assert_eq!(client.read().status(), 429);
+    assert!(scene.nobody_called());
+    // Told that it is back, the front door sends again; until the line has come, it refuses.
+    scene.watch.line(&members(9, true, &[member("s-0", scene.backends[0].address(), "up")]).to_string());
+    let mut backend = (3..)
+        .find_map(|id| {
+            client.write(request_of(&format!("id-{id}"), "read", "wide", LONG));
+            let accepted = scene.backends[0].accept_or(&client);
+            if accepted.is_none() {
+                assert_eq!(client.read().status(), 429);
+            }
+            accepted
+        })
+        .expect("a connection");
+    backend.read();
+    backend.answer(200, "", "back");
+    assert_eq!(client.read().body, b"back");
+}
+
+/// Guards the watch: one that ends is resumed from the version last seen, and an unreadable line is answered
+/// by asking for the whole list.
+#[test]
+fn a_watch_is_resumed_and_an_unreadable_line_asks_for_the_whole_list() {
+    let mut scene = Scene::new(1);
+    let hosts = [member("s-0", scene.backends[0].address(), "up")];
+    scene.watch.line("");
+    scene.watch.line(&members(12, false, &hosts).to_string());
+    scene.watch.0.write("0\r\n\r\n");
+    drop(scene.watch);
+    let mut wire = scene.discovery.accept();
+    assert_eq!(wire.read().first, "GET /catalog/members?watch=1&from=12 HTTP/1.1");
+    let mut watch = Watch::begin(wire);
+    watch.line("{\"seq\":13,\"whole\":");
+    let mut wire = scene.discovery.accept();
+    assert_eq!(wire.read().first, "GET /catalog/members HTTP/1.1");
+    wire.answer(200, "", &members(20, true, &hosts).to_string());
+    let mut wire = scene.discovery.accept();
+    assert_eq!(wire.read().first, "GET /catalog/members?watch=1&from=20 HTTP/1.1");
+}
+
+/// Guards against a watch whose other end has vanished: it says nothing and does not end.
+#[test]
+fn a_silent_watch_is_opened_again() {
+    let scene = Scene::new(1);
+    let mut wire = scene.discovery.accept();
+    assert_eq!(wire.read().first, "GET /catalog/members?watch=1&from=7 HTTP/1.1");
+}
+
+/// Guards the start: the front is told to come only when there is a list to serve from.
+#[test]
+fn health_waits_for_a_list() {
+    let discovery = Place::new();
+    let program = Program::start(settings(), discovery.address(), serde_json::Value::Null);
+    let mut wire = discovery.accept();
+    assert_eq!(wire.read().first, "GET /catalog/members HTTP/1.1");
+    let mut client = program.client();
+    let health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+    client.write(health);
+    assert_eq!(client.read().status(), 503);
+    let backend = Place::new();
+    wire.answer(200, "", &members(1, true, &[member("s-0", backend.address(), "up")]).to_string());
+    // The watch that follows shows that the list has been taken in.
+    assert_eq!(discovery.accept().read().first, "GET /catalog/members?watch=1&from=1 HTTP/1.1");
+    client.write(health);
+    assert_eq!(client.read().status(), 200);
+}
+
+/// Guards the planned restart: what was taken is answered, connections go on coming for a while, answers
+/// close theirs, and the program ends by itself with 0.
+#[test]
+fn sigterm_answers_what_was_taken_and_ends_well() {
+    let mut scene = Scene::new(1);
+    let mut idle = scene.program.client();
+    idle.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(idle.read().header("connection"), None);
+    let mut unused = scene.program.client();
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    scene.program.terminate();
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut scene.program.log, &mut line).unwrap();
+    assert_eq!(line, "n0: stopping\n");
+    let mut late = scene.program.client();
+    late.write(request_of("id-2", "charge", "wide", LONG));
+    let mut second = scene.backends[0].accept();
+    assert_eq!(second.read().header("request-id"), Some("id-2"));
+    // Idle connections are closed, and only then is what was taken answered: it is not lost.
+    idle.expect_end();
+    for (backend, client) in [(&mut backend, &mut client), (&mut second, &mut late)] {
+        backend.answer(200, "", "kept");
+        let answer = client.read();
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"kept"[..]));
+        assert_eq!(answer.header("connection"), Some("close"));
+        client.expect_end();
+    }
+    // A connection that never carried a request does not hold the program up.
+    let begun = std::time::Instant::now();
+    assert_eq!(scene.program.wait().code(), Some(0));
+    assert!(begun.elapsed().as_secs_f64() < 5.0, "held up until its last call");
+    unused.expect_end();
+}
+
+/// Guards against bad input: each gets one plain answer, and nothing of it reaches a backend.
+#[test]
+fn bad_requests_are_turned_down() {
+    let scene = Scene::new(1);
+    let good = request_of("id-1", "charge", "wide", LONG);
+    let without = |name: &str| {
+        let lines = good.split("\r\n").filter(|line| !line.starts_with(name));
+        lines.collect::<Vec<_>>().join("\r\n")
+    };
+    let mut cases: Vec<(String, u16)> =
+        ["Request-Id", "Request-Class", "Api-Plan", "Cookie", "Request-Timeout", "Api-Terms"]
+            .iter()
+            .map(|name| (without(name), 400))
+            .collect();
+    for (from, to, status) in [
+        ("Request-Class: charge", "Request-Class: refund", 400),
+        ("POST /charge/", "POST /read/", 400),
+        ("POST /charge/", "PUT /charge/", 400),
+        ("POST /charge/", "GET /charge/", 400),
+        ("Content-Length: 5", "Idempotency-Key: 1\r\nContent-Length: 5", 400),
+        ("Api-Plan: wide", "Api-Plan: broad", 400),
+        ("client=00000000b4d65521", "client=b4d65521", 400),
+        ("client=00000000b4d65521", "client=0000000200000000", 400),
+        ("client=00000000b4d65521", "client=+0000000b4d65521", 400),
+        ("client=00000000b4d65521", "other=1", 400),
+        ("Request-Timeout: 8", "Request-Timeout: soon", 400),
+        ("Request-Timeout: 8", "Request-Timeout: -1", 400),
+        ("Request-Timeout: 8", "Request-Timeout: inf", 400),
+        ("Request-Timeout: 8", "Request-Timeout: NaN", 400),
+        ("units=1", "units=0", 400),
+        ("units=1", "units=many", 400),
+        ("spread=1", "spread=1e999", 400),
+        (",first=0", "", 400),
+        ("Content-Length: 5", "Content-Length: 65537", 413),
+        ("Content-Length: 5", "Content-Length: five", 400),
+        ("HTTP/1.1", "HTTX/1.1", 400),
+        ("Host: ser", "Host\0: ser", 400),
+    ] {
+        assert!(good.contains(from), "{from}");
+        cases.push((good.replacen(from, to, 1), status));
+    }
+    for (text, status) in cases {
+        let mut client = scene.program.client();
+        client.write(&text);
+        assert_eq!(client.read().status(), status, "{text}");
+    }
+    // A body that grows past the limit without having said so.
+    let mut client = scene.program.client();
+    let chunked = good.replacen("Content-Length: 5", "Transfer-Encoding: chunked", 1);
+    let head = chunked.strip_suffix("hello").unwrap();
+    client.write(format!("{head}10001\r\n{}", "x".repeat(0x10001)));
+    assert_eq!(client.read().status(), 413);
+    assert!(scene.nobody_called());
+    // A client that leaves within a request leaves nothing behind.
+    let mut client = scene.program.client();
+    client.write(&good[..good.len() - 2]);
+    drop(client);
+    let mut client = scene.program.client();
+    client.write(&good);
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    backend.answer(200, "", "fine");
+    assert_eq!(client.read().status(), 200);
+}
+
+/// Guards quotas: beyond its quota a customer is refused at once and told when to come back.
+#[test]
+fn a_customer_past_its_quota_is_refused_with_advice() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-0", "read", "narrow", LONG));
+    let mut backend = scene.backends[0].accept();
+    let mut served = 0;
+    for id in 1.. {
+        assert!(id < 20, "never refused");
+        backend.read();
+        backend.answer(200, "", "ok");
+        assert_eq!(client.read().status(), 200);
+        served += 1;
+        client.write(request_of(&format!("id-{id}"), "read", "narrow", LONG));
+        if client.speaks_before(&backend) {
+            break;
+        }
+    }
+    assert!(served <= 2, "{served} units of a burst of 2");
+    let answer = client.read();
+    assert_eq!(answer.status(), 429);
+    let advice: f64 = answer.header("retry-after").expect("advice").parse().unwrap();
+    assert!(advice > 0.0 && advice <= 2.0, "{advice}");
+}
+
+/// Guards the start: what cannot be used is told on one plain line, and the program ends.
+#[test]
+fn a_bad_configuration_is_one_line_and_an_exit_code() {
+    let whole = serde_json::json!({
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 256}, "settings": {},
+    });
+    let with = |key: &str, value: serde_json::Value| {
+        let mut config = whole.clone();
+        config[key] = value;
+        config.to_string()
+    };
+    let cases = [
+        ("{".to_owned(), "EOF"),
+        (with("listen", "nowhere".into()), "BALANCER_LISTEN"),
+        (with("seed", "xyz".into()), "seed"),
+        (with("limits", serde_json::json!({"sockets": 3})), "sockets"),
+        (with("settings", serde_json::json!({"tick": "soon"})), "tick=soon"),
+    ];
+    for (config, expected) in cases {
+        let mut child = spawn(&config);
+        let mut text = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        let status: ExitStatus = child.wait().unwrap();
+        assert!(!status.success() && text.contains(expected) && text.lines().count() == 1, "{text}");
+    }
+}
--- /dev/null
+++ b/tests/sockets/mod.rs
@@ -0,0 +1,315 @@
+//! The built front door between sockets that a test holds: it plays the clients, backends and discovery by
+//! hand, a message at a time. Nothing here sleeps; what does not come within `PATIENCE` fails the test.
+
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Settings with a class of each effect and two plans, one of them narrow.
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aim": 4000.0, "give_up": 8000.0, "credit": 1.0, "late_worth": 0.0,
+               "idempotency": effect, "group": "all", "memory_span": 8000.0, "streaming": false})
+    };
+    json!({
+        "fleet_size": 2, "me": 0, "my_zone": 0, "zones": ["uio-1"], "tick": 2.0, "registry_mode": "pushed",
+        "grades": [class("read", "safe"), class("extend", "keyed"), class("charge", "unsafe")],
+        "plans": [
+            {"name": "wide", "per_second": 1000.0, "peak_units": 4000.0, "max_out": 0, "pays": 1.0},
+            {"name": "narrow", "per_second": 0.5, "peak_units": 2.0, "max_out": 0, "pays": 1.0},
+        ],
+        "extra": {"max_units": 8, "meter": 500.0, "cost_after": true},
+        "policy_limits": {"send_cap": 3, "second_copies": false, "cancel": true, "probes": false,
+            "retry_after": true, "max_retry_after": 2000.0, "dial_timeout": 5000.0, "idle_close": 600000.0},
+        "report": {"names": [], "via": "off"},
+        "rules": {"answer_slack": 8.0, "stop_sending_within": 500.0, "start_capacity": 0.2, "warm_up": 15000.0,
+            "overload_factor": 3.0, "fall": 1500.0},
+    })
+}
+
+pub fn member(host: &str, dial: SocketAddr, health: &str) -> Value {
+    json!({"host": host, "dial": dial.to_string(), "site": "uio-1", "class": "std", "block": 0,
+           "health": health, "share": 1.0, "born_ms": 0})
+}
+
+pub fn members(seq: u64, whole: bool, hosts: &[Value]) -> Value {
+    json!({"seq": seq, "whole": whole, "hosts": hosts})
+}
+
+/// A listener on a port of its own.
+pub struct Place(pub TcpListener);
+
+impl Place {
+    pub fn new() -> Place {
+        Place(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("an address")
+    }
+
+    /// The next connection that the front door opens here.
+    pub fn accept(&self) -> Wire {
+        wait_for("a connection", || self.try_accept())
+    }
+
+    /// The next connection, or nothing if the front door says something to `client` first.
+    pub fn accept_or(&self, client: &Wire) -> Option<Wire> {
+        wait_for("a connection or an answer", || match self.try_accept() {
+            Some(wire) => Some(Some(wire)),
+            None => client.speaks().then_some(None),
+        })
+    }
+
+    fn try_accept(&self) -> Option<Wire> {
+        self.0.set_nonblocking(true).unwrap();
+        match self.0.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                Some(Wire::new(stream))
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => None,
+            Err(error) => panic!("{error}"),
+        }
+    }
+
+    /// Whether a connection is waiting to be accepted.
+    pub fn called(&self) -> bool {
+        self.try_accept().is_some()
+    }
+}
+
+/// Looks again and again until there is something.
+fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < end, "{what} was due");
+        std::thread::yield_now();
+    }
+}
+
+/// A message as it came: its first line, its headers, its body.
+#[derive(Debug)]
+pub struct Message {
+    pub first: String,
+    pub headers: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|code| code.parse().ok()).expect("a status")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+}
+
+/// One end of a connection.
+pub struct Wire {
+    pub reader: BufReader<TcpStream>,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Wire {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Wire { reader: BufReader::new(stream) }
+    }
+
+    pub fn to(address: SocketAddr) -> Wire {
+        Wire::new(TcpStream::connect(address).expect("the front door accepts"))
+    }
+
+    pub fn write(&mut self, bytes: impl AsRef<[u8]>) {
+        self.reader.get_mut().write_all(bytes.as_ref()).expect("the other end reads");
+    }
+
+    /// The next whole message.
+    pub fn read(&mut self) -> Message {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).expect("a first line");
+        assert!(!line.is_empty(), "the connection ended where a message was due");
+        let first = line.trim_end().to_owned();
+        let mut headers = HashMap::new();
+        loop {
+            line.clear();
+            self.reader.read_line(&mut line).expect("a header");
+            let Some((name, value)) = line.trim_end().split_once(':') else { break };
+            headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+        let length = headers.get("content-length").map_or(0, |text| text.parse().expect("a length"));
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).expect("a whole body");
+        Message { first, headers, body }
+    }
+
+    /// Answers with a status, further header lines and a body.
+    pub fn answer(&mut self, status: u16, headers: &str, body: &str) {
+        self.write(format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
+    /// Whether the other end has said something, or closed.
+    pub fn speaks(&self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let spoke = stream.peek(&mut [0]).is_ok();
+        stream.set_nonblocking(false).unwrap();
+        spoke
+    }
+
+    /// Waits until this end or the other hears something; tells whether this one did.
+    pub fn speaks_before(&self, other: &Wire) -> bool {
+        wait_for("a word on one of two connections", || match self.speaks() {
+            true => Some(true),
+            false => other.speaks().then_some(false),
+        })
+    }
+
+    /// Waits until the other end has closed, with nothing more said.
+    pub fn expect_end(&mut self) {
+        let mut rest = Vec::new();
+        match self.reader.read_to_end(&mut rest) {
+            Ok(_) => assert_eq!(String::from_utf8_lossy(&rest), ""),
+            Err(error) => assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{error}"),
+        }
+    }
+}
+
+/// A discovery agent with one open watch.
+pub struct Watch(pub Wire);
+
+impl Watch {
+    /// Begins the answer to a watch that has been asked for.
+    pub fn begin(mut wire: Wire) -> Watch {
+        wire.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        Watch(wire)
+    }
+
+    pub fn line(&mut self, text: &str) {
+        self.0.write(format!("{:x}\r\n{text}\n\r\n", text.len() + 1));
+    }
+}
+
+/// The running program.
+pub struct Program {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: BufReader<ChildStderr>,
+}
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// Starts the program with a configuration file of this text.
+pub fn spawn(config: &str) -> Child {
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, config).expect("a file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_maplefall"));
+    for name in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"] {
+        command.env_remove(name);
+    }
+    command.env("BALANCER_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+}
+
+impl Program {
+    pub fn start(settings: Value, discovery: SocketAddr, known: Value) -> Program {
+        let config = json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": settings,
+        });
+        let mut child = spawn(&config.to_string());
+        let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
+        Program { child, address: address.unwrap_or_else(|| panic!("no address in {line:?}")), log }
+    }
+
+    pub fn client(&self) -> Wire {
+        Wire::to(self.address)
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("an exit")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A front door with backends and a discovery that has been asked for a watch.
+pub struct Scene {
+    pub program: Program,
+    pub discovery: Place,
+    pub watch: Watch,
+    pub backends: Vec<Place>,
+}
+
+impl Scene {
+    pub fn new(backends: usize) -> Scene {
+        Scene::with(settings(), backends)
+    }
+
+    pub fn with(settings: Value, count: usize) -> Scene {
+        let discovery = Place::new();
+        let backends: Vec<Place> = (0..count).map(|_| Place::new()).collect();
+        let hosts: Vec<Value> =
+            backends.iter().enumerate().map(|(i, b)| member(&format!("s-{i}"), b.address(), "up")).collect();
+        let program = Program::start(settings, discovery.address(), members(7, true, &hosts));
+        let mut wire = discovery.accept();
+        assert_eq!(wire.read().first, "GET /catalog/members?watch=1&from=7 HTTP/1.1");
+        Scene { program, discovery, watch: Watch::begin(wire), backends }
+    }
+
+    /// The next connection to any backend, with the backend's place.
+    pub fn accept_any(&self) -> (usize, Wire) {
+        wait_for("a connection to a backend", || {
+            self.backends.iter().enumerate().find_map(|(i, place)| place.try_accept().map(|wire| (i, wire)))
+        })
+    }
+
+    /// Whether no backend has a connection waiting to be accepted.
+    pub fn nobody_called(&self) -> bool {
+        !self.backends.iter().any(Place::called)
+    }
+}
+
+/// A well-formed request of a class: its method, key and body follow from the class.
+pub fn request(id: &str, class: &str) -> String {
+    request_of(id, class, "wide", "1.5")
+}
+
+pub fn request_of(id: &str, class: &str, plan: &str, timeout: &str) -> String {
+    let (method, extra, body) = match class {
+        "read" => ("GET", "", ""),
+        "extend" => ("POST", "Idempotency-Key: 5c0f6e1a\r\nContent-Length: 5\r\n", "hello"),
+        _ => ("POST", "Content-Length: 5\r\n", "hello"),
+    };
+    format!(
+        "{method} /{class}/a?b=c HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\n\
+         Api-Plan: {plan}\r\nCookie: client=00000000b4d65521\r\nRequest-Timeout: {timeout}\r\n\
+         Api-Terms: units=1,spread=1,first=0\r\n{extra}\r\n{body}"
+    )
+}
