Idle client connections make room for new ones

Cause: at the limit of client connections the front door stopped accepting until one closed. Clients keep idle connections, so what the system had already accepted (and so counts as taken) could wait for ever. Found by reading the accept loop; the test hung on the first connection past the limit before the mend. Ruled out: raising the limit (descriptors are bounded). At the limit idle connections are now closed and busy ones close with their answers. The stop also takes a last look for connections that wait to be accepted.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -29,6 +29,8 @@
 const LINGER: Duration = Duration::from_millis(550);
 /// Longest time after SIGTERM beyond the longest deadline: SIGKILL comes 0.7 s beyond it.
 const LAST_CALL: Duration = Duration::from_millis(550);
+/// Time to accept what came just before the end.
+const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Pause when the system has no descriptor for a new connection.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
 /// Time to read a body whose client tells no usable time.
@@ -104,6 +106,8 @@
     most: usize,
     open: Cell<usize>,
     closed: Notify,
+    /// Tells idle connections to make room.
+    crowded: Notify,
     phase: watch::Sender<Phase>,
 }
 
@@ -111,13 +115,24 @@
     /// The clients' side of `door` within `sockets` descriptors for all.
     pub fn new(door: Rc<Door>, sockets: usize) -> Rc<Clients> {
         let phase = watch::Sender::new(Phase::Serving);
-        Rc::new(Clients { door, most: budget(sockets), open: Cell::new(0), closed: Notify::new(), phase })
+        let most = budget(sockets);
+        Rc::new(Clients {
+            door,
+            most,
+            open: Cell::new(0),
+            closed: Notify::new(),
+            crowded: Notify::new(),
+            phase,
+        })
     }
 
     /// Accepts connections for as long as the front door runs.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            while self.open.get() >= self.most {
+            // What the system has accepted for us counts as ours, so a full house must not keep it waiting:
+            // idle connections close at once, busy ones with their answers.
+            while self.full() {
+                self.crowded.notify_waiters();
                 self.closed.notified().await;
             }
             match listener.accept().await {
@@ -130,6 +145,10 @@
         }
     }
 
+    fn full(&self) -> bool {
+        self.open.get() >= self.most
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let _open = Open(&self);
         // Without it answers are late, not wrong.
@@ -143,10 +162,13 @@
         let connection = hyper::server::conn::http1::Builder::new().serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.subscribe();
-        tokio::select! {
-            // An error here is a client that went away or wrote no HTTP; the library has answered the latter.
-            _ = connection.as_mut() => return,
-            _ = phase.wait_for(|phase| *phase == Phase::Sweeping) => {}
+        loop {
+            tokio::select! {
+                // An error is a client that went away or wrote no HTTP; the library has answered the latter.
+                _ = connection.as_mut() => return,
+                _ = phase.wait_for(|phase| *phase == Phase::Sweeping) => break,
+                () = self.crowded.notified() => if seen.first.get().is_none() { break },
+            }
         }
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
@@ -166,6 +188,8 @@
                 eprintln!("stopped with {} requests unanswered", self.door.unanswered());
                 return;
             }
+            // One more may be waiting to be accepted.
+            tokio::time::sleep(LAST_LOOK).await;
         }
     }
 
@@ -179,7 +203,7 @@
                 response
             })
         };
-        if *self.phase.borrow() != Phase::Serving {
+        if self.full() || *self.phase.borrow() != Phase::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         seen.first.set(None);
@@ -275,7 +299,6 @@
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
         self.0.closed.notify_waiters();
-        self.0.closed.notify_one();
     }
 }
 
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -377,6 +377,24 @@
     assert_eq!(client.read().status(), 200);
 }
 
+/// Guards against a front door full of idle connections: a new client gets in all the same.
+#[test]
+fn idle_connections_make_room_for_new_clients() {
+    let discovery = Place::new();
+    let backend = Place::new();
+    let known = members(1, true, &[member("s-0", backend.address(), "up")]);
+    // Few enough descriptors that 60 connections are too many.
+    let mut program = Program::start_within(64, settings(), discovery.address(), known);
+    let mut held = Vec::new();
+    for _ in 0..60 {
+        let mut client = program.client();
+        client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+        assert_eq!(client.read().status(), 200);
+        held.push(client);
+    }
+    assert!(program.child.try_wait().unwrap().is_none(), "ended by itself");
+}
+
 /// Guards quotas: beyond its quota a customer is refused at once and told when to come back.
 #[test]
 fn a_customer_past_its_quota_is_refused_with_advice() {
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -225,9 +225,14 @@
 
 impl Program {
     pub fn start(settings: Value, discovery: SocketAddr, known: Value) -> Program {
+        Program::start_within(256, settings, discovery, known)
+    }
+
+    /// Starts with so many descriptors.
+    pub fn start_within(sockets: u32, settings: Value, discovery: SocketAddr, known: Value) -> Program {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": known, "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": settings,
         });
         let mut child = spawn(&config.to_string());
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
