Bounds on what a client that never ends its request can hold

Cause: a head could grow to the library's 400 KiB on each of 500 connections, more than the memory limit, and 40 half-written heads kept every new client out for good. Ruled out: the library's own head timer, which would arm a timer for every idle connection.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -33,6 +33,10 @@
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Pause when the system has no descriptor for a new connection.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
+/// A head that has been coming for this long is not a request that somebody waits for.
+const STALLED: Duration = Duration::from_secs(4);
+/// Bytes that a connection buffers at most; a longer head is answered 431.
+pub const BUFFER: usize = 32 * 1024;
 /// Time to read a body whose client tells no usable time.
 const BODY_TIME: Duration = Duration::from_secs(3);
 /// A customer's number is below this.
@@ -133,7 +137,7 @@
             // idle connections close at once, busy ones with their answers.
             while self.full() {
                 self.crowded.notify_waiters();
-                self.closed.notified().await;
+                let _ = tokio::time::timeout(STALLED, self.closed.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -159,7 +163,8 @@
             let (clients, seen) = (self.clone(), seen.clone());
             async move { Ok::<_, Infallible>(clients.answer(request, &seen).await) }
         });
-        let connection = hyper::server::conn::http1::Builder::new().serve_connection(io, service);
+        let connection =
+            hyper::server::conn::http1::Builder::new().max_buf_size(BUFFER).serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.subscribe();
         loop {
@@ -167,7 +172,11 @@
                 // An error is a client that went away or wrote no HTTP; the library has answered the latter.
                 _ = connection.as_mut() => return,
                 _ = phase.wait_for(|phase| *phase == Phase::Sweeping) => break,
-                () = self.crowded.notified() => if seen.first.get().is_none() { break },
+                () = self.crowded.notified() => match seen.first.get() {
+                    None => break,
+                    Some(first) if seen.stalled(first, self.door.clock.now()) => return,
+                    Some(_) => {}
+                },
             }
         }
         connection.as_mut().graceful_shutdown();
@@ -194,6 +203,7 @@
     }
 
     async fn answer(&self, request: Request<IncomingBody>, seen: &Seen) -> Response<Full<Bytes>> {
+        seen.owed.set(true);
         let mut response = if request.uri().path() == HEALTH {
             self.health()
         } else {
@@ -207,6 +217,7 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         seen.first.set(None);
+        seen.owed.set(false);
         response
     }
 
@@ -321,6 +332,14 @@
 struct Seen {
     first: Cell<Option<Millis>>,
     last: Cell<Millis>,
+    /// Whether its head has been read, so that an answer is owed.
+    owed: Cell<bool>,
+}
+
+impl Seen {
+    fn stalled(&self, first: Millis, now: Millis) -> bool {
+        !self.owed.get() && now - first > STALLED.as_secs_f64() * 1000.0
+    }
 }
 
 /// A client's socket that notes when bytes come.
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -395,6 +395,37 @@
     assert!(program.child.try_wait().unwrap().is_none(), "ended by itself");
 }
 
+/// Guards against clients that begin a request and never end it: at the limit they make room too.
+#[test]
+fn stalled_requests_make_room_for_new_clients() {
+    let discovery = Place::new();
+    let backend = Place::new();
+    let known = members(1, true, &[member("s-0", backend.address(), "up")]);
+    let program = Program::start_within(64, settings(), discovery.address(), known);
+    let stalled: Vec<Wire> = (0..40)
+        .map(|_| {
+            let mut client = program.client();
+            client.write("GET /_health HTTP/1.1\r\nHo");
+            client
+        })
+        .collect();
+    let mut client = program.client();
+    client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(client.read().status(), 200);
+    drop(stalled);
+}
+
+/// Guards memory: a head that goes on and on is turned down, not kept.
+#[test]
+fn an_endless_head_is_turned_down() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    let long = format!("X: {}\r\nHost: ser", "x".repeat(70_000));
+    client.write(request_of("id-1", "charge", "wide", LONG).replacen("Host: ser", &long, 1));
+    assert_eq!(client.read().status(), 431);
+    assert!(scene.nobody_called());
+}
+
 /// Guards quotas: beyond its quota a customer is refused at once and told when to come back.
 #[test]
 fn a_customer_past_its_quota_is_refused_with_advice() {
