Backend sockets: the budget is given back with the socket; bounded buffers; tests of what counts as written

Cause: the count of connections was kept by hand (a guard forgotten on success, a decrement on close), easy to break in a later change; it is now one value that lives with the socket. Answers' heads are bounded like requests'. The line between 'could not connect' and 'reset' had no test of its own: a socket pair cannot be made to stop within 64 KiB (the system takes it whole), so the byte count is tested at every cut. No behaviour changes on the ordinary path.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -1,8 +1,9 @@
 //! Attempts: pools of connections to backends, and what the end of an attempt means.
 
+use super::clients::BUFFER;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, HOST};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
@@ -166,22 +167,29 @@
 
 /// A socket that can be closed at once from outside, and that counts towards the budget until it is.
 struct Wire {
-    stream: RefCell<Option<TcpStream>>,
+    socket: RefCell<Option<(TcpStream, Slot)>>,
     written: RefCell<Written>,
-    open: Rc<Cell<usize>>,
 }
 
 impl Wire {
     fn close(&self) {
-        if self.stream.borrow_mut().take().is_some() {
-            self.open.set(self.open.get() - 1);
-        }
+        self.socket.borrow_mut().take();
+    }
+}
+
+/// A place in the budget of connections, held from the dial on and given back with the socket.
+struct Slot(Rc<Cell<usize>>);
+
+impl Slot {
+    fn take(open: &Rc<Cell<usize>>) -> Slot {
+        open.set(open.get() + 1);
+        Slot(open.clone())
     }
 }
 
-impl Drop for Wire {
+impl Drop for Slot {
     fn drop(&mut self) {
-        self.close();
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -190,8 +198,8 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        match self.0.stream.borrow_mut().as_mut() {
-            Some(stream) => Pin::new(stream).poll_read(cx, buf),
+        match self.0.socket.borrow_mut().as_mut() {
+            Some((stream, _)) => Pin::new(stream).poll_read(cx, buf),
             None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
         }
     }
@@ -199,8 +207,8 @@
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let mut stream = self.0.stream.borrow_mut();
-        let Some(stream) = stream.as_mut() else {
+        let mut socket = self.0.socket.borrow_mut();
+        let Some((stream, _)) = socket.as_mut() else {
             return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
         };
         let wrote = Pin::new(stream).poll_write(cx, buf);
@@ -385,18 +393,13 @@
     }
 
     async fn dial(&self, address: SocketAddr) -> Option<Connection> {
-        // Counted from here on: a connection that comes up slowly holds a descriptor too.
-        self.open.set(self.open.get() + 1);
-        let dialling = Dialling(&self.open);
+        // A connection that comes up slowly holds a descriptor too.
+        let slot = Slot::take(&self.open);
         let stream = TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        std::mem::forget(dialling);
-        let wire = Rc::new(Wire {
-            stream: RefCell::new(Some(stream)),
-            written: RefCell::default(),
-            open: self.open.clone(),
-        });
-        let (sender, connection) = handshake(TokioIo::new(WireIo(wire.clone()))).await.ok()?;
+        let wire = Rc::new(Wire { socket: RefCell::new(Some((stream, slot))), written: RefCell::default() });
+        let (sender, connection) =
+            Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(WireIo(wire.clone()))).await.ok()?;
         let closing = wire.clone();
         let task = tokio::task::spawn_local(async move {
             // How it ended is told to the attempt on it, if there is one.
@@ -407,15 +410,6 @@
     }
 }
 
-/// Gives back the descriptor of a connection that never came up.
-struct Dialling<'a>(&'a Cell<usize>);
-
-impl Drop for Dialling<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 // ---- Attempts ---------------------------------------------------------------------------------------
 
 /// Carries out one attempt and tells how it ended.
@@ -477,3 +471,46 @@
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
     text(headers, name)?.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HEAD: &[u8] = b"POST /a HTTP/1.1\r\nhost: x\r\n\r\n";
+
+    /// Guards the line between "could not connect" and "reset": only the last byte makes a request whole,
+    /// however the writes are cut.
+    #[test]
+    fn a_request_is_whole_with_its_last_byte_and_not_before() {
+        let bytes = [HEAD, b"\r\n\r\nbody"].concat();
+        for cut in 1..bytes.len() {
+            let mut written = Written::begin(8);
+            written.note(&bytes[..cut]);
+            assert!(!written.whole(), "whole after {cut} bytes");
+            written.note(&bytes[cut..]);
+            assert!(written.whole(), "not whole when cut after {cut} bytes");
+        }
+    }
+
+    /// Guards requests without a body: they are whole with the empty line, written byte by byte too.
+    #[test]
+    fn a_request_without_a_body_is_whole_with_its_head() {
+        let mut written = Written::begin(0);
+        for byte in &HEAD[..HEAD.len() - 1] {
+            written.note(&[*byte]);
+            assert!(!written.whole());
+        }
+        written.note(b"\n");
+        assert!(written.whole());
+    }
+
+    /// Guards load reports: the values that the settings name are read, whatever stands between them.
+    #[test]
+    fn a_load_report_is_read_by_its_names() {
+        let names = vec!["depth".to_owned(), "load_share".to_owned()];
+        let reading = Reading { names, metrics: vec![Metric::Queue, Metric::Utilisation] };
+        let report = reading.report("other=3, depth=2,load_share=0.61,broken");
+        assert_eq!((report.queue, report.in_flight), (Some(2.0), None));
+        assert!((report.utilisation.unwrap() - 0.61).abs() < 1e-6);
+    }
+}
