A test of drains while a connection comes up

The test holds a dial up with a full waiting line, drains the backend meanwhile and lets the dial through. With the check taken out the request is written and the test fails. No change to the program.

--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -225,6 +225,32 @@
     assert_eq!(client.read().body, b"back");
 }
 
+/// Guards drains while a connection is coming up: the list may change meanwhile, and it is looked at again
+/// before the first byte is written. Nothing was sent, so the request is refused.
+#[test]
+fn a_backend_that_drains_while_it_is_dialled_gets_nothing() {
+    let discovery = Place::new();
+    let (backend, fillers) = crowded_place();
+    let up = [member("s-0", backend.address(), "up")];
+    let program = Program::start(settings(), discovery.address(), members(7, true, &up));
+    let mut wire = discovery.accept();
+    wire.read();
+    let mut watch = Watch::begin(wire);
+    let mut client = program.client();
+    client.write(request_of("id-1", "charge", "wide", LONG));
+    wait_for("a dial that hangs", || dialling(backend.address()).then_some(()));
+    watch.line(&members(8, false, &[member("s-0", backend.address(), "draining")]).to_string());
+    watch.0.write("0\r\n\r\n");
+    drop(watch);
+    // Asking from 8 shows that the line has been taken in.
+    assert_eq!(discovery.accept().read().first, "GET /catalog/members?watch=1&from=8 HTTP/1.1");
+    for _ in &fillers {
+        backend.accept();
+    }
+    backend.accept().expect_end();
+    assert_eq!(client.read().status(), 429);
+}
+
 /// Guards the watch: one that ends is resumed from the version last seen, and an unreadable line is answered
 /// by asking for the whole list.
 #[test]
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -87,8 +87,34 @@
     }
 }
 
+/// A place whose waiting line is full with the connections that come along: a further one hangs until these
+/// have been accepted.
+pub fn crowded_place() -> (Place, Vec<TcpStream>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().expect("a runtime");
+    let listener = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().unwrap()).expect("a port");
+        socket.listen(1).expect("a listener").into_std().expect("a listener")
+    });
+    let place = Place(listener);
+    // The system lets in one more than it is told.
+    let fillers = (0..2).map(|_| TcpStream::connect(place.address()).expect("room for two")).collect();
+    (place, fillers)
+}
+
+/// Whether somebody has asked for a connection to this address and has no answer yet.
+pub fn dialling(address: SocketAddr) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of sockets");
+    let port = format!(":{:04X}", address.port());
+    let asked = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        fields.len() > 3 && fields[2].ends_with(&port) && fields[3] == "02"
+    };
+    table.lines().any(asked)
+}
+
 /// Looks again and again until there is something.
-fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+pub fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
     let end = Instant::now() + PATIENCE;
     loop {
         if let Some(found) = look() {
