SIGHUP: the configuration is re-read and discovery followed to its new address

The handler is now in place before anything else. The file goes before BALANCER_DISCOVERY on reload, since the variable of a running process can only tell the old address; discovery::follow leaves its watch at once and resumes with from=. A status other than 200 now asks for the whole list. Test: a_new_configuration_moves_the_watch_and_a_bad_one_does_not, seen to fail without the mend.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,11 +4,10 @@
 
 mod net;
 
-use net::config::Config;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match Config::from_env().map_err(|error| error.to_string()).and_then(serve) {
+    match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("maplefall: {error}");
@@ -18,12 +17,12 @@
 }
 
 /// Serves on one thread: a front door has one core, and nothing on the path needs a lock.
-fn serve(config: Config) -> Result<(), String> {
+fn serve() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_io()
         .enable_time()
         .build()
         .map_err(|error| format!("cannot start: {error}"))?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, net::run(config))
+    local.block_on(&runtime, net::run())
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -89,18 +89,9 @@
 impl Config {
     /// Reads the variables and the file. A variable goes before the file's own entry.
     pub fn from_env() -> Result<Config, ConfigError> {
-        let path = std::env::var("BALANCER_CONFIG").map_err(|_| ConfigError::Missing)?;
-        let text = std::fs::read_to_string(&path)
-            .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
-        let file: File =
-            serde_json::from_str(&text).map_err(|error| ConfigError::Malformed { path, error })?;
+        let file = File::read()?;
         let told_or = |name: &str, otherwise: &str| std::env::var(name).unwrap_or(otherwise.to_owned());
-        let seed = u64::from_str_radix(&file.seed, 16)
-            .map_err(|_| ConfigError::Value(format!("seed: {:?} is not a hexadecimal number", file.seed)))?;
-        if file.limits.sockets < LEAST_SOCKETS {
-            let text = format!("limits.sockets: {} is under {LEAST_SOCKETS}", file.limits.sockets);
-            return Err(ConfigError::Value(text));
-        }
+        let (seed, told) = file.check()?;
         Ok(Config {
             name: told_or("BALANCER_NAME", &file.name),
             listen: address("BALANCER_LISTEN", &told_or("BALANCER_LISTEN", &file.listen))?,
@@ -108,9 +99,39 @@
             seed,
             limits: file.limits,
             known: file.known,
-            told: settings::parse(&facts(&file.settings)).map_err(ConfigError::Value)?,
+            told,
         })
     }
+
+    /// Where discovery answers from now on, by a file that was replaced while the program runs. The file goes
+    /// before the variable here: a variable cannot change in a running process, so it tells the old address.
+    /// The whole file must be usable.
+    pub fn told_discovery() -> Result<SocketAddr, ConfigError> {
+        let file = File::read()?;
+        file.check()?;
+        address("discovery", &file.discovery)
+    }
+}
+
+impl File {
+    /// Reads the file that the variable names.
+    fn read() -> Result<File, ConfigError> {
+        let path = std::env::var("BALANCER_CONFIG").map_err(|_| ConfigError::Missing)?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
+        serde_json::from_str(&text).map_err(|error| ConfigError::Malformed { path, error })
+    }
+
+    /// The seed and the settings, if they and the limits are usable.
+    fn check(&self) -> Result<(u64, Told), ConfigError> {
+        let seed = u64::from_str_radix(&self.seed, 16)
+            .map_err(|_| ConfigError::Value(format!("seed: {:?} is not a hexadecimal number", self.seed)))?;
+        if self.limits.sockets < LEAST_SOCKETS {
+            let text = format!("limits.sockets: {} is under {LEAST_SOCKETS}", self.limits.sockets);
+            return Err(ConfigError::Value(text));
+        }
+        Ok((seed, settings::parse(&facts(&self.settings)).map_err(ConfigError::Value)?))
+    }
 }
 
 fn address(name: &'static str, value: &str) -> Result<SocketAddr, ConfigError> {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 
 /// Discovery says something every 2 s; a watch silent for three of these has lost its other end.
@@ -89,8 +90,9 @@
     TooLong,
 }
 
-/// Follows discovery for as long as the front door runs, from the list that it last had.
-pub async fn follow(door: Rc<Door>, agent: SocketAddr, known: Option<Members>) {
+/// Follows discovery for as long as the front door runs, from the list that it last had. When `agent` tells
+/// another address, the old watch is left at once and resumed there.
+pub async fn follow(door: Rc<Door>, mut agent: watch::Receiver<SocketAddr>, known: Option<Members>) {
     let mut version = None;
     if let Some(known) = known {
         version = Some(known.seq);
@@ -98,15 +100,18 @@
     }
     let mut down = false;
     loop {
+        let address = *agent.borrow_and_update();
         let before = version;
-        let ended = match version {
-            Some(seq) => {
-                let path = format!("/catalog/members?watch=1&from={seq}");
-                read(&door, agent, &path, &mut version).await
-            }
-            None => read(&door, agent, "/catalog/members", &mut version).await,
+        let path = match version {
+            Some(seq) => format!("/catalog/members?watch=1&from={seq}"),
+            None => "/catalog/members".to_owned(),
+        };
+        let ended = tokio::select! {
+            ended = read(&door, address, &path, &mut version) => ended,
+            _ = agent.changed() => continue,
         };
-        if matches!(ended, Err(Ended::Unreadable(_) | Ended::TooLong)) {
+        // A place that does not know the version, or tells what cannot be read, is asked for the whole list.
+        if matches!(ended, Err(Ended::Unreadable(_) | Ended::TooLong | Ended::Status(_))) {
             version = None;
         }
         let whole_list = before.is_none() && ended.is_ok();
@@ -119,7 +124,10 @@
             eprintln!("discovery: watch ended: {why}");
         }
         down = version == before;
-        tokio::time::sleep(PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(PAUSE) => {}
+            _ = agent.changed() => {}
+        }
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,11 +9,17 @@
 use clients::Clients;
 use config::Config;
 use door::Door;
+use std::net::SocketAddr;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 
 /// Serves until a SIGTERM has been carried out.
-pub async fn run(config: Config) -> Result<(), String> {
-    let mut stop = signal(SignalKind::terminate()).map_err(|error| format!("no signals: {error}"))?;
+pub async fn run() -> Result<(), String> {
+    let no_signals = |error| format!("no signals: {error}");
+    // Before anything else: until they are caught, both end the process.
+    let mut reload = signal(SignalKind::hangup()).map_err(no_signals)?;
+    let mut stop = signal(SignalKind::terminate()).map_err(no_signals)?;
+    let config = Config::from_env().map_err(|error| error.to_string())?;
     let listen = config.listen;
     let listener = tokio::net::TcpListener::bind(listen)
         .await
@@ -22,12 +28,31 @@
     let door = Door::new(&config);
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
-    tokio::task::spawn_local(discovery::follow(door.clone(), config.discovery, config.known));
+    let agent = watch::Sender::new(config.discovery);
+    tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known));
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
     eprintln!("{}: serving on {bound}", config.name);
-    stop.recv().await;
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => take_up(&config.name, &agent),
+        }
+    }
     eprintln!("{}: stopping", config.name);
     clients.stop().await;
     Ok(())
 }
+
+/// Re-reads the configuration after SIGHUP. Only where discovery answers can change while the program runs; what
+/// cannot be used is told, and the old goes on.
+fn take_up(name: &str, agent: &watch::Sender<SocketAddr>) {
+    match Config::told_discovery() {
+        Ok(address) => {
+            eprintln!("{name}: discovery is at {address}");
+            // Also where it is the same: the watch is opened anew.
+            agent.send_replace(address);
+        }
+        Err(error) => eprintln!("{name}: the old configuration goes on: {error}"),
+    }
+}
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -312,9 +312,7 @@
     let mut backend = scene.backends[0].accept();
     backend.read();
     scene.program.terminate();
-    let mut line = String::new();
-    std::io::BufRead::read_line(&mut scene.program.log, &mut line).unwrap();
-    assert_eq!(line, "n0: stopping\n");
+    assert_eq!(scene.program.log_line(), "n0: stopping\n");
     let mut late = scene.program.client();
     late.write(request_of("id-2", "charge", "wide", LONG));
     let mut second = scene.backends[0].accept();
@@ -496,10 +494,42 @@
         (with("settings", serde_json::json!({"tick": "soon"})), "tick=soon"),
     ];
     for (config, expected) in cases {
-        let mut child = spawn(&config);
+        let (mut child, _) = spawn(&config, &[]);
         let mut text = String::new();
         child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
         let status: ExitStatus = child.wait().unwrap();
         assert!(!status.success() && text.contains(expected) && text.lines().count() == 1, "{text}");
     }
 }
+
+/// Guards new configurations: SIGHUP ends nothing, a file that cannot be used changes nothing, and a new address of
+/// discovery is followed at once, from the version last seen, though the variable still tells the old one.
+#[test]
+fn a_new_configuration_moves_the_watch_and_a_bad_one_does_not() {
+    let mut scene = Scene::new(1);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    backend.read();
+    let mut config = scene.program.config.clone();
+    for bad in ["{", "{\"seed\":\"1\",\"limits\":{\"sockets\":256},\"settings\":{},\"discovery\":\"x\"}"] {
+        scene.program.reload(bad);
+        let line = scene.program.log_line();
+        assert!(line.contains("old configuration goes on"), "{line}");
+    }
+    // The old watch is still the one that counts.
+    let moved = Place::new();
+    let hosts = [member("s-0", moved.address(), "up")];
+    scene.watch.line(&members(8, false, &hosts).to_string());
+    let fresh = Place::new();
+    config["discovery"] = fresh.address().to_string().into();
+    wait_for("the line to be taken in", || {
+        scene.program.reload(&config.to_string());
+        let mut wire = fresh.accept();
+        let first = wire.read().first;
+        (first == "GET /catalog/members?watch=1&from=8 HTTP/1.1").then(|| scene.watch.0.expect_end())
+    });
+    // What was taken before is answered.
+    backend.answer(200, "", "kept");
+    assert_eq!(client.read().body, b"kept");
+}
--- a/tests/sockets/mod.rs
+++ b/tests/sockets/mod.rs
@@ -240,12 +240,15 @@
     pub child: Child,
     pub address: SocketAddr,
     pub log: BufReader<ChildStderr>,
+    /// Its configuration and the file that holds it.
+    pub config: Value,
+    pub path: String,
 }
 
 static FILES: AtomicU32 = AtomicU32::new(0);
 
-/// Starts the program with a configuration file of this text.
-pub fn spawn(config: &str) -> Child {
+/// Starts the program with a configuration file of this text; the file's path comes along.
+pub fn spawn(config: &str, variables: &[(&str, &str)]) -> (Child, String) {
     let number = FILES.fetch_add(1, Ordering::Relaxed);
     let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("a file");
@@ -253,7 +256,8 @@
     for name in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"] {
         command.env_remove(name);
     }
-    command.env("BALANCER_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+    command.envs(variables.iter().copied()).env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
+    (command.spawn().expect("the program starts"), path)
 }
 
 impl Program {
@@ -267,12 +271,15 @@
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": settings,
         });
-        let mut child = spawn(&config.to_string());
+        // As in service: the variable tells the same as the file.
+        let variable = [("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())];
+        let (mut child, path) = spawn(&config.to_string(), &variable);
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
         let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
-        Program { child, address: address.unwrap_or_else(|| panic!("no address in {line:?}")), log }
+        let address = address.unwrap_or_else(|| panic!("no address in {line:?}"));
+        Program { child, address, log, config, path }
     }
 
     pub fn client(&self) -> Wire {
@@ -280,8 +287,27 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration file and tells the program.
+    pub fn reload(&self, config: &str) {
+        let fresh = format!("{}.new", self.path);
+        std::fs::write(&fresh, config).expect("a file");
+        std::fs::rename(&fresh, &self.path).expect("a file replaced");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    /// The next line of its log.
+    pub fn log_line(&mut self) -> String {
+        let mut line = String::new();
+        self.log.read_line(&mut line).expect("a line");
+        line
     }
 
     pub fn wait(&mut self) -> ExitStatus {
