Bad clients: one deadline for each request, strict validation, the silent make room first

Ids are good once, also after their answer. Client connections get three fifths of the descriptors, backends two.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -1,6 +1,7 @@
 //! Attempts: pools of connections to backends, and what the end of an attempt means.
 
 use super::clients::BUFFER;
+use super::request::{IDEMPOTENCY_KEY, REQUEST_ID, REQUEST_TIMEOUT};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -30,24 +31,27 @@
 /// Descriptors kept for discovery, listening and the runtime.
 const SPARE_SOCKETS: usize = 24;
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
-const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
 const API_USAGE: HeaderName = HeaderName::from_static("api-usage");
 const API_CHARGE: HeaderName = HeaderName::from_static("api-charge");
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 
-/// Connections to backends that `sockets` descriptors leave room for; clients get as many.
+/// Connections to backends that `sockets` descriptors leave room for. Clients hold a third of the descriptors
+/// for requests at most, and a request has one attempt out.
 pub fn budget(sockets: usize) -> usize {
-    sockets.saturating_sub(SPARE_SOCKETS) / 2
+    sockets.saturating_sub(SPARE_SOCKETS) * 2 / 5
+}
+
+/// Connections of clients that there is room for, besides: also of such that ask nothing.
+pub fn client_budget(sockets: usize) -> usize {
+    sockets.saturating_sub(SPARE_SOCKETS) - budget(sockets)
 }
 
 /// What goes on to a backend, the same with every attempt.
 #[derive(Clone, Debug)]
 pub struct Order {
     /// The id on the wire.
-    pub id: String,
+    pub id: Rc<str>,
     /// The id as it came.
     pub id_value: HeaderValue,
     /// The host that the client named.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,18 +1,17 @@
-//! Clients: the listener, the reading of requests, and the one final answer of each.
-
-use super::backends::{budget, Order, LONGEST_BODY};
-use super::door::{Door, Incoming};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Incoming as IncomingBody};
-use hyper::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_TYPE, COOKIE, HOST, RETRY_AFTER};
-use hyper::http::request::Parts;
-use hyper::http::uri::PathAndQuery;
+//! Clients: the listener, how long a connection may take, and the one final answer of each request.
+
+use super::backends::client_budget;
+use super::door::Door;
+use super::request::{read_body, read_head, Bad};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming as IncomingBody};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use maplefall::settings::plain;
-use maplefall::{ClassId, CustomerId, Effect, Millis, PlanId, RequestId};
-use std::cell::Cell;
+use maplefall::{Millis, RequestId};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
 use std::pin::Pin;
@@ -33,23 +32,20 @@
 const LAST_LOOK: Duration = Duration::from_millis(5);
 /// Pause when the system has no descriptor for a new connection.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(10);
-/// A head that has been coming for this long is not a request that somebody waits for.
-const STALLED: Duration = Duration::from_secs(4);
+/// Time for a whole request from its first byte, and for the first one on a connection from the connect.
+const READ_TIME: Millis = 2000.0;
+/// What is added before a connection is closed without a word, so that an answer can tell why.
+const LAST_WORD: Millis = 200.0;
+/// Time for which a connection without a request is kept: usual clients come again sooner.
+const IDLE_TIME: Millis = 6000.0;
+/// A request that has been coming for this long may be given up where there is no room.
+const UNHURRIED: Millis = 250.0;
+/// How often connections are looked through.
+const SWEEP: Duration = Duration::from_millis(100);
+/// How long a full house waits for one that is asked to leave.
+const MAKE_ROOM: Duration = Duration::from_millis(20);
 /// Bytes that a connection buffers at most; a longer head is answered 431.
 pub const BUFFER: usize = 32 * 1024;
-/// Time to read a body whose client tells no usable time.
-const BODY_TIME: Duration = Duration::from_secs(3);
-/// A customer's number is below this.
-const CUSTOMERS: u64 = 1 << 33;
-/// Longest id of a request.
-const LONGEST_ID: usize = 128;
-
-const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
-const REQUEST_CLASS: HeaderName = HeaderName::from_static("request-class");
-const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-const API_PLAN: HeaderName = HeaderName::from_static("api-plan");
-const API_TERMS: HeaderName = HeaderName::from_static("api-terms");
 
 /// The one final answer of a request.
 #[derive(Debug)]
@@ -62,38 +58,6 @@
     Failed,
 }
 
-/// Why a request is turned down unread by the decisions.
-#[derive(Debug, thiserror::Error)]
-enum Bad {
-    #[error("{0} is missing or cannot be read")]
-    Header(HeaderName),
-    #[error("unknown class")]
-    Class,
-    #[error("unknown plan")]
-    Plan,
-    #[error("the method does not go with the class")]
-    Method,
-    #[error("the body cannot be read")]
-    Body,
-    #[error("the body is too long")]
-    TooLong,
-    #[error("the body did not come in time")]
-    Slow,
-    #[error("a request with this id has no answer yet")]
-    Twice,
-}
-
-impl Bad {
-    fn status(&self) -> StatusCode {
-        match self {
-            Bad::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Bad::Slow => StatusCode::REQUEST_TIMEOUT,
-            Bad::Twice => StatusCode::CONFLICT,
-            _ => StatusCode::BAD_REQUEST,
-        }
-    }
-}
-
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -108,79 +72,104 @@
 pub struct Clients {
     door: Rc<Door>,
     most: usize,
-    open: Cell<usize>,
+    /// The open connections, at most `most`.
+    peers: RefCell<HashMap<u64, Rc<Peer>>>,
+    accepted: Cell<u64>,
     closed: Notify,
-    /// Tells idle connections to make room.
-    crowded: Notify,
+    /// Whether a new connection waits and nobody can be asked to leave: answers then close theirs.
+    crowded: Cell<bool>,
     phase: watch::Sender<Phase>,
 }
 
 impl Clients {
     /// The clients' side of `door` within `sockets` descriptors for all.
     pub fn new(door: Rc<Door>, sockets: usize) -> Rc<Clients> {
-        let phase = watch::Sender::new(Phase::Serving);
-        let most = budget(sockets);
         Rc::new(Clients {
             door,
-            most,
-            open: Cell::new(0),
+            most: client_budget(sockets),
+            peers: RefCell::default(),
+            accepted: Cell::new(0),
             closed: Notify::new(),
-            crowded: Notify::new(),
-            phase,
+            crowded: Cell::new(false),
+            phase: watch::Sender::new(Phase::Serving),
         })
     }
 
     /// Accepts connections for as long as the front door runs.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            // What the system has accepted for us counts as ours, so a full house must not keep it waiting:
-            // idle connections close at once, busy ones with their answers.
-            while self.full() {
-                self.crowded.notify_waiters();
-                let _ = tokio::time::timeout(STALLED, self.closed.notified()).await;
-            }
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(self.clone().serve(stream));
+                    self.make_room().await;
+                    let peer = Rc::new(Peer::new(self.door.clock.now()));
+                    self.accepted.set(self.accepted.get() + 1);
+                    self.peers.borrow_mut().insert(self.accepted.get(), peer.clone());
+                    tokio::task::spawn_local(self.clone().serve(stream, self.accepted.get(), peer));
                 }
                 Err(_) => tokio::time::sleep(NO_DESCRIPTOR).await,
             }
         }
     }
 
-    fn full(&self) -> bool {
-        self.open.get() >= self.most
+    /// Waits until there is room for one more. What the system has accepted for us counts as ours, so a full
+    /// house must not keep it waiting: just one connection is closed, and the one that is least missed.
+    async fn make_room(&self) {
+        while self.peers.borrow().len() >= self.most {
+            let now = self.door.clock.now();
+            let victim = {
+                let peers = self.peers.borrow();
+                peers
+                    .values()
+                    .filter_map(|peer| Some((peer.dispensable(now)?, peer.clone())))
+                    .max_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            };
+            match victim {
+                Some(((Spare::Idle, _), peer)) => peer.leave(Leave::Idle),
+                Some((_, peer)) => peer.leave(Leave::Now),
+                None => self.crowded.set(true),
+            }
+            let _ = tokio::time::timeout(MAKE_ROOM, self.closed.notified()).await;
+        }
+        self.crowded.set(false);
+    }
+
+    /// Closes what has had its time, for as long as the front door runs.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let now = self.door.clock.now();
+            for peer in self.peers.borrow().values() {
+                if let Some(how) = peer.overdue(now) {
+                    peer.leave(how);
+                }
+            }
+        }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
-        let _open = Open(&self);
+    async fn serve(self: Rc<Self>, stream: TcpStream, number: u64, peer: Rc<Peer>) {
+        let _open = Open { clients: &self, number };
         // Without it answers are late, not wrong.
         let _ = stream.set_nodelay(true);
-        let seen = Rc::new(Seen::default());
-        let io = TokioIo::new(Watched { stream, seen: seen.clone(), door: self.door.clone() });
+        let io = TokioIo::new(Watched { stream, peer: peer.clone(), door: self.door.clone() });
         let service = service_fn(|request| {
-            let (clients, seen) = (self.clone(), seen.clone());
-            async move { Ok::<_, Infallible>(clients.answer(request, &seen).await) }
+            let (clients, peer) = (self.clone(), peer.clone());
+            async move { Ok::<_, Infallible>(clients.answer(request, &peer).await) }
         });
         let connection =
             hyper::server::conn::http1::Builder::new().max_buf_size(BUFFER).serve_connection(io, service);
         let mut connection = std::pin::pin!(connection);
         let mut phase = self.phase.subscribe();
+        let mut leaving = false;
         loop {
             tokio::select! {
                 // An error is a client that went away or wrote no HTTP; the library has answered the latter.
                 _ = connection.as_mut() => return,
-                _ = phase.wait_for(|phase| *phase == Phase::Sweeping) => break,
-                () = self.crowded.notified() => match seen.first.get() {
-                    None => break,
-                    Some(first) if seen.stalled(first, self.door.clock.now()) => return,
-                    Some(_) => {}
-                },
+                _ = phase.wait_for(|phase| *phase == Phase::Sweeping), if !leaving => {}
+                () = peer.asked.notified() => if peer.left.get() == Some(Leave::Now) { return },
             }
+            leaving = true;
+            connection.as_mut().graceful_shutdown();
         }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
     }
 
     /// The planned stop: goes on accepting, answers what has come, and returns when all is answered.
@@ -191,7 +180,7 @@
         self.phase.send_replace(Phase::Closing);
         tokio::time::sleep(LINGER).await;
         self.phase.send_replace(Phase::Sweeping);
-        while self.open.get() > 0 {
+        while !self.peers.borrow().is_empty() {
             let closed = tokio::time::timeout_at(end, self.closed.notified()).await;
             if closed.is_err() {
                 eprintln!("stopped with {} requests unanswered", self.door.unanswered());
@@ -202,22 +191,24 @@
         }
     }
 
-    async fn answer(&self, request: Request<IncomingBody>, seen: &Seen) -> Response<Full<Bytes>> {
-        seen.owed.set(true);
+    async fn answer(&self, request: Request<IncomingBody>, peer: &Peer) -> Response<Full<Bytes>> {
+        let mut close = self.crowded.get();
         let mut response = if request.uri().path() == HEALTH {
+            peer.whole();
             self.health()
         } else {
-            self.decide(request, seen).await.unwrap_or_else(|bad| {
+            self.decide(request, peer).await.unwrap_or_else(|bad| {
+                // Nothing that follows on such a connection can be trusted to be a request.
+                close = true;
                 let mut response = Response::new(Full::new(Bytes::from(format!("{bad}\n"))));
                 *response.status_mut() = bad.status();
                 response
             })
         };
-        if self.full() || *self.phase.borrow() != Phase::Serving {
+        if close || *self.phase.borrow() != Phase::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        seen.first.set(None);
-        seen.owed.set(false);
+        peer.answered(self.door.clock.now());
         response
     }
 
@@ -232,84 +223,34 @@
     async fn decide(
         &self,
         request: Request<IncomingBody>,
-        seen: &Seen,
+        peer: &Peer,
     ) -> Result<Response<Full<Bytes>>, Bad> {
-        let first = seen.first.get().unwrap_or_else(|| self.door.clock.now());
+        // Of a request that came in one read with the one before it, only that read's time is known.
+        let first = peer.first.get().unwrap_or(peer.last.get());
         let (head, body) = request.into_parts();
-        let mut incoming = self.read_head(&head, first)?;
-        incoming.order.body = read_body(body, &head.method).await?;
-        incoming.at = seen.last.get();
+        let mut incoming = read_head(&self.door, &head, first)?;
+        let end = self.door.clock.instant(peer.begun() + READ_TIME);
+        incoming.order.body = read_body(body, &head.method, end).await?;
+        incoming.at = peer.last.get();
+        peer.whole();
         let (id, answer) = self.door.arrive(incoming).ok_or(Bad::Twice)?;
         let mut waiting = Waiting { door: &self.door, id: Some(id) };
         let answer = answer.await.unwrap_or(Answer::Failed);
         waiting.id = None;
         Ok(response(answer))
     }
-
-    fn read_head(&self, head: &Parts, first: Millis) -> Result<Incoming, Bad> {
-        let headers = &head.headers;
-        let id = text(headers, &REQUEST_ID)?;
-        if id.is_empty() || id.len() > LONGEST_ID {
-            return Err(Bad::Header(REQUEST_ID));
-        }
-        let class = self.class(head)?;
-        let plan_name = plain(text(headers, &API_PLAN)?);
-        let plan = self.door.names.plans.iter().position(|name| *name == plan_name).ok_or(Bad::Plan)?;
-        let timeout = positive(text(headers, &REQUEST_TIMEOUT)?).ok_or(Bad::Header(REQUEST_TIMEOUT))?;
-        let terms = Terms::read(text(headers, &API_TERMS)?).ok_or(Bad::Header(API_TERMS))?;
-        let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
-        Ok(Incoming {
-            at: first,
-            deadline: first + timeout * 1000.0,
-            customer: customer(headers).ok_or(Bad::Header(COOKIE))?,
-            plan: PlanId(plan),
-            class: ClassId(class),
-            units: terms.units,
-            spread: terms.spread,
-            order: Order {
-                id: id.to_owned(),
-                id_value: headers[REQUEST_ID].clone(),
-                host: headers.get(HOST).cloned().ok_or(Bad::Header(HOST))?,
-                method: head.method.clone(),
-                uri: Uri::from(path),
-                key: headers.get(IDEMPOTENCY_KEY).cloned(),
-                content_type: headers.get(CONTENT_TYPE).cloned(),
-                body: Bytes::new(),
-            },
-        })
-    }
-
-    /// The class, which header, path and method must agree on.
-    fn class(&self, head: &Parts) -> Result<usize, Bad> {
-        let name = text(&head.headers, &REQUEST_CLASS)?;
-        let part = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let plain_name = plain(name);
-        let class =
-            self.door.names.classes.iter().position(|known| *known == plain_name).ok_or(Bad::Class)?;
-        if part != name {
-            return Err(Bad::Class);
-        }
-        let keyed = head.headers.contains_key(IDEMPOTENCY_KEY);
-        let agrees = match self.door.settings.classes[class].effect {
-            Effect::Safe => head.method == Method::GET && !keyed,
-            Effect::Keyed { .. } => head.method == Method::POST && keyed,
-            Effect::Unsafe => head.method == Method::POST && !keyed,
-        };
-        if agrees {
-            Ok(class)
-        } else {
-            Err(Bad::Method)
-        }
-    }
 }
 
 /// Counts a connection of a client while it is open.
-struct Open<'a>(&'a Clients);
+struct Open<'a> {
+    clients: &'a Clients,
+    number: u64,
+}
 
 impl Drop for Open<'_> {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.closed.notify_waiters();
+        self.clients.peers.borrow_mut().remove(&self.number);
+        self.clients.closed.notify_waiters();
     }
 }
 
@@ -327,25 +268,103 @@
     }
 }
 
-/// When bytes of the request that is being read came.
+/// How a connection is to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Leave {
+    /// Once what it is owed has been written.
+    Idle,
+    /// At once.
+    Now,
+}
+
+/// A connection that may be closed to make room, the one most missed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Spare {
+    /// In the midst of a request that is slow in coming.
+    Slow,
+    /// Between two requests.
+    Idle,
+    /// Never said anything.
+    Silent,
+}
+
+/// A client's connection: what it is at, and since when.
 #[derive(Debug, Default)]
-struct Seen {
+struct Peer {
+    opened: Millis,
+    /// When the first and the last bytes came of the request that is being read.
     first: Cell<Option<Millis>>,
     last: Cell<Millis>,
-    /// Whether its head has been read, so that an answer is owed.
+    /// Whether a request has come whole and has no answer yet.
     owed: Cell<bool>,
+    /// When its last answer was ready; `None` before the first.
+    idle_since: Cell<Option<Millis>>,
+    left: Cell<Option<Leave>>,
+    asked: Notify,
 }
 
-impl Seen {
-    fn stalled(&self, first: Millis, now: Millis) -> bool {
-        !self.owed.get() && now - first > STALLED.as_secs_f64() * 1000.0
+impl Peer {
+    fn new(now: Millis) -> Peer {
+        Peer { opened: now, last: Cell::new(now), ..Peer::default() }
+    }
+
+    fn heard(&self, now: Millis) {
+        self.last.set(now);
+        self.first.set(self.first.get().or(Some(now)));
+    }
+
+    /// A request has come whole: what is read from now on belongs to the next one.
+    fn whole(&self) {
+        self.owed.set(true);
+        self.first.set(None);
+    }
+
+    fn answered(&self, now: Millis) {
+        self.owed.set(false);
+        self.idle_since.set(Some(now));
+    }
+
+    /// When the time began in which the present request has to come. A client's first is counted from the
+    /// connect: it may not say nothing first and dawdle then.
+    fn begun(&self) -> Millis {
+        match (self.idle_since.get(), self.first.get()) {
+            (None, _) => self.opened,
+            (Some(idle), Some(first)) => first.max(idle),
+            (Some(idle), None) => idle,
+        }
+    }
+
+    fn overdue(&self, now: Millis) -> Option<Leave> {
+        let reading = self.idle_since.get().is_none() || self.first.get().is_some();
+        let (most, how) =
+            if reading { (READ_TIME + LAST_WORD, Leave::Now) } else { (IDLE_TIME, Leave::Idle) };
+        (!self.owed.get() && now - self.begun() > most).then_some(how)
+    }
+
+    /// How little it would be missed: by kind, then by how long it has been so. `None` while it is owed an
+    /// answer or has been asked to leave.
+    fn dispensable(&self, now: Millis) -> Option<(Spare, Millis)> {
+        if self.owed.get() || self.left.get().is_some() {
+            return None;
+        }
+        let age = now - self.begun();
+        match (self.idle_since.get(), self.first.get()) {
+            (None, None) => Some((Spare::Silent, age)),
+            (Some(_), None) => Some((Spare::Idle, age)),
+            (_, Some(_)) => (age > UNHURRIED).then_some((Spare::Slow, age)),
+        }
+    }
+
+    fn leave(&self, how: Leave) {
+        self.left.set(Some(how));
+        self.asked.notify_one();
     }
 }
 
 /// A client's socket that notes when bytes come.
 struct Watched {
     stream: TcpStream,
-    seen: Rc<Seen>,
+    peer: Rc<Peer>,
     door: Rc<Door>,
 }
 
@@ -358,9 +377,7 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
-            let now = self.door.clock.now();
-            self.seen.last.set(now);
-            self.seen.first.set(self.seen.first.get().or(Some(now)));
+            self.peer.heard(self.door.clock.now());
         }
         read
     }
@@ -392,63 +409,6 @@
     }
 }
 
-/// What a request takes from its owner's quota, and the owner's set of front doors.
-struct Terms {
-    units: f64,
-    spread: f64,
-}
-
-impl Terms {
-    fn read(text: &str) -> Option<Terms> {
-        let (mut units, mut spread, mut first) = (None, None, None);
-        for (name, value) in text.split(',').filter_map(|field| field.trim().split_once('=')) {
-            match name {
-                "units" => units = Some(positive(value)?),
-                "spread" => spread = Some(positive(value)?),
-                "first" => first = Some(value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)?),
-                _ => {}
-            }
-        }
-        first.and(units.zip(spread)).map(|(units, spread)| Terms { units, spread })
-    }
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.map(str::trim).ok_or_else(|| Bad::Header(name.clone()))
-}
-
-fn positive(text: &str) -> Option<f64> {
-    text.parse().ok().filter(|number: &f64| number.is_finite() && *number > 0.0)
-}
-
-/// The customer that the cookie names.
-fn customer(headers: &HeaderMap) -> Option<CustomerId> {
-    let cookies = headers.get_all(COOKIE).iter().filter_map(|value| value.to_str().ok());
-    let name = cookies.flat_map(|line| line.split(';')).find_map(|one| one.trim().strip_prefix("client="))?;
-    let hex = name.len() == 16 && name.bytes().all(|byte| byte.is_ascii_hexdigit());
-    let number = u64::from_str_radix(name, 16).ok().filter(|number| hex && *number < CUSTOMERS)?;
-    Some(CustomerId(number))
-}
-
-async fn read_body(body: IncomingBody, method: &Method) -> Result<Bytes, Bad> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if method == Method::GET {
-        return Err(Bad::Method);
-    }
-    if body.size_hint().lower() > LONGEST_BODY as u64 {
-        return Err(Bad::TooLong);
-    }
-    let read = tokio::time::timeout(BODY_TIME, Limited::new(body, LONGEST_BODY).collect()).await;
-    match read.map_err(|_| Bad::Slow)? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Bad::TooLong),
-        Err(_) => Err(Bad::Body),
-    }
-}
-
 fn response(answer: Answer) -> Response<Full<Bytes>> {
     let (status, body, wait) = match answer {
         Answer::Served(body) => (StatusCode::OK, body, None),
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -17,6 +17,12 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 
+/// How long after its deadline the id of a request that is over is turned down. Every request has its own, a client's retry too: one
+/// that comes again is somebody else's, and sent on it would run a second time.
+const ID_MEMORY: Millis = 5000.0;
+/// Ids of requests that are over that are kept at most.
+const IDS_KEPT: usize = 8192;
+
 /// A monotonic clock that reads as Unix milliseconds, so that start times of backends compare with it.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -35,7 +41,8 @@
         self.unix + self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    fn instant(&self, at: Millis) -> tokio::time::Instant {
+    /// A time of this clock as the runtime counts it.
+    pub fn instant(&self, at: Millis) -> tokio::time::Instant {
         let after = Duration::try_from_secs_f64((at - self.unix) / 1000.0).unwrap_or_default();
         tokio::time::Instant::from_std(self.start + after)
     }
@@ -122,8 +129,10 @@
 struct State {
     gateway: Gateway,
     requests: HashMap<RequestId, Entry>,
-    /// Ids on the wire of the requests in the table.
-    ids: HashSet<String>,
+    /// Ids on the wire of the requests in the table, and of those over for less than [`ID_MEMORY`].
+    ids: HashSet<Rc<str>>,
+    /// The latter, the oldest first; at most [`IDS_KEPT`].
+    past_ids: VecDeque<(Millis, Rc<str>)>,
     last_request: u32,
     backends: HashMap<String, BackendId>,
     last_backend: u32,
@@ -173,6 +182,7 @@
                 gateway: Gateway::new(told.settings.clone(), config.seed),
                 requests: HashMap::new(),
                 ids: HashSet::new(),
+                past_ids: VecDeque::new(),
                 last_request: 0,
                 backends: HashMap::new(),
                 last_backend: 0,
@@ -234,11 +244,12 @@
 
     // ---- Requests -----------------------------------------------------------------------------------
 
-    /// Takes a request in; `None` if one with its id has no answer yet.
+    /// Takes a request in; `None` if one with its id has come before.
     pub fn arrive(self: &Rc<Self>, incoming: Incoming) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (sender, receiver) = oneshot::channel();
         let id = {
             let mut state = self.state.borrow_mut();
+            state.forget_ids(incoming.at);
             if !state.ids.insert(incoming.order.id.clone()) {
                 return None;
             }
@@ -494,7 +505,18 @@
         let over = self.requests.get(&id).is_some_and(|entry| entry.answer.is_none() && entry.out.is_none());
         if over {
             if let Some(entry) = self.requests.remove(&id) {
-                self.ids.remove(&entry.order.id);
+                self.past_ids.push_back((entry.deadline, entry.order.id.clone()));
+            }
+        }
+    }
+
+    fn forget_ids(&mut self, now: Millis) {
+        while let Some((since, _)) = self.past_ids.front() {
+            if now - since < ID_MEMORY && self.past_ids.len() <= IDS_KEPT {
+                return;
+            }
+            if let Some((_, id)) = self.past_ids.pop_front() {
+                self.ids.remove(&id);
             }
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod discovery;
 mod door;
+mod request;
 
 use clients::Clients;
 use config::Config;
@@ -32,6 +33,7 @@
     tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known));
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
+    tokio::task::spawn_local(clients.clone().sweep());
     eprintln!("{}: serving on {bound}", config.name);
     loop {
         tokio::select! {
--- /dev/null
+++ b/src/net/request.rs
@@ -0,0 +1,227 @@
+//! Validation: what a client's request must look like before the decisions see it. Nothing here is lenient:
+//! what goes on to a backend is what a client of this service would have written, or it is answered 400.
+
+use super::backends::{Order, LONGEST_BODY};
+use super::door::{Door, Incoming};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Bytes, Incoming as IncomingBody};
+use hyper::header::{HeaderName, CONTENT_TYPE, COOKIE, HOST, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, StatusCode, Uri};
+use maplefall::settings::plain;
+use maplefall::{ClassId, CustomerId, Effect, Millis, PlanId, Settings};
+
+/// A customer's number is below this.
+const CUSTOMERS: u64 = 1 << 33;
+/// Longest id of a request, and longest key.
+const LONGEST_NAME: usize = 128;
+
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+const REQUEST_CLASS: HeaderName = HeaderName::from_static("request-class");
+pub const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const API_PLAN: HeaderName = HeaderName::from_static("api-plan");
+const API_TERMS: HeaderName = HeaderName::from_static("api-terms");
+
+/// Why a request is turned down unread by the decisions.
+#[derive(Debug, thiserror::Error)]
+pub enum Bad {
+    /// A header is missing, repeated or not what it should be.
+    #[error("{0} is missing, repeated or cannot be read")]
+    Header(HeaderName),
+    /// No such class.
+    #[error("unknown class")]
+    Class,
+    /// No such plan.
+    #[error("unknown plan")]
+    Plan,
+    /// The path holds what is not plain ASCII.
+    #[error("the path cannot be read")]
+    Path,
+    /// Method and class do not agree.
+    #[error("the method does not go with the class")]
+    Method,
+    /// The body broke off or is no body.
+    #[error("the body cannot be read")]
+    Body,
+    /// The body has no `Content-Length`.
+    #[error("a body must tell its length")]
+    Unmeasured,
+    /// The body is over [`LONGEST_BODY`].
+    #[error("the body is too long")]
+    TooLong,
+    /// The body took too long.
+    #[error("the body did not come in time")]
+    Slow,
+    /// The id is in use, or was a moment ago.
+    #[error("a request with this id has come before")]
+    Twice,
+}
+
+impl Bad {
+    /// What the client is answered.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Bad::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Bad::Unmeasured => StatusCode::LENGTH_REQUIRED,
+            Bad::Slow => StatusCode::REQUEST_TIMEOUT,
+            Bad::Twice => StatusCode::CONFLICT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// Reads the head of a request whose first byte came at `first`.
+pub fn read_head(door: &Door, head: &Parts, first: Millis) -> Result<Incoming, Bad> {
+    let headers = &head.headers;
+    // Where both framings are given, the library goes by the chunks and drops the length without a word; what one
+    // hop takes for the body another takes for the next request. Clients of this service tell the length.
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return Err(Bad::Unmeasured);
+    }
+    let id = name(headers, &REQUEST_ID)?;
+    let class = class(door, head)?;
+    let plan_name = plain(text(headers, &API_PLAN)?);
+    let plan = door.names.plans.iter().position(|name| *name == plan_name).ok_or(Bad::Plan)?;
+    let timeout = positive(text(headers, &REQUEST_TIMEOUT)?).ok_or(Bad::Header(REQUEST_TIMEOUT))?;
+    // No client waits for longer than its class allows.
+    let timeout = (timeout * 1000.0).min(door.settings.classes[class].deadline);
+    let terms = Terms::read(text(headers, &API_TERMS)?, &door.settings).ok_or(Bad::Header(API_TERMS))?;
+    let path = head.uri.path_and_query().ok_or(Bad::Path)?;
+    if !path.as_str().bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(Bad::Path);
+    }
+    text(headers, &HOST)?;
+    if headers.contains_key(IDEMPOTENCY_KEY) {
+        name(headers, &IDEMPOTENCY_KEY)?;
+    }
+    Ok(Incoming {
+        at: first,
+        deadline: first + timeout,
+        customer: customer(headers).ok_or(Bad::Header(COOKIE))?,
+        plan: PlanId(plan),
+        class: ClassId(class),
+        units: terms.units,
+        spread: terms.spread,
+        order: Order {
+            id: id.into(),
+            id_value: headers[REQUEST_ID].clone(),
+            host: headers[HOST].clone(),
+            method: head.method.clone(),
+            uri: Uri::from(path.clone()),
+            key: headers.get(IDEMPOTENCY_KEY).cloned(),
+            // One that is odd says nothing about the body: it is left out.
+            content_type: text(headers, &CONTENT_TYPE).ok().and_then(|_| headers.get(CONTENT_TYPE).cloned()),
+            body: Bytes::new(),
+        },
+    })
+}
+
+/// The class, which header, path and method must agree on.
+fn class(door: &Door, head: &Parts) -> Result<usize, Bad> {
+    let name = text(&head.headers, &REQUEST_CLASS)?;
+    let plain_name = plain(name);
+    let class = door.names.classes.iter().position(|known| *known == plain_name).ok_or(Bad::Class)?;
+    let rest = head.uri.path().strip_prefix('/').and_then(|path| path.strip_prefix(name));
+    if !rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/')) {
+        return Err(Bad::Class);
+    }
+    let keyed = head.headers.contains_key(IDEMPOTENCY_KEY);
+    let agrees = match door.settings.classes[class].effect {
+        Effect::Safe => head.method == Method::GET && !keyed,
+        Effect::Keyed { .. } => head.method == Method::POST && keyed,
+        Effect::Unsafe => head.method == Method::POST && !keyed,
+    };
+    if agrees {
+        Ok(class)
+    } else {
+        Err(Bad::Method)
+    }
+}
+
+/// What a request takes from its owner's quota, and how many front doors its owner's set has.
+struct Terms {
+    units: f64,
+    spread: f64,
+}
+
+impl Terms {
+    /// Only what the settings have room for: the decisions would clamp a figure beyond it and serve the request.
+    fn read(text: &str, settings: &Settings) -> Option<Terms> {
+        let doors = settings.gateways.max(1);
+        let (mut units, mut spread, mut first) = (None, None, None);
+        for field in text.split(',') {
+            let (name, value) = field.trim().split_once('=')?;
+            let again = match name {
+                "units" => {
+                    let most = settings.max_units.max(1.0) * (1.0 + 1e-6);
+                    units.replace(positive(value).filter(|units| *units <= most)?).is_some()
+                }
+                "spread" => spread.replace(whole(value).filter(|n| (1..=doors).contains(n))?).is_some(),
+                "first" => first.replace(whole(value).filter(|n| *n < doors)?).is_some(),
+                _ => false,
+            };
+            if again {
+                return None;
+            }
+        }
+        first?;
+        Some(Terms { units: units?, spread: f64::from(spread?) })
+    }
+}
+
+/// The value of a header that stands there once and is plain ASCII.
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next().and_then(|value| value.to_str().ok());
+    match (value, values.next()) {
+        (Some(value), None) => Ok(value.trim()),
+        _ => Err(Bad::Header(name.clone())),
+    }
+}
+
+/// A header that names something: neither empty nor long, and no spaces.
+fn name<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
+    let value = text(headers, name)?;
+    let good = (1..=LONGEST_NAME).contains(&value.len()) && value.bytes().all(|byte| byte.is_ascii_graphic());
+    good.then_some(value).ok_or_else(|| Bad::Header(name.clone()))
+}
+
+fn positive(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|number: &f64| number.is_finite() && *number > 0.0)
+}
+
+/// A whole number, also where it is written with decimals.
+fn whole(text: &str) -> Option<u32> {
+    let number: f64 = text.parse().ok()?;
+    (number >= 0.0 && number.fract() == 0.0 && number <= f64::from(u32::MAX)).then_some(number as u32)
+}
+
+/// The customer that the one cookie of that name tells.
+fn customer(headers: &HeaderMap) -> Option<CustomerId> {
+    let line = text(headers, &COOKIE).ok()?;
+    let mut names = line.split(';').filter_map(|one| one.trim().strip_prefix("client="));
+    let name = names.next()?;
+    let hex = name.len() == 16 && name.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = u64::from_str_radix(name, 16).ok().filter(|number| hex && *number < CUSTOMERS)?;
+    names.next().is_none().then_some(CustomerId(number))
+}
+
+/// Reads a body that has to be there by `end`.
+pub async fn read_body(body: IncomingBody, method: &Method, end: tokio::time::Instant) -> Result<Bytes, Bad> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if method == Method::GET {
+        return Err(Bad::Method);
+    }
+    if body.size_hint().lower() > LONGEST_BODY as u64 {
+        return Err(Bad::TooLong);
+    }
+    let read = tokio::time::timeout_at(end, Limited::new(body, LONGEST_BODY).collect()).await;
+    match read.map_err(|_| Bad::Slow)? {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Bad::TooLong),
+        Err(_) => Err(Bad::Body),
+    }
+}
