Attempts: own shortage is not blamed on backends, reuse is checked at the socket, unmeasured answers are spoilt

Ruled out by the trace: cut bodies (755 answers of 770 exact, the others hold a copy or noise behind a true length, which hyper condemns in the same poll). Bytes that come later are now seen by a peek at the socket before reuse.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -5,14 +5,16 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{HeaderName, HeaderValue, HOST};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use maplefall::settings::{self, Links, Metric};
 use maplefall::{BackendId, Millis, Outcome, Report};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -28,6 +30,11 @@
 const IDLE_PART: f64 = 0.6;
 /// How often idle connections are looked through.
 const TIDY: Duration = Duration::from_millis(500);
+/// A use over this many percent of a rate is no figure to go by.
+const MOST_USAGE: f64 = 100_000.0;
+/// A connection is taken again rather after than before this time since its last answer: what a backend sends
+/// behind an answer has come by then.
+const SETTLED: Duration = Duration::from_millis(3);
 /// Descriptors kept for discovery, listening and the runtime.
 const SPARE_SOCKETS: usize = 24;
 
@@ -117,6 +124,8 @@
     pub names: Vec<String>,
     /// What the values are.
     pub metrics: Vec<Metric>,
+    /// Most units of a request, by the settings.
+    pub max_units: f64,
 }
 
 impl Reading {
@@ -139,17 +148,19 @@
 struct Written {
     /// How much of the empty line that ends the head has been seen.
     matched: usize,
+    begun: bool,
     head_done: bool,
     body_left: usize,
 }
 
 impl Written {
     fn begin(body: usize) -> Written {
-        Written { matched: 0, head_done: false, body_left: body }
+        Written { body_left: body, ..Written::default() }
     }
 
     fn note(&mut self, bytes: &[u8]) {
         const END: &[u8] = b"\r\n\r\n";
+        self.begun |= !bytes.is_empty();
         for (at, byte) in bytes.iter().enumerate() {
             if self.head_done {
                 self.body_left = self.body_left.saturating_sub(bytes.len() - at);
@@ -164,6 +175,10 @@
         }
     }
 
+    fn untouched(&self) -> bool {
+        !self.begun
+    }
+
     fn whole(&self) -> bool {
         self.head_done && self.body_left == 0
     }
@@ -179,6 +194,15 @@
     fn close(&self) {
         self.socket.borrow_mut().take();
     }
+
+    /// Guards against an answer to nobody: whether the socket is open and nothing waits in it to be read. The system
+    /// is asked, since the runtime learns only between two tasks of what has come.
+    fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let socket = self.socket.borrow();
+        let peeked = socket.as_ref().map(|(stream, _)| SockRef::from(stream).peek(&mut byte));
+        matches!(peeked, Some(Err(error)) if error.kind() == io::ErrorKind::WouldBlock)
+    }
 }
 
 /// A place in the budget of connections, held from the dial on and given back with the socket.
@@ -260,6 +284,11 @@
         *self.task.borrow_mut() = Some(task);
     }
 
+    /// Whether the request has been written whole: before that, it cannot have run.
+    pub fn whole(&self) -> bool {
+        self.wire.borrow().as_ref().is_some_and(|wire| wire.written.borrow().whole())
+    }
+
     /// Gives the attempt up: its connection is closed before this returns.
     pub fn give_up(&self) {
         if let Some(wire) = self.wire.borrow_mut().take() {
@@ -336,13 +365,15 @@
         self.pools.borrow().get(&id).filter(|pool| pool.ready).map(|pool| pool.dial)
     }
 
-    /// The most recently used connection that is still good.
+    /// The most recently used connection that is still good, rather one whose last answer is not just over.
     fn take_idle(&self, id: BackendId) -> Option<Connection> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&id)?;
         loop {
-            let connection = pool.idle.pop()?;
-            if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.longest_idle() {
+            let settled = pool.idle.iter().rposition(|c| c.idle_since.elapsed() >= SETTLED);
+            let connection = pool.idle.remove(settled.or(pool.idle.len().checked_sub(1))?);
+            let young = connection.idle_since.elapsed() < self.longest_idle();
+            if young && !connection.sender.is_closed() && connection.wire.quiet() {
                 return Some(connection);
             }
         }
@@ -382,35 +413,53 @@
         }
     }
 
-    /// A connection of this backend, idle or new; `None` if none comes up in time.
-    async fn connection(&self, id: BackendId, dial: SocketAddr) -> Option<Connection> {
-        while let Some(mut connection) = self.take_idle(id) {
-            if connection.sender.ready().await.is_ok() {
-                return Some(connection);
-            }
-        }
+    /// A new connection of this backend.
+    async fn fresh(&self, dial: SocketAddr) -> Result<Connection, NoConnection> {
         if self.open.get() >= self.budget && !self.close_oldest() {
-            return None;
+            return Err(NoConnection::Own);
         }
         let limit = Duration::try_from_secs_f64(self.links.dial_timeout / 1000.0).unwrap_or_default();
-        tokio::time::timeout(limit, self.dial(dial)).await.ok()?
+        tokio::time::timeout(limit, self.dial(dial)).await.unwrap_or(Err(NoConnection::Theirs))
     }
 
-    async fn dial(&self, address: SocketAddr) -> Option<Connection> {
+    async fn dial(&self, address: SocketAddr) -> Result<Connection, NoConnection> {
         // A connection that comes up slowly holds a descriptor too.
         let slot = Slot::take(&self.open);
-        let stream = TcpStream::connect(address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
         let wire = Rc::new(Wire { socket: RefCell::new(Some((stream, slot))), written: RefCell::default() });
-        let (sender, connection) =
-            Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(WireIo(wire.clone()))).await.ok()?;
+        let io = TokioIo::new(WireIo(wire.clone()));
+        let hands = Builder::new().max_buf_size(BUFFER).handshake(io).await;
+        let (sender, connection) = hands.map_err(|_| NoConnection::Theirs)?;
         let closing = wire.clone();
         let task = tokio::task::spawn_local(async move {
             // How it ended is told to the attempt on it, if there is one.
             let _ = connection.await;
             closing.close();
         });
-        Some(Connection { sender, wire, task: task.abort_handle(), idle_since: Instant::now() })
+        Ok(Connection { sender, wire, task: task.abort_handle(), idle_since: Instant::now() })
+    }
+}
+
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoConnection {
+    /// This front door has no room or no descriptor for one: no fault of the backend.
+    Own,
+    /// The backend refuses, is silent or cannot be reached.
+    Theirs,
+}
+
+impl From<io::Error> for NoConnection {
+    fn from(error: io::Error) -> NoConnection {
+        use io::ErrorKind::*;
+        match error.kind() {
+            ConnectionRefused | ConnectionReset | ConnectionAborted | TimedOut | HostUnreachable
+            | NetworkUnreachable | BrokenPipe | NotConnected | UnexpectedEof | InvalidInput => {
+                NoConnection::Theirs
+            }
+            _ => NoConnection::Own,
+        }
     }
 }
 
@@ -420,41 +469,65 @@
 pub async fn attempt(pools: &Pools, backend: BackendId, order: &Order, limit: Millis, line: &Line) -> Ended {
     let begun = Instant::now();
     let Some(dial) = pools.dial_address(backend) else { return Ended::of(Outcome::NotSent) };
-    let Some(mut connection) = pools.connection(backend, dial).await else {
-        return Ended::of(Outcome::ConnectFailed);
-    };
-    // The wait for a connection may have outlasted the backend's place in the list.
-    if !pools.takes_new(backend) {
-        return Ended::of(Outcome::NotSent);
-    }
-    *line.wire.borrow_mut() = Some(connection.wire.clone());
-    *connection.wire.written.borrow_mut() = Written::begin(order.body.len());
-    let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
-    let answer = match connection.sender.send_request(order.request(left.max(1.0))).await {
-        Ok(answer) => read(&pools.reading, answer).await,
-        Err(_) => None,
-    };
-    match answer {
-        Some(ended) => {
+    loop {
+        let pooled = pools.take_idle(backend);
+        let again = pooled.is_some();
+        let mut connection = match pooled {
+            Some(connection) => connection,
+            None => match pools.fresh(dial).await {
+                Ok(connection) => connection,
+                Err(NoConnection::Own) => return Ended::of(Outcome::NotSent),
+                Err(NoConnection::Theirs) => return Ended::of(Outcome::ConnectFailed),
+            },
+        };
+        // The wait for a connection may have outlasted the backend's place in the list.
+        if !pools.takes_new(backend) {
+            return Ended::of(Outcome::NotSent);
+        }
+        *line.wire.borrow_mut() = Some(connection.wire.clone());
+        *connection.wire.written.borrow_mut() = Written::begin(order.body.len());
+        let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
+        let sent = match connection.sender.ready().await {
+            Ok(()) => connection.sender.send_request(order.request(left.max(1.0))).await.ok(),
+            Err(_) => None,
+        };
+        let answer = match sent {
+            Some(answer) => read(&pools.reading, answer).await,
+            None => None,
+        };
+        if let Some(ended) = answer {
             pools.put_back(backend, dial, connection);
-            ended
+            return ended;
+        }
+        let (whole, untouched) = {
+            let written = connection.wire.written.borrow();
+            (written.whole(), written.untouched())
+        };
+        // A connection from the pool that broke before the first byte tells nothing of the backend: the next one
+        // stands in. Each turn takes one out of the pool, so this ends.
+        if untouched && again {
+            continue;
         }
         // Only what was written whole may have run.
-        None if connection.wire.written.borrow().whole() => Ended::of(Outcome::Reset),
-        None => Ended::of(Outcome::ConnectFailed),
+        return Ended::of(if whole { Outcome::Reset } else { Outcome::ConnectFailed });
     }
 }
 
-/// Reads a whole answer; `None` if the connection ends before it does.
+/// Reads a whole answer; `None` if the connection ends before it does, or if nobody could tell that it is whole: an
+/// answer that ends with its connection may have been cut. After 101 the connection speaks something else.
 async fn read(reading: &Reading, answer: Response<Incoming>) -> Option<Ended> {
     let (head, body) = answer.into_parts();
+    let measured = head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
+    if !measured || head.status.is_informational() {
+        return None;
+    }
     let body = Limited::new(body, LONGEST_BODY).collect().await.ok()?.to_bytes();
     let outcome = outcome(head.status, &head.headers);
     Some(Ended {
         outcome,
         body: if outcome == Outcome::Ok { body } else { Bytes::new() },
-        used: number(&head.headers, &API_USAGE).map(|percent| percent / 100.0),
-        charge: number(&head.headers, &API_CHARGE),
+        used: number(&head.headers, &API_USAGE, MOST_USAGE).map(|percent| percent / 100.0),
+        charge: number(&head.headers, &API_CHARGE, reading.max_units),
         report: text(&head.headers, &SERVER_LOAD).map(|text| reading.report(text)).unwrap_or_default(),
     })
 }
@@ -472,8 +545,11 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    text(headers, name)?.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
+/// The first figure under this name that can be read and makes sense. One that does not spoils no answer.
+fn number(headers: &HeaderMap, name: &HeaderName, most: f64) -> Option<f64> {
+    let mut values =
+        headers.get_all(name).iter().filter_map(|value| value.to_str().ok()?.trim().parse().ok());
+    values.find(|number: &f64| number.is_finite() && (0.0..=most).contains(number))
 }
 
 #[cfg(test)]
@@ -512,7 +588,7 @@
     #[test]
     fn a_load_report_is_read_by_its_names() {
         let names = vec!["depth".to_owned(), "load_share".to_owned()];
-        let reading = Reading { names, metrics: vec![Metric::Queue, Metric::Utilisation] };
+        let reading = Reading { names, metrics: vec![Metric::Queue, Metric::Utilisation], max_units: 8.0 };
         let report = reading.report("other=3, depth=2,load_share=0.61,broken");
         assert_eq!((report.queue, report.in_flight), (Some(2.0), None));
         assert!((report.utilisation.unwrap() - 0.61).abs() < 1e-6);
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -171,7 +171,11 @@
     /// A front door with an empty list of backends.
     pub fn new(config: &Config) -> Rc<Door> {
         let told = &config.told;
-        let reading = Reading { names: told.names.metrics.clone(), metrics: told.metrics.clone() };
+        let reading = Reading {
+            names: told.names.metrics.clone(),
+            metrics: told.metrics.clone(),
+            max_units: told.settings.max_units,
+        };
         let pools = Pools::new(told.links, backends::budget(config.limits.sockets), reading);
         Rc::new(Door {
             clock: Clock::new(),
@@ -332,13 +336,17 @@
     }
 
     /// Settles an attempt, once: whatever ends it later finds it gone.
-    fn settle(self: &Rc<Self>, id: RequestId, number: u32, ended: Ended) {
+    fn settle(self: &Rc<Self>, id: RequestId, number: u32, mut ended: Ended) {
         let now = self.clock.now();
         let event = {
             let mut state = self.state.borrow_mut();
             let Some(entry) = state.requests.get_mut(&id) else { return };
             let Some(attempt) = entry.out.take_if(|attempt| attempt.number == number) else { return };
             if matches!(ended.outcome, Outcome::Cancelled | Outcome::Timeout) {
+                // What has not been written whole when its connection is closed cannot run.
+                if ended.outcome == Outcome::Timeout && !attempt.line.whole() {
+                    ended.outcome = Outcome::ConnectFailed;
+                }
                 attempt.line.give_up();
             }
             if let Some(sender) = entry.answer.take_if(|_| ended.outcome == Outcome::Ok) {
