Long answers are passed on: up to 1 MiB each, within a quarter of the memory for all

Probe: nearly all are LengthLimitError of good answers of 160 to 400 kB (backends.rs, read: Limited at 64 KiB), which cost the request, a connection and the trust in the backend. Ruled out by the same probe: broken connections and unmeasured answers (none). Now an answer told longer than 1 MiB is given up at its head; over 64 KiB it takes its length from a bound on all (a quarter of limits.memory_mb) until its last byte is written. Test: a_long_answer_is_passed_on_whole, 80 MB in turn; seen to fail with the old bound.

--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -2,13 +2,13 @@
 
 use super::clients::BUFFER;
 use super::request::{IDEMPOTENCY_KEY, REQUEST_ID, REQUEST_TIMEOUT};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use maplefall::settings::{self, Links, Metric};
+use maplefall::settings::{self, Links, Metric, Told};
 use maplefall::{BackendId, Millis, Outcome, Report};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -18,14 +18,21 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// Longest body of a request or an answer.
+/// Longest body of a request, and of an answer that is taken in without asking for room.
 pub const LONGEST_BODY: usize = 64 * 1024;
+/// Longest body of an answer at all. Backends are met that send far more than the agreed 64 KiB, and their good
+/// answers are worth passing on; one that is said to be longer than this is none.
+const LONGEST_ANSWER: u64 = 1 << 20;
+/// Part of the memory that long answers may take together, from the first byte read to the last one written.
+const ROOM_PART: usize = 4;
 /// Part of the backends' idle time for which a connection is kept: one closed there costs a request.
 const IDLE_PART: f64 = 0.6;
 /// How often idle connections are looked through.
@@ -118,7 +125,39 @@
     }
 }
 
-/// How load reports are read.
+/// The memory that long answers may still take.
+#[derive(Clone)]
+struct Room(Arc<AtomicUsize>);
+
+impl Room {
+    /// Sets `length` bytes aside; `None` if there is no room for them.
+    fn take(&self, length: usize) -> Option<Share> {
+        let left = self.0.load(Ordering::Relaxed).checked_sub(length)?;
+        self.0.store(left, Ordering::Relaxed);
+        Some(Share { length, room: self.clone(), body: Bytes::new() })
+    }
+}
+
+/// A long answer with the room that it takes, given back when the last byte of it is dropped.
+struct Share {
+    length: usize,
+    room: Room,
+    body: Bytes,
+}
+
+impl AsRef<[u8]> for Share {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.room.0.fetch_add(self.length, Ordering::Relaxed);
+    }
+}
+
+/// How answers are read.
 pub struct Reading {
     /// Names of their values.
     pub names: Vec<String>,
@@ -126,9 +165,20 @@
     pub metrics: Vec<Metric>,
     /// Most units of a request, by the settings.
     pub max_units: f64,
+    room: Room,
 }
 
 impl Reading {
+    /// Reads as the settings tell, within `memory` bytes for all.
+    pub fn new(told: &Told, memory: usize) -> Reading {
+        Reading {
+            names: told.names.metrics.clone(),
+            metrics: told.metrics.clone(),
+            max_units: told.settings.max_units,
+            room: Room(Arc::new(AtomicUsize::new(memory / ROOM_PART))),
+        }
+    }
+
     fn report(&self, text: &str) -> Report {
         let mut report = Report::default();
         for (name, value) in text.split(',').filter_map(|field| field.trim().split_once('=')) {
@@ -521,7 +571,7 @@
     if !measured || head.status.is_informational() {
         return None;
     }
-    let body = Limited::new(body, LONGEST_BODY).collect().await.ok()?.to_bytes();
+    let body = whole_body(&reading.room, body).await?;
     let outcome = outcome(head.status, &head.headers);
     Some(Ended {
         outcome,
@@ -532,6 +582,40 @@
     })
 }
 
+/// Reads a body to its end, within the bounds on one answer and on all.
+async fn whole_body(room: &Room, mut body: Incoming) -> Option<Bytes> {
+    let told = body.size_hint().exact();
+    if told.is_some_and(|length| length > LONGEST_ANSWER) {
+        return None;
+    }
+    // In chunks no length is told: once it proves long, the whole bound is set aside.
+    let most = usize::try_from(told.unwrap_or(LONGEST_ANSWER)).ok()?;
+    if told.is_some() && most <= LONGEST_BODY {
+        return Some(body.collect().await.ok()?.to_bytes());
+    }
+    let mut share = None;
+    let mut held = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let length = held.len() + data.len();
+        if length > most {
+            return None;
+        }
+        if length > LONGEST_BODY && share.is_none() {
+            share = Some(room.take(most)?);
+        }
+        held.extend_from_slice(&data);
+    }
+    let body = Bytes::from(held);
+    Some(match share {
+        Some(mut share) => {
+            share.body = body;
+            Bytes::from_owner(share)
+        }
+        None => body,
+    })
+}
+
 fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let unavailable = matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
     match status {
@@ -588,7 +672,8 @@
     #[test]
     fn a_load_report_is_read_by_its_names() {
         let names = vec!["depth".to_owned(), "load_share".to_owned()];
-        let reading = Reading { names, metrics: vec![Metric::Queue, Metric::Utilisation], max_units: 8.0 };
+        let metrics = vec![Metric::Queue, Metric::Utilisation];
+        let reading = Reading { names, metrics, max_units: 8.0, room: Room(Arc::default()) };
         let report = reading.report("other=3, depth=2,load_share=0.61,broken");
         assert_eq!((report.queue, report.in_flight), (Some(2.0), None));
         assert!((report.utilisation.unwrap() - 0.61).abs() < 1e-6);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -47,6 +47,14 @@
 pub struct Limits {
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may take.
+    #[serde(default = "least_memory")]
+    pub memory_mb: usize,
+}
+
+/// What every deployment gives at least.
+fn least_memory() -> usize {
+    32
 }
 
 /// The file as it stands.
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -171,11 +171,7 @@
     /// A front door with an empty list of backends.
     pub fn new(config: &Config) -> Rc<Door> {
         let told = &config.told;
-        let reading = Reading {
-            names: told.names.metrics.clone(),
-            metrics: told.metrics.clone(),
-            max_units: told.settings.max_units,
-        };
+        let reading = Reading::new(told, config.limits.memory_mb << 20);
         let pools = Pools::new(told.links, backends::budget(config.limits.sockets), reading);
         Rc::new(Door {
             clock: Clock::new(),
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -760,3 +760,28 @@
     program.log.read_to_string(&mut log).unwrap();
     assert!(log.contains("stopping") && !log.contains("set aside"), "{log}");
 }
+
+/// Guards long answers: a good one far beyond the agreed 64 KiB is passed on whole, told by its length or in chunks, and
+/// again and again: the room that each takes is given back.
+#[test]
+fn a_long_answer_is_passed_on_whole() {
+    let scene = Scene::new(1);
+    let mut client = scene.program.client();
+    let long = "0123456789abcdef".repeat(25_000);
+    client.write(request_of("id-0", "charge", "wide", LONG));
+    let mut backend = scene.backends[0].accept();
+    // More than the memory would hold together.
+    for number in 1..=200 {
+        backend.read();
+        if number % 2 == 0 {
+            backend.answer(200, "", &long);
+        } else {
+            let (head, length) = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", long.len());
+            backend.write(format!("{head}\r\n\r\n{length:x}\r\n{long}\r\n0\r\n\r\n"));
+        }
+        let answer = client.read();
+        assert_eq!(answer.status(), 200, "number {number}");
+        assert!(answer.body == long.as_bytes(), "number {number}: {} bytes", answer.body.len());
+        client.write(request_of(&format!("id-{number}"), "charge", "wide", LONG));
+    }
+}
