--- a/src/rules.rs
+++ b/src/rules.rs
@@ -623,9 +623,9 @@
         actions.push(Action::Send { request: id, backend: to, limit: Some(limit) });
     }
 
-    /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats the
-    /// whole of its request's time: what may be repeated is given up while another attempt still has the time that
-    /// this one had. The last attempt gets all that is left.
+    /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats
+    /// the whole of its request's time: what may be repeated is given up while another attempt still has the
+    /// time that this one had. The last attempt gets all that is left.
     fn patience(&self, now: Millis, live: &Live, expected: Millis) -> Millis {
         let class = &self.set.classes[live.request.class.0];
         let again = match class.effect {
