--- a/src/bin/maplefall-drill/main.rs
+++ b/src/bin/maplefall-drill/main.rs
@@ -141,6 +141,7 @@
             closed: o.closed,
             use_of_quota: (o.used > 0).then(|| f64::from(o.used - 1) / 100.0),
             true_units: (o.actual > 0).then(|| f64::from(o.actual)),
+            broken: 0,
             report: settings::report(metrics, &o.stats),
         }),
         Record::ClientGone { id } => Event::ClientGone(RequestId(id)),
@@ -185,7 +186,7 @@
 
 fn encode(reply: &mut Reply, door: u32, action: Action) {
     match action {
-        Action::Send { request, backend, limit } => {
+        Action::Send { request, backend, limit, .. } => {
             reply.send(door, request.0, backend.0, limit.unwrap_or(0.0));
         }
         Action::Refuse { request, retry_after } => reply.refuse(door, request.0, retry_after.unwrap_or(0.0)),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,6 +301,8 @@
     pub true_units: Option<f64>,
     /// The backend's load, if it came along.
     pub report: Report,
+    /// Connections that had come up and broke under this attempt; others may have stood in for them.
+    pub broken: u32,
 }
 
 /// Something that happened at a front door.
@@ -342,6 +344,9 @@
         backend: BackendId,
         /// Its time-out.
         limit: Option<Millis>,
+        /// Whether the request's last byte waits until the connection has stood the rest: it cannot have run
+        /// where the connection breaks before.
+        cautious: bool,
     },
     /// Final answer: turned away, trying again is harmless.
     Refuse {
--- a/src/net/backends.rs
+++ b/src/net/backends.rs
@@ -13,6 +13,7 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -20,11 +21,12 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::Sleep;
 
 /// Longest body of a request, and of an answer that is taken in without asking for room.
 pub const LONGEST_BODY: usize = 64 * 1024;
@@ -42,6 +44,9 @@
 /// A connection is taken again rather after than before this time since its last answer: what a backend sends
 /// behind an answer has come by then.
 const SETTLED: Duration = Duration::from_millis(3);
+/// A request sent with caution has its last byte held back for this long: within one data centre a reset is back by
+/// then. Where the way is longer, caution finds less and costs no more.
+const PROOF: Duration = Duration::from_millis(2);
 /// Descriptors kept for discovery, listening and the runtime.
 const SPARE_SOCKETS: usize = 24;
 
@@ -116,12 +121,14 @@
     pub charge: Option<f64>,
     /// The backend's load.
     pub report: Report,
+    /// Connections that had come up and broke under it.
+    pub broken: u32,
 }
 
 impl Ended {
     /// An end without an answer.
     pub fn of(outcome: Outcome) -> Ended {
-        Ended { outcome, body: Bytes::new(), used: None, charge: None, report: Report::default() }
+        Ended { outcome, body: Bytes::new(), used: None, charge: None, report: Report::default(), broken: 0 }
     }
 }
 
@@ -194,11 +201,10 @@
 // ---- One connection ---------------------------------------------------------------------------------
 
 /// How much of a request has been written, as seen below the HTTP library.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Written {
     /// How much of the empty line that ends the head has been seen.
     matched: usize,
-    begun: bool,
     head_done: bool,
     body_left: usize,
 }
@@ -210,7 +216,6 @@
 
     fn note(&mut self, bytes: &[u8]) {
         const END: &[u8] = b"\r\n\r\n";
-        self.begun |= !bytes.is_empty();
         for (at, byte) in bytes.iter().enumerate() {
             if self.head_done {
                 self.body_left = self.body_left.saturating_sub(bytes.len() - at);
@@ -225,22 +230,52 @@
         }
     }
 
-    fn untouched(&self) -> bool {
-        !self.begun
-    }
-
     fn whole(&self) -> bool {
         self.head_done && self.body_left == 0
     }
+
+    /// Whether these bytes would make the request whole.
+    fn ends_with(&self, bytes: &[u8]) -> bool {
+        let mut then = self.clone();
+        then.note(bytes);
+        then.whole()
+    }
 }
 
 /// A socket that can be closed at once from outside, and that counts towards the budget until it is.
 struct Wire {
     socket: RefCell<Option<(TcpStream, Slot)>>,
     written: RefCell<Written>,
+    /// Whether the last byte of the request is held back, and until when.
+    cautious: Cell<bool>,
+    proof: RefCell<Option<Pin<Box<Sleep>>>>,
 }
 
 impl Wire {
+    /// A request with a body of this length is about to be written.
+    fn begin(&self, body: usize, cautious: bool) {
+        *self.written.borrow_mut() = Written::begin(body);
+        self.cautious.set(cautious);
+        self.proof.borrow_mut().take();
+    }
+
+    /// How many of these bytes may be written now. Guards requests against connections that are dead unseen: all
+    /// but the last byte goes first, and that one only if nothing but silence came back. A backend begins with the
+    /// last byte, so what breaks before has not run, and may go out again whatever its class.
+    fn may_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if !self.cautious.get() || !self.written.borrow().ends_with(bytes) {
+            return Poll::Ready(Ok(bytes.len()));
+        }
+        if bytes.len() > 1 {
+            return Poll::Ready(Ok(bytes.len() - 1));
+        }
+        let mut proof = self.proof.borrow_mut();
+        let sleep = proof.get_or_insert_with(|| Box::pin(tokio::time::sleep(PROOF)));
+        ready!(sleep.as_mut().poll(cx));
+        // The reset may have come with the time; only the system knows yet.
+        Poll::Ready(if self.quiet() { Ok(1) } else { Err(io::ErrorKind::ConnectionReset.into()) })
+    }
+
     fn close(&self) {
         self.socket.borrow_mut().take();
     }
@@ -285,11 +320,12 @@
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let most = ready!(self.0.may_write(cx, buf))?;
         let mut socket = self.0.socket.borrow_mut();
         let Some((stream, _)) = socket.as_mut() else {
             return Poll::Ready(Err(io::ErrorKind::NotConnected.into()));
         };
-        let wrote = Pin::new(stream).poll_write(cx, buf);
+        let wrote = Pin::new(stream).poll_write(cx, &buf[..most]);
         if let Poll::Ready(Ok(count)) = &wrote {
             self.0.written.borrow_mut().note(&buf[..*count]);
         }
@@ -477,7 +513,12 @@
         let slot = Slot::take(&self.open);
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire { socket: RefCell::new(Some((stream, slot))), written: RefCell::default() });
+        let wire = Rc::new(Wire {
+            socket: RefCell::new(Some((stream, slot))),
+            written: RefCell::default(),
+            cautious: Cell::default(),
+            proof: RefCell::default(),
+        });
         let io = TokioIo::new(WireIo(wire.clone()));
         let hands = Builder::new().max_buf_size(BUFFER).handshake(io).await;
         let (sender, connection) = hands.map_err(|_| NoConnection::Theirs)?;
@@ -516,8 +557,16 @@
 // ---- Attempts ---------------------------------------------------------------------------------------
 
 /// Carries out one attempt and tells how it ended.
-pub async fn attempt(pools: &Pools, backend: BackendId, order: &Order, limit: Millis, line: &Line) -> Ended {
+pub async fn attempt(
+    pools: &Pools,
+    backend: BackendId,
+    order: &Order,
+    limit: Millis,
+    cautious: bool,
+    line: &Line,
+) -> Ended {
     let begun = Instant::now();
+    let mut broken = 0;
     let Some(dial) = pools.dial_address(backend) else { return Ended::of(Outcome::NotSent) };
     loop {
         let pooled = pools.take_idle(backend);
@@ -526,16 +575,17 @@
             Some(connection) => connection,
             None => match pools.fresh(dial).await {
                 Ok(connection) => connection,
-                Err(NoConnection::Own) => return Ended::of(Outcome::NotSent),
+                Err(NoConnection::Own) => return Ended { broken, ..Ended::of(Outcome::NotSent) },
+                // Refused: that says more than what broke before.
                 Err(NoConnection::Theirs) => return Ended::of(Outcome::ConnectFailed),
             },
         };
         // The wait for a connection may have outlasted the backend's place in the list.
         if !pools.takes_new(backend) {
-            return Ended::of(Outcome::NotSent);
+            return Ended { broken, ..Ended::of(Outcome::NotSent) };
         }
         *line.wire.borrow_mut() = Some(connection.wire.clone());
-        *connection.wire.written.borrow_mut() = Written::begin(order.body.len());
+        connection.wire.begin(order.body.len(), cautious);
         let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
         let sent = match connection.sender.ready().await {
             Ok(()) => connection.sender.send_request(order.request(left.max(1.0))).await.ok(),
@@ -545,21 +595,22 @@
             Some(answer) => read(&pools.reading, answer).await,
             None => None,
         };
-        if let Some(ended) = answer {
-            pools.put_back(backend, dial, connection);
-            return ended;
+        let whole = connection.wire.written.borrow().whole();
+        // What is answered before it was written whole was answered unseen, and its connection is of no more use.
+        if let Some(ended) = answer.filter(|ended| whole || ended.outcome == Outcome::Full) {
+            if whole {
+                pools.put_back(backend, dial, connection);
+            }
+            return Ended { broken, ..ended };
         }
-        let (whole, untouched) = {
-            let written = connection.wire.written.borrow();
-            (written.whole(), written.untouched())
-        };
-        // A connection from the pool that broke before the first byte tells nothing of the backend: the next one
-        // stands in. Each turn takes one out of the pool, so this ends.
-        if untouched && again {
+        broken += 1;
+        // A connection from the pool that broke before the request was whole tells little of the backend, and
+        // nothing ran: the next one stands in. Each turn takes one out of the pool, so this ends.
+        if !whole && again {
             continue;
         }
         // Only what was written whole may have run.
-        return Ended::of(if whole { Outcome::Reset } else { Outcome::ConnectFailed });
+        return Ended { broken, ..Ended::of(if whole { Outcome::Reset } else { Outcome::ConnectFailed }) };
     }
 }
 
@@ -579,6 +630,7 @@
         used: number(&head.headers, &API_USAGE, MOST_USAGE).map(|percent| percent / 100.0),
         charge: number(&head.headers, &API_CHARGE, reading.max_units),
         report: text(&head.headers, &SERVER_LOAD).map(|text| reading.report(text)).unwrap_or_default(),
+        broken: 0,
     })
 }
 
@@ -639,6 +691,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     const HEAD: &[u8] = b"POST /a HTTP/1.1\r\nhost: x\r\n\r\n";
 
@@ -678,4 +731,82 @@
         assert_eq!((report.queue, report.in_flight), (Some(2.0), None));
         assert!((report.utilisation.unwrap() - 0.61).abs() < 1e-6);
     }
+
+    const CAREFUL: Duration = Duration::from_secs(20);
+
+    fn pools() -> Pools {
+        let links = Links { dial_timeout: 20_000.0, idle_close: 600_000.0 };
+        let reading =
+            Reading { names: Vec::new(), metrics: Vec::new(), max_units: 8.0, room: Room(Arc::default()) };
+        Pools::new(links, 8, reading)
+    }
+
+    fn order() -> Order {
+        let value = HeaderValue::from_static("id-1");
+        Order {
+            id: "id-1".into(),
+            id_value: value.clone(),
+            host: value,
+            method: Method::POST,
+            uri: Uri::from_static("/charge"),
+            key: None,
+            content_type: None,
+            body: Bytes::from_static(b"hello"),
+        }
+    }
+
+    /// Reads until the request has come up to its last byte but one, or whole.
+    async fn receive(stream: &mut TcpStream, to: &[u8]) {
+        let mut got = Vec::new();
+        while !got.ends_with(to) {
+            assert!(stream.read_buf(&mut got).await.expect("a request") > 0, "ended");
+        }
+    }
+
+    /// Guards requests that must not run twice against connections that are dead unseen, kept or new: the reset
+    /// answers the bytes before the last, so nothing ran. A kept one has the next connection stand in for it
+    /// within the attempt; a new one ends it as never run.
+    #[test]
+    fn what_a_dead_connection_swallows_has_not_run() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let local = tokio::task::LocalSet::new();
+        let scene = async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let backend = tokio::task::spawn_local(async move {
+                let (mut kept, _) = listener.accept().await.expect("a connection");
+                receive(&mut kept, b"hello").await;
+                kept.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none").await.expect("a reader");
+                receive(&mut kept, b"hell").await;
+                reset(kept);
+                let (mut fresh, _) = listener.accept().await.expect("a connection in its place");
+                receive(&mut fresh, b"hello").await;
+                fresh.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo").await.expect("a reader");
+                receive(&mut fresh, b"hell").await;
+                reset(fresh);
+                let (mut fresh, _) = listener.accept().await.expect("a connection in its place");
+                receive(&mut fresh, b"hell").await;
+                reset(fresh);
+            });
+            let (pools, order, id) = (pools(), order(), BackendId(1));
+            pools.open(id, address, 0.0);
+            let mut ends = Vec::new();
+            for _ in 0..3 {
+                ends.push(attempt(&pools, id, &order, 20_000.0, true, &Line::default()).await);
+            }
+            backend.await.expect("a backend that saw what it waited for");
+            ends
+        };
+        let all = runtime.block_on(local.run_until(async { tokio::time::timeout(CAREFUL, scene).await }));
+        let ends = all.expect("an end in time");
+        let told: Vec<_> = ends.iter().map(|end| (end.outcome, end.body.as_ref(), end.broken)).collect();
+        assert_eq!(
+            told,
+            [(Outcome::Ok, &b"one"[..], 0), (Outcome::Ok, b"two", 1), (Outcome::ConnectFailed, b"", 2)]
+        );
+    }
+
+    fn reset(stream: TcpStream) {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket");
+    }
 }
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -228,7 +228,9 @@
 
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { request, backend, limit } => self.send(request, backend, limit),
+            Action::Send { request, backend, limit, cautious } => {
+                self.send(request, backend, limit, cautious)
+            }
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CallOff { request, attempt } => {
@@ -302,7 +304,7 @@
 
     // ---- Attempts -----------------------------------------------------------------------------------
 
-    fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, limit: Option<Millis>) {
+    fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, limit: Option<Millis>, cautious: bool) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let Some(entry) = state.requests.get_mut(&id) else { return };
@@ -322,7 +324,7 @@
         let line = Line::default();
         let (door, pools, on) = (self.clone(), self.pools.clone(), line.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = backends::attempt(&pools, backend, &order, limit, &on).await;
+            let ended = backends::attempt(&pools, backend, &order, limit, cautious, &on).await;
             door.settle(id, number, ended);
         });
         line.tie(task.abort_handle());
@@ -544,5 +546,6 @@
         use_of_quota: ended.used,
         true_units: ended.charge,
         report: ended.report,
+        broken: ended.broken,
     }
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,6 +63,10 @@
 const FORGOTTEN: f64 = 0.1;
 /// How far one failure moves distrust toward one.
 const DISTRUST_STEP: f64 = 0.4;
+/// How far a connection that breaks moves it: little, since one that is refused or silent tells far more.
+const BREAK_STEP: f64 = 0.1;
+/// For this many shortest aims after a connection broke, every request is sent with caution.
+const CAUTION_AIMS: f64 = 8.0;
 /// How far one good answer moves distrust toward nought.
 const TRUST_STEP: f64 = 0.2;
 /// Distrust at which a backend is reported as set aside, and half of which takes it back.
@@ -210,6 +214,8 @@
     pressure: f64,
     pressure_at: Millis,
     retries: f64,
+    /// When a connection to a backend broke last.
+    broke_at: Millis,
     /// Part of the quotas that the backends can bear, as slow answers tell; last told at `answer_at`.
     opening: f64,
     answer_at: Millis,
@@ -239,6 +245,7 @@
             pressure: 0.0,
             pressure_at: 0.0,
             retries: RETRY_DEPTH,
+            broke_at: f64::NEG_INFINITY,
             // One of many does not see what all let in at once, so it begins part open; one alone, open.
             opening: OPENING_START + (1.0 - OPENING_START) / gateways,
             usual: 1.0,
@@ -620,7 +627,12 @@
         if let Some(customer) = self.customers.get_mut(&live.request.customer) {
             customer.open += 1;
         }
-        actions.push(Action::Send { request: id, backend: to, limit: Some(limit) });
+        // Guards against connections that are dead unseen, in pools or in what lies between: a request that
+        // must not run twice is lost with each. Others can be repeated and go without while none breaks,
+        // since caution costs each request the time of a way there and back.
+        let effect = self.set.classes[live.request.class.0].effect;
+        let cautious = effect == Effect::Unsafe || now - self.broke_at < CAUTION_AIMS * self.aim;
+        actions.push(Action::Send { request: id, backend: to, limit: Some(limit), cautious });
     }
 
     /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats
@@ -785,8 +797,16 @@
             _ => &mut backend.distrust,
         };
         let before = self.faded(now, *known);
+        // Guards against trouble on the way taken for sick backends: where connections break everywhere, each
+        // would be set aside in turn and the rest be crowded. It costs some requests at a backend that takes
+        // connections and breaks every one; a process that died refuses the next one, and that tells enough.
+        let broke = settled.broken > 0;
+        if broke {
+            self.broke_at = now;
+        }
         let value = match settled.outcome {
             Outcome::Ok => before * (1.0 - TRUST_STEP),
+            Outcome::ConnectFailed | Outcome::Reset if broke => before + BREAK_STEP * (1.0 - before),
             Outcome::ConnectFailed => 1.0,
             Outcome::Error | Outcome::Reset | Outcome::Timeout | Outcome::Full => {
                 before + DISTRUST_STEP * (1.0 - before)
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -402,3 +402,45 @@
         }
     }
 }
+
+/// Guards against trouble on the way taken for sick backends: where a third of the connections break, at every
+/// backend alike, none is set aside; a dial that is refused still does that at once.
+#[test]
+fn broken_connections_set_no_backend_aside_but_a_refused_one_does() {
+    let mut stage = Stage::new(settings(open_plan(), 1), (1..=3).map(|id| ready(id, 0)).collect());
+    let aside = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Log(_)));
+    for i in 0..300 {
+        let now = f64::from(i) * 20.0;
+        let at = stage.arrive(now, request(i, 2, now)).expect("room");
+        let (outcome, broken) = if i % 3 == 0 { (Outcome::Reset, 1) } else { (Outcome::Ok, 0) };
+        let end = Settled { broken, ..settled(i, 0, at, outcome) };
+        assert!(!aside(stage.play(now + 10.0, Event::Settled(end))), "request {i}");
+    }
+    let now = 7000.0;
+    let at = stage.arrive(now, request(1000, 2, now)).expect("room");
+    assert!(aside(stage.settle(now + 1.0, 1000, 0, at, Outcome::ConnectFailed)));
+}
+
+/// Guards what must not run twice, and all else for a while after a connection broke; then caution ends, since
+/// it costs each request a little time.
+#[test]
+fn caution_is_for_what_must_not_run_twice_and_for_times_of_trouble() {
+    let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+    let mut cautious = |now: Millis, id: u32, class: usize, broken: u32| {
+        let at = stage.arrive(now, request(id, class, now)).expect("room");
+        let sent = stage.actions.iter().find_map(|a| match a {
+            Action::Send { cautious, .. } => Some(*cautious),
+            _ => None,
+        });
+        stage.play(now + 1.0, Event::Settled(Settled { broken, ..settled(id, 0, at, Outcome::Ok) }));
+        sent
+    };
+    assert_eq!(
+        [0, 1, 2].map(|class| cautious(10.0, class as u32 + 1, class, 0)),
+        [false, false, true].map(Some)
+    );
+    // One that broke under a good attempt counts too.
+    assert_eq!(cautious(20.0, 4, 0, 1), Some(false));
+    assert_eq!([0, 1].map(|class| cautious(30.0, class as u32 + 5, class, 0)), [true, true].map(Some));
+    assert_eq!(cautious(60_000.0, 7, 0, 0), Some(false));
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -115,5 +115,6 @@
         use_of_quota: None,
         true_units: None,
         report: Report::default(),
+        broken: 0,
     }
 }
