--- a/src/interface.rs
+++ b/src/interface.rs
@@ -263,6 +263,17 @@
     NotSent,
 }
 
+/// What is done lest a connection that breaks takes a request along.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Care {
+    /// Nothing: the request is written at once, to any connection.
+    Usual,
+    /// Its last byte waits until the connection has stood the rest: it cannot have run where that breaks before.
+    Proof,
+    /// So it does, and a kept connection is used only at an age at which others have held of late.
+    Once,
+}
+
 /// A load report of a backend; late and not exact.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
@@ -344,9 +355,8 @@
         backend: BackendId,
         /// Its time-out.
         limit: Option<Millis>,
-        /// Whether the request's last byte waits until the connection has stood the rest: it cannot have run
-        /// where the connection breaks before.
-        cautious: bool,
+        /// What is done lest a broken connection takes the request along.
+        care: Care,
     },
     /// Final answer: turned away, trying again is harmless.
     Refuse {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, how long a connection may take, and the one final answer of each request.
 
-use super::backends::client_budget;
 use super::door::Door;
+use super::pool::client_budget;
 use super::request::{read_body, read_head, Bad};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming as IncomingBody};
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -4,10 +4,11 @@
 //! wire and the module's numbers. [`Door::post`] is the only place that calls the module; events that arise
 //! while actions are carried out wait in a queue, so the module is never re-entered.
 
-use super::backends::{self, Ended, Line, Order, Pools, Reading};
+use super::backends::{self, Ended, Order, Reading};
 use super::clients::Answer;
 use super::config::Config;
 use super::discovery::{Health, Member, Members};
+use super::pool::{self, Line, Pools};
 use maplefall::settings::{self, Names};
 use maplefall::*;
 use std::cell::{Cell, RefCell};
@@ -172,7 +173,7 @@
     pub fn new(config: &Config) -> Rc<Door> {
         let told = &config.told;
         let reading = Reading::new(told, config.limits.memory_mb << 20);
-        let pools = Pools::new(told.links, backends::budget(config.limits.sockets), reading);
+        let pools = Pools::new(told.links, pool::budget(config.limits.sockets), reading);
         Rc::new(Door {
             clock: Clock::new(),
             settings: told.settings.clone(),
@@ -228,9 +229,7 @@
 
     fn carry_out(self: &Rc<Self>, action: Action) {
         match action {
-            Action::Send { request, backend, limit, cautious } => {
-                self.send(request, backend, limit, cautious)
-            }
+            Action::Send { request, backend, limit, care } => self.send(request, backend, limit, care),
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CallOff { request, attempt } => {
@@ -304,7 +303,7 @@
 
     // ---- Attempts -----------------------------------------------------------------------------------
 
-    fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, limit: Option<Millis>, cautious: bool) {
+    fn send(self: &Rc<Self>, id: RequestId, backend: BackendId, limit: Option<Millis>, care: Care) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let Some(entry) = state.requests.get_mut(&id) else { return };
@@ -324,7 +323,7 @@
         let line = Line::default();
         let (door, pools, on) = (self.clone(), self.pools.clone(), line.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = backends::attempt(&pools, backend, &order, limit, cautious, &on).await;
+            let ended = backends::attempt(&pools, backend, &order, limit, care, &on).await;
             door.settle(id, number, ended);
         });
         line.tie(task.abort_handle());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 mod discovery;
 mod door;
+mod pool;
 mod request;
 
 use clients::Clients;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -631,8 +631,12 @@
         // must not run twice is lost with each. Others can be repeated and go without while none breaks,
         // since caution costs each request the time of a way there and back.
         let effect = self.set.classes[live.request.class.0].effect;
-        let cautious = effect == Effect::Unsafe || now - self.broke_at < CAUTION_AIMS * self.aim;
-        actions.push(Action::Send { request: id, backend: to, limit: Some(limit), cautious });
+        let care = match effect {
+            Effect::Unsafe => Care::Once,
+            _ if now - self.broke_at < CAUTION_AIMS * self.aim => Care::Proof,
+            _ => Care::Usual,
+        };
+        actions.push(Action::Send { request: id, backend: to, limit: Some(limit), care });
     }
 
     /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -426,21 +426,21 @@
 #[test]
 fn caution_is_for_what_must_not_run_twice_and_for_times_of_trouble() {
     let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
-    let mut cautious = |now: Millis, id: u32, class: usize, broken: u32| {
+    let mut care = |now: Millis, id: u32, class: usize, broken: u32| {
         let at = stage.arrive(now, request(id, class, now)).expect("room");
         let sent = stage.actions.iter().find_map(|a| match a {
-            Action::Send { cautious, .. } => Some(*cautious),
+            Action::Send { care, .. } => Some(*care),
             _ => None,
         });
         stage.play(now + 1.0, Event::Settled(Settled { broken, ..settled(id, 0, at, Outcome::Ok) }));
         sent
     };
     assert_eq!(
-        [0, 1, 2].map(|class| cautious(10.0, class as u32 + 1, class, 0)),
-        [false, false, true].map(Some)
+        [0, 1, 2].map(|class| care(10.0, class as u32 + 1, class, 0)),
+        [Care::Usual, Care::Usual, Care::Once].map(Some)
     );
     // One that broke under a good attempt counts too.
-    assert_eq!(cautious(20.0, 4, 0, 1), Some(false));
-    assert_eq!([0, 1].map(|class| cautious(30.0, class as u32 + 5, class, 0)), [true, true].map(Some));
-    assert_eq!(cautious(60_000.0, 7, 0, 0), Some(false));
+    assert_eq!(care(20.0, 4, 0, 1), Some(Care::Usual));
+    assert_eq!([0, 1].map(|class| care(30.0, class as u32 + 5, class, 0)), [Care::Proof; 2].map(Some));
+    assert_eq!(care(60_000.0, 7, 0, 0), Some(Care::Usual));
 }
