--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,6 +61,9 @@
 const DISTRUST_AIMS: f64 = 4.0;
 /// Distrust up to this is no hindrance: it lets one request try a backend that has failed before.
 const FORGOTTEN: f64 = 0.1;
+/// Distrust of a backend for one class halves in this many shortest aims without news: trying it out costs a
+/// request all of its time.
+const HANGING_AIMS: f64 = 8.0;
 /// How far one failure moves distrust toward one.
 const DISTRUST_STEP: f64 = 0.4;
 /// How far a connection that breaks moves it: little, since one that is refused or silent tells far more.
@@ -146,6 +149,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Flight {
     at: Millis,
+    class: ClassId,
     load: f64,
     units: f64,
 }
@@ -157,6 +161,14 @@
     at: Millis,
 }
 
+/// What a gateway holds of one backend for one class.
+#[derive(Clone, Copy, Debug)]
+struct ForClass {
+    answered: Millis,
+    /// Distrust from attempts that hung.
+    hanging: Distrust,
+}
+
 /// What a gateway holds of one backend.
 #[derive(Clone, Debug)]
 struct Backend {
@@ -169,6 +181,8 @@
     distrust: Distrust,
     /// Distrust for one plan alone, from what it was turned away as full.
     full: BTreeMap<PlanId, Distrust>,
+    /// By class; a class that it has not been sent has no entry.
+    classes: BTreeMap<ClassId, ForClass>,
     set_aside: bool,
     /// Units it may be sent while cold.
     budget: f64,
@@ -498,8 +512,9 @@
     /// What sending a request to a backend is expected to cost, as time.
     fn cost(&self, now: Millis, live: &Live, backend: &Backend, wait: Millis) -> Millis {
         let unsafe_one = self.set.classes[live.request.class.0].effect == Effect::Unsafe;
-        let mut cost = wait.max(self.overdue(now, backend)) + self.pace(backend) * live.request.units;
-        let distrust = self.distrust(now, backend, live.request.plan) * if unsafe_one { 2.0 } else { 1.0 };
+        let overdue = self.overdue(now, backend, live.request.class);
+        let mut cost = wait.max(overdue) + self.pace(backend) * live.request.units;
+        let distrust = self.distrust(now, backend, &live.request) * if unsafe_one { 2.0 } else { 1.0 };
         cost += (distrust - FORGOTTEN).max(0.0) * self.aim;
         if backend.entry.zone != self.set.zone {
             cost += CROSSING_AIMS * self.set.cross_zone_price * self.aim;
@@ -540,22 +555,42 @@
     }
 
     /// Guards against a backend that has gone silent: how long its oldest attempt is overdue without news. It
-    /// turns the choice elsewhere but refuses nothing: answers may be lost where there is no queue.
-    fn overdue(&self, now: Millis, backend: &Backend) -> Millis {
-        let oldest = backend.out.values().min_by(|a, b| a.at.total_cmp(&b.at));
-        let Some(oldest) = oldest else { return 0.0 };
-        let silent = now - oldest.at.max(backend.last_answer);
-        silent - SILENCE * self.pace(backend) * oldest.load
+    /// turns the choice elsewhere but refuses nothing: answers may be lost where there is no queue. A class
+    /// that is known to hang there speaks only for itself.
+    fn overdue(&self, now: Millis, backend: &Backend, class: ClassId) -> Millis {
+        let speaks = |flight: &&Flight| flight.class == class || !self.hangs(now, backend, flight.class);
+        let silent = |flight: &Flight| {
+            let answered = if flight.class == class { None } else { Some(backend.last_answer) };
+            self.silent(now, backend, flight, answered)
+        };
+        backend.out.values().filter(speaks).map(silent).fold(0.0, f64::max)
     }
 
-    fn faded(&self, now: Millis, distrust: Distrust) -> f64 {
-        let age = (now - distrust.at) / (DISTRUST_AIMS * self.aim);
+    fn hangs(&self, now: Millis, backend: &Backend, class: ClassId) -> bool {
+        let known = backend.classes.get(&class);
+        known.is_some_and(|known| self.faded(now, known.hanging, HANGING_AIMS) > FORGOTTEN)
+    }
+
+    /// How long an attempt is overdue without news of its class from its backend.
+    fn silent(&self, now: Millis, backend: &Backend, flight: &Flight, news: Option<Millis>) -> Millis {
+        let answered = news.unwrap_or_else(|| Self::answered(backend, flight));
+        now - flight.at.max(answered) - SILENCE * self.pace(backend) * flight.load
+    }
+
+    fn answered(backend: &Backend, flight: &Flight) -> Millis {
+        backend.classes.get(&flight.class).map_or(flight.at, |known| known.answered)
+    }
+
+    fn faded(&self, now: Millis, distrust: Distrust, aims: f64) -> f64 {
+        let age = (now - distrust.at) / (aims * self.aim);
         distrust.value * (-age * std::f64::consts::LN_2).exp()
     }
 
-    fn distrust(&self, now: Millis, backend: &Backend, plan: PlanId) -> f64 {
-        let full = backend.full.get(&plan).map_or(0.0, |d| self.faded(now, *d));
-        self.faded(now, backend.distrust).max(full)
+    fn distrust(&self, now: Millis, backend: &Backend, request: &Request) -> f64 {
+        let full = backend.full.get(&request.plan).map_or(0.0, |d| self.faded(now, *d, DISTRUST_AIMS));
+        let known = backend.classes.get(&request.class);
+        let hanging = known.map_or(0.0, |known| self.faded(now, known.hanging, HANGING_AIMS));
+        self.faded(now, backend.distrust, DISTRUST_AIMS).max(full).max(hanging)
     }
 
     /// Units a second that a backend of size one gets of this gateway, if all are used alike.
@@ -618,7 +653,7 @@
         let left = self.cut(live) - now;
         let limit = self.patience(now, live, self.pace(backend) * load).min(left).max(self.set.tick);
         if let Some(backend) = self.backends.get_mut(&to) {
-            backend.out.insert(id, Flight { at: now, load, units });
+            backend.out.insert(id, Flight { at: now, class: live.request.class, load, units });
             (backend.budget, backend.budget_at) = (budget, now);
         }
         let Some(live) = self.requests.get_mut(&id) else { return };
@@ -734,7 +769,12 @@
         let cut = self.cut(live);
         if now < cut && !live.slow {
             actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(name) });
-            self.feel_answer(now, 1.0);
+            // What hangs is no sign of queues: a fallen opening would refuse what the backends have room for.
+            let attempt = live.out.and_then(|to| self.backends.get(&to)).map(|b| (b, b.out.get(&id)));
+            let hangs = matches!(attempt, Some((b, Some(flight))) if self.silent(now, b, flight, None) > 0.0);
+            if !hangs {
+                self.feel_answer(now, 1.0);
+            }
             self.requests.entry(id).and_modify(|live| live.slow = true);
             return;
         }
@@ -783,9 +823,23 @@
         if settled.outcome == Outcome::Timeout && silent {
             actions.push(Action::CloseIdle(settled.backend));
         }
+        // Guards against a backend that lets one class hang and answers the others: it is held against it for
+        // that class, whether the attempt timed out or was called off, and tells nothing of its pace. It also
+        // covers one that hangs for all, and hurts, by a detour, where one answer alone was lost on the way.
+        let hung = flight.is_some_and(|flight| self.silent(now, &backend, &flight, None) > 0.0);
+        let entry = ForClass { answered: now, hanging: Distrust::default() };
+        let known = backend.classes.entry(request.class).or_insert(entry);
+        match settled.outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Full => {
+                known.answered = now;
+                known.hanging.value *= 0.5;
+            }
+            Outcome::Timeout | Outcome::Cancelled if hung => known.hanging = Distrust { value: 1.0, at: now },
+            _ => {}
+        }
         backend.last_answer = now;
         let slow = matches!(settled.outcome, Outcome::Timeout | Outcome::Cancelled);
-        if let Some(flight) = flight.filter(|_| answered || slow) {
+        if let Some(flight) = flight.filter(|_| answered || (slow && !hung)) {
             let keep = 1.0 - 1.0 / PACE_MEMORY;
             let elapsed = settled.elapsed.max(0.0);
             backend.time = backend.time * keep + elapsed;
@@ -800,7 +854,7 @@
             Outcome::Full => backend.full.entry(request.plan).or_default(),
             _ => &mut backend.distrust,
         };
-        let before = self.faded(now, *known);
+        let before = self.faded(now, *known, DISTRUST_AIMS);
         // Guards against trouble on the way taken for sick backends: where connections break everywhere, each
         // would be set aside in turn and the rest be crowded. It costs some requests at a backend that takes
         // connections and breaks every one; a process that died refuses the next one, and that tells enough.
@@ -818,7 +872,7 @@
             Outcome::Cancelled | Outcome::NotSent => before,
         };
         *known = Distrust { value, at: now };
-        let after = self.faded(now, backend.distrust);
+        let after = self.faded(now, backend.distrust, DISTRUST_AIMS);
         if !backend.set_aside && after > SET_ASIDE {
             backend.set_aside = true;
             actions
@@ -919,6 +973,7 @@
             last_answer: now,
             distrust: Distrust::default(),
             full: BTreeMap::new(),
+            classes: BTreeMap::new(),
             set_aside: false,
             budget: -debt,
             budget_at: now,
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -444,3 +444,31 @@
     assert_eq!([0, 1].map(|class| care(30.0, class as u32 + 5, class, 0)), [Care::Proof; 2].map(Some));
     assert_eq!(care(60_000.0, 7, 0, 0), Some(Care::Usual));
 }
+
+/// Guards against a backend that lets one class hang and answers the others: that class avoids it for a while, the
+/// others use it as before, also while further attempts of that class hang there.
+#[test]
+fn a_class_that_hangs_at_a_backend_is_held_against_it_for_that_class_alone() {
+    let mut stage = Stage::new(settings(open_plan(), 1), vec![ready(1, 0), ready(2, 0)]);
+    let bad = stage.arrive(0.0, request(1, 2, 0.0)).expect("room");
+    let other = if bad == BackendId(1) { BackendId(2) } else { BackendId(1) };
+    let end = Settled { elapsed: 2900.0, closed: true, ..settled(1, 0, bad, Outcome::Cancelled) };
+    stage.play(2900.0, Event::Settled(end));
+    // Another one is out there, as if sent for want of a choice.
+    let draining = BackendEntry { availability: Availability::Draining, ..ready(other.0, 0) };
+    stage.play(2901.0, Event::Backends(ListKind::Changes, vec![draining]));
+    assert_eq!(stage.arrive(2902.0, request(2, 2, 2902.0)), Some(bad));
+    stage.play(2903.0, Event::Backends(ListKind::Changes, vec![ready(other.0, 0)]));
+    let mut shared = 0;
+    for i in (0..200).step_by(2) {
+        let now = 4500.0 + f64::from(i) * 20.0;
+        let at = stage.arrive(now, request(10 + i, 2, now)).expect("room");
+        assert_eq!(at, other, "request {i} was sent where its class hangs");
+        // Now each has one out.
+        let beside = stage.arrive(now, request(11 + i, 0, now)).expect("room");
+        shared += u32::from(beside == bad);
+        stage.settle(now + 10.0, 10 + i, 0, at, Outcome::Ok);
+        stage.settle(now + 10.0, 11 + i, 0, beside, Outcome::Ok);
+    }
+    assert!(shared > 20, "the other class was kept away: {shared} of 100");
+}
--- a/tests/front_door.rs
+++ b/tests/front_door.rs
@@ -151,6 +151,35 @@
     assert_eq!(client.read().body, b"own");
 }
 
+/// Guards against a backend that lets one class hang and answers the others: the next of that class goes elsewhere,
+/// though the other backend is the busier one, and the others go on being sent there.
+#[test]
+fn a_class_that_hangs_at_a_backend_is_sent_elsewhere() {
+    let scene = Scene::new(2);
+    let mut client = scene.program.client();
+    client.write(request_of("id-1", "charge", "wide", "2"));
+    let (hangs, mut backend) = scene.accept_any();
+    backend.read();
+    assert!(client.read().status() >= 500);
+    let mut busy = scene.program.client();
+    busy.write(request_of("id-2", "charge", "wide", LONG));
+    let mut first = scene.backends[1 - hangs].accept();
+    assert_eq!(first.read().header("request-id"), Some("id-2"));
+    let mut backend: Option<Wire> = None;
+    for i in 0..150 {
+        client.write(request_of(&format!("read-{i}"), "read", "wide", LONG));
+        let backend = backend.get_or_insert_with(|| scene.backends[hangs].accept());
+        backend.read();
+        backend.answer(200, "", "good");
+        assert_eq!(client.read().body, b"good");
+    }
+    client.write(request_of("id-3", "charge", "wide", LONG));
+    let mut second = scene.backends[1 - hangs].accept();
+    assert_eq!(second.read().header("request-id"), Some("id-3"));
+    second.answer(200, "", "done");
+    assert_eq!(client.read().body, b"done");
+}
+
 /// Guards against work for nobody: when a client goes away its attempt is called off, long before its time.
 #[test]
 fn a_client_that_leaves_ends_its_attempt() {
