Packages by concern: policy, settings, protocol, daemon, adapter; the circle of src/net broken

Need: the rehearsal kit and every later subsystem want types of their own to share (request, order, answer, list of members), and src/net was one circle of seven files: door took types from clients, discovery and backends, and each of these took something back.

Change: a workspace. crates/policy holds the decision module unchanged, crates/settings the settings, crates/protocol the types that pass between rooms and the header names (no I/O), crates/maplefall the daemon, crates/drill the adapter. In the daemon imports now run one way: pool <- backends <- door <- clients; request checks against settings and names instead of the door; discovery hands what it is told to whoever asked; the clock has a file of its own; Reading left the pools.

--- a/src/bin/maplefall-drill/main.rs
+++ b/crates/drill/src/main.rs
@@ -7,8 +7,8 @@
 mod codec;
 
 use codec::{Record, Reply};
-use maplefall::settings::{self, Metric, Told};
-use maplefall::*;
+use maplefall_policy::*;
+use maplefall_settings::{self as settings, Metric, Told};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::panic::{self, AssertUnwindSafe};
--- a/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -1,20 +1,20 @@
 //! Attempts: what goes on to a backend, what comes back, and what the end of an attempt means.
 
 use super::pool::{Line, NoConnection, Pools};
-use super::request::{IDEMPOTENCY_KEY, REQUEST_ID, REQUEST_TIMEOUT};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use maplefall::settings::{self, Metric, Told};
-use maplefall::{BackendId, Care, Millis, Outcome, Report};
-use std::rc::Rc;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use maplefall_policy::{BackendId, Care, Millis, Outcome, Report};
+use maplefall_protocol::headers::{
+    API_CHARGE, API_USAGE, IDEMPOTENCY_KEY, NOT_STARTED, REQUEST_ID, REQUEST_TIMEOUT, SERVER_LOAD,
+};
+use maplefall_protocol::{Ended, Order, LONGEST_BODY};
+use maplefall_settings::{self as settings, Metric, Told};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Longest body of a request, and of an answer that is taken in without asking for room.
-pub const LONGEST_BODY: usize = 64 * 1024;
 /// Longest body of an answer at all. Backends are met that send far more than the agreed 64 KiB, and their good
 /// answers are worth passing on; one that is said to be longer than this is none.
 const LONGEST_ANSWER: u64 = 1 << 20;
@@ -23,77 +23,6 @@
 /// A use over this many percent of a rate is no figure to go by.
 const MOST_USAGE: f64 = 100_000.0;
 
-const NOT_STARTED: HeaderName = HeaderName::from_static("not-started");
-const API_USAGE: HeaderName = HeaderName::from_static("api-usage");
-const API_CHARGE: HeaderName = HeaderName::from_static("api-charge");
-const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
-
-/// What goes on to a backend, the same with every attempt.
-#[derive(Clone, Debug)]
-pub struct Order {
-    /// The id on the wire.
-    pub id: Rc<str>,
-    /// The id as it came.
-    pub id_value: HeaderValue,
-    /// The host that the client named.
-    pub host: HeaderValue,
-    /// The method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The key of a keyed request.
-    pub key: Option<HeaderValue>,
-    /// The content type, if the client named one.
-    pub content_type: Option<HeaderValue>,
-    /// The body.
-    pub body: Bytes,
-}
-
-impl Order {
-    fn request(&self, limit: Millis) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        let headers = request.headers_mut();
-        headers.insert(HOST, self.host.clone());
-        headers.insert(REQUEST_ID, self.id_value.clone());
-        if let Ok(limit) = HeaderValue::try_from(format!("{:.3}", limit / 1000.0)) {
-            headers.insert(REQUEST_TIMEOUT, limit);
-        }
-        if let Some(key) = &self.key {
-            headers.insert(IDEMPOTENCY_KEY, key.clone());
-        }
-        if let Some(kind) = &self.content_type {
-            headers.insert(hyper::header::CONTENT_TYPE, kind.clone());
-        }
-        request
-    }
-}
-
-/// How an attempt ended and what its answer told.
-#[derive(Clone, Debug)]
-pub struct Ended {
-    /// The outcome.
-    pub outcome: Outcome,
-    /// The whole body of a good answer.
-    pub body: Bytes,
-    /// The customer's use, as a part of its rate.
-    pub used: Option<f64>,
-    /// The true units.
-    pub charge: Option<f64>,
-    /// The backend's load.
-    pub report: Report,
-    /// Connections that had come up and broke under it.
-    pub broken: u32,
-}
-
-impl Ended {
-    /// An end without an answer.
-    pub fn of(outcome: Outcome) -> Ended {
-        Ended { outcome, body: Bytes::new(), used: None, charge: None, report: Report::default(), broken: 0 }
-    }
-}
-
 /// The memory that long answers may still take.
 #[derive(Clone)]
 struct Room(Arc<AtomicUsize>);
@@ -162,9 +91,30 @@
 
 // ---- Attempts ---------------------------------------------------------------------------------------
 
+/// An order as it is written to a backend, which is told how long the front door will wait.
+fn request(order: &Order, limit: Millis) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(order.body.clone()));
+    *request.method_mut() = order.method.clone();
+    *request.uri_mut() = order.uri.clone();
+    let headers = request.headers_mut();
+    headers.insert(HOST, order.host.clone());
+    headers.insert(REQUEST_ID, order.id_value.clone());
+    if let Ok(limit) = HeaderValue::try_from(format!("{:.3}", limit / 1000.0)) {
+        headers.insert(REQUEST_TIMEOUT, limit);
+    }
+    if let Some(key) = &order.key {
+        headers.insert(IDEMPOTENCY_KEY, key.clone());
+    }
+    if let Some(kind) = &order.content_type {
+        headers.insert(hyper::header::CONTENT_TYPE, kind.clone());
+    }
+    request
+}
+
 /// Carries out one attempt and tells how it ended.
 pub async fn attempt(
     pools: &Pools,
+    reading: &Reading,
     backend: BackendId,
     order: &Order,
     limit: Millis,
@@ -194,14 +144,14 @@
         connection.wire.begin(order.body.len(), care != Care::Usual);
         let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
         let sent = match connection.sender.ready().await {
-            Ok(()) => connection.sender.send_request(order.request(left.max(1.0))).await.ok(),
+            Ok(()) => connection.sender.send_request(request(order, left.max(1.0))).await.ok(),
             Err(_) => None,
         };
         if let Some(idle) = idle {
             pools.learn(idle, sent.is_none());
         }
         let answer = match sent {
-            Some(answer) => read(&pools.reading, answer).await,
+            Some(answer) => read(reading, answer).await,
             None => None,
         };
         let whole = connection.wire.whole();
@@ -300,7 +250,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use maplefall::settings::Links;
+    use hyper::{Method, Uri};
+    use maplefall_settings::Links;
     use socket2::SockRef;
     use std::time::Duration;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -320,11 +271,11 @@
     /// Longest time that a scene may take.
     const SCENE: Duration = Duration::from_secs(20);
 
-    fn pools() -> Pools {
+    fn pools() -> (Pools, Reading) {
         let links = Links { dial_timeout: 20_000.0, idle_close: 600_000.0 };
         let reading =
             Reading { names: Vec::new(), metrics: Vec::new(), max_units: 8.0, room: Room(Arc::default()) };
-        Pools::new(links, 8, reading)
+        (Pools::new(links, 8), reading)
     }
 
     fn order() -> Order {
@@ -370,11 +321,13 @@
                 receive(&mut fresh, b"hell").await;
                 reset(fresh);
             });
-            let (pools, order, id) = (pools(), order(), BackendId(1));
+            let ((pools, reading), order, id) = (pools(), order(), BackendId(1));
             pools.open(id, address, 0.0);
             let mut ends = Vec::new();
             for _ in 0..3 {
-                ends.push(attempt(&pools, id, &order, 20_000.0, Care::Once, &Line::default()).await);
+                ends.push(
+                    attempt(&pools, &reading, id, &order, 20_000.0, Care::Once, &Line::default()).await,
+                );
             }
             backend.await.expect("a backend that saw what it waited for");
             ends
@@ -408,9 +361,9 @@
                 serve(&mut new, "on a kept one").await;
                 drop(old);
             });
-            let (pools, order, id, line) = (pools(), order(), BackendId(1), Line::default());
+            let ((pools, reading), order, id, line) = (pools(), order(), BackendId(1), Line::default());
             pools.open(id, address, 0.0);
-            let send = |care| attempt(&pools, id, &order, 20_000.0, care, &line);
+            let send = |care| attempt(&pools, &reading, id, &order, 20_000.0, care, &line);
             for _ in 0..3 {
                 assert_eq!(send(Care::Usual).await.outcome, Outcome::Ok);
                 pools.age(old);
--- a/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, how long a connection may take, and the one final answer of each request.
 
 use super::door::Door;
-use super::pool::client_budget;
+use super::pool::{client_budget, BUFFER};
 use super::request::{read_body, read_head, Bad};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming as IncomingBody};
@@ -9,7 +9,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use maplefall::{Millis, RequestId};
+use maplefall_policy::{Millis, RequestId};
+use maplefall_protocol::Answer;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -44,19 +45,6 @@
 const SWEEP: Duration = Duration::from_millis(100);
 /// How long a full house waits for one that is asked to leave.
 const MAKE_ROOM: Duration = Duration::from_millis(20);
-/// Bytes that a connection buffers at most; a longer head is answered 431.
-pub const BUFFER: usize = 32 * 1024;
-
-/// The one final answer of a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// A backend's answer.
-    Served(Bytes),
-    /// Trying again is harmless; when, if advised.
-    Refused(Option<Millis>),
-    /// Nothing promised.
-    Failed,
-}
 
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -228,7 +216,7 @@
         // Of a request that came in one read with the one before it, only that read's time is known.
         let first = peer.first.get().unwrap_or(peer.last.get());
         let (head, body) = request.into_parts();
-        let mut incoming = read_head(&self.door, &head, first)?;
+        let mut incoming = read_head(&self.door.settings, &self.door.names, &head, first)?;
         let end = self.door.clock.instant(peer.begun() + READ_TIME);
         incoming.order.body = read_body(body, &head.method, end).await?;
         incoming.at = peer.last.get();
--- /dev/null
+++ b/crates/maplefall/src/net/clock.rs
@@ -0,0 +1,30 @@
+//! The one clock of a front door.
+
+use maplefall_policy::Millis;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A monotonic clock that reads as Unix milliseconds, so that start times of backends compare with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Millis,
+}
+
+impl Clock {
+    /// Starts at the system's present time.
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Millis {
+        self.unix + self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// A time of this clock as the runtime counts it.
+    pub fn instant(&self, at: Millis) -> tokio::time::Instant {
+        let after = Duration::try_from_secs_f64((at - self.unix) / 1000.0).unwrap_or_default();
+        tokio::time::Instant::from_std(self.start + after)
+    }
+}
--- a/src/net/config.rs
+++ b/crates/maplefall/src/net/config.rs
@@ -1,10 +1,9 @@
 //! What a front door is told: the `BALANCER_*` variables and the JSON file that one of them names.
 
-use super::discovery::Members;
-use maplefall::settings::{self, Told};
+use maplefall_protocol::Members;
+use maplefall_settings::{self as settings, Told};
 use serde::Deserialize;
 use serde_json::Value;
-use std::fmt::Write;
 use std::net::SocketAddr;
 
 /// Why a configuration cannot be used; each is one plain line.
@@ -138,72 +137,10 @@
             let text = format!("limits.sockets: {} is under {LEAST_SOCKETS}", self.limits.sockets);
             return Err(ConfigError::Value(text));
         }
-        Ok((seed, settings::parse(&facts(&self.settings)).map_err(ConfigError::Value)?))
+        Ok((seed, settings::parse(&settings::facts(&self.settings)).map_err(ConfigError::Value)?))
     }
 }
 
 fn address(name: &'static str, value: &str) -> Result<SocketAddr, ConfigError> {
     value.parse().map_err(|_| ConfigError::Address { name, value: value.to_owned() })
 }
-
-/// Nested settings as the `path=value` lines that the simulator tells, so that both are read the same way.
-fn facts(settings: &Value) -> String {
-    let mut lines = String::new();
-    flatten("", settings, &mut lines);
-    lines
-}
-
-fn flatten(path: &str, value: &Value, lines: &mut String) {
-    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
-    match value {
-        Value::Object(map) => map.iter().for_each(|(key, value)| flatten(&below(key), value, lines)),
-        Value::Array(items) if items.iter().any(|item| item.is_object() || item.is_array()) => {
-            // A string takes any text; the error is that of a writer that can fail.
-            let _ = writeln!(lines, "{}={}", below("count"), items.len());
-            items.iter().enumerate().for_each(|(i, item)| flatten(&below(&i.to_string()), item, lines));
-        }
-        Value::Array(items) => {
-            let words: Vec<String> = items.iter().filter_map(word).collect();
-            let _ = writeln!(lines, "{path}={}", words.join(","));
-        }
-        value => {
-            if let Some(word) = word(value) {
-                let _ = writeln!(lines, "{path}={word}");
-            }
-        }
-    }
-}
-
-fn word(value: &Value) -> Option<String> {
-    match value {
-        Value::String(text) => Some(settings::plain(text)),
-        Value::Bool(_) | Value::Number(_) => Some(value.to_string()),
-        Value::Null | Value::Array(_) | Value::Object(_) => None,
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn nested_settings_become_the_facts_of_the_wire() {
-        let value = serde_json::json!({
-            "tick": 2.0, "zones": ["a b", "c"], "none": null, "report": {"names": []},
-            "plans": [{"name": "x,y", "max_out": 2}], "policy_limits": {"cancel": true},
-        });
-        let text = facts(&value);
-        let mut lines: Vec<&str> = text.lines().collect();
-        lines.sort_unstable();
-        let expected = [
-            "plans.0.max_out=2",
-            "plans.0.name=x_y",
-            "plans.count=1",
-            "policy_limits.cancel=true",
-            "report.names=",
-            "tick=2.0",
-            "zones=a_b,c",
-        ];
-        assert_eq!(lines, expected);
-    }
-}
--- a/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -1,14 +1,12 @@
 //! The list of backends: a watch that is resumed where it ended, and the whole list when one is unreadable.
 
-use super::door::Door;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use maplefall_protocol::Members;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -21,56 +19,6 @@
 /// Longest line that is taken in.
 const LONGEST_LINE: usize = 4 << 20;
 
-/// A list of backends, or what changed in it.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Members {
-    /// Its version.
-    pub seq: u64,
-    /// Whether it is the whole list.
-    pub whole: bool,
-    /// Its entries.
-    pub hosts: Vec<Member>,
-}
-
-/// One entry of the list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Member {
-    /// Its name, the same at every front door.
-    pub host: String,
-    /// Where it listens.
-    pub dial: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub site: String,
-    /// Its cell.
-    #[serde(default)]
-    pub block: u32,
-    /// Its state.
-    pub health: Health,
-    /// Its size relative to others.
-    #[serde(default = "whole_share")]
-    pub share: f64,
-    /// When it last started, in Unix milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-/// State of a backend in the list.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
-pub enum Health {
-    /// May be sent to.
-    Up,
-    /// Finishing its work.
-    Draining,
-    /// Gone.
-    Removed,
-}
-
-fn whole_share() -> f64 {
-    1.0
-}
-
 /// How a watch ended.
 #[derive(Debug, thiserror::Error)]
 enum Ended {
@@ -90,14 +38,14 @@
     TooLong,
 }
 
-/// Follows discovery for as long as the front door runs, from the list that it last had. When `agent` tells
+/// Follows discovery for as long as the front door runs, from the `version` that it last had, and hands on what is
+/// told. When `agent` tells
 /// another address, the old watch is left at once and resumed there.
-pub async fn follow(door: Rc<Door>, mut agent: watch::Receiver<SocketAddr>, known: Option<Members>) {
-    let mut version = None;
-    if let Some(known) = known {
-        version = Some(known.seq);
-        door.list_changed(&known, true);
-    }
+pub async fn follow(
+    take: impl Fn(&Members),
+    mut agent: watch::Receiver<SocketAddr>,
+    mut version: Option<u64>,
+) {
     let mut down = false;
     loop {
         let address = *agent.borrow_and_update();
@@ -107,7 +55,7 @@
             None => "/catalog/members".to_owned(),
         };
         let ended = tokio::select! {
-            ended = read(&door, address, &path, &mut version) => ended,
+            ended = read(&take, address, &path, &mut version) => ended,
             _ = agent.changed() => continue,
         };
         // A place that does not know the version, or tells what cannot be read, is asked for the whole list.
@@ -133,7 +81,7 @@
 
 /// Asks for `path` and takes in each line of the answer until it ends.
 async fn read(
-    door: &Rc<Door>,
+    take: &impl Fn(&Members),
     agent: SocketAddr,
     path: &str,
     version: &mut Option<u64>,
@@ -155,7 +103,7 @@
         let Ok(data) = frame?.into_data() else { continue };
         for byte in data {
             if byte == b'\n' {
-                take_line(door, &pending, version)?;
+                take_line(take, &pending, version)?;
                 pending.clear();
             } else if pending.len() < LONGEST_LINE {
                 pending.push(byte);
@@ -164,16 +112,16 @@
             }
         }
     }
-    take_line(door, &pending, version)
+    take_line(take, &pending, version)
 }
 
 /// Hands a line to the front door; an empty one only says that discovery is there.
-fn take_line(door: &Rc<Door>, line: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
+fn take_line(take: &impl Fn(&Members), line: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
     if line.trim_ascii().is_empty() {
         return Ok(());
     }
     let members: Members = serde_json::from_slice(line)?;
-    door.list_changed(&members, false);
+    take(&members);
     *version = Some(members.seq);
     Ok(())
 }
--- a/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -4,18 +4,17 @@
 //! wire and the module's numbers. [`Door::post`] is the only place that calls the module; events that arise
 //! while actions are carried out wait in a queue, so the module is never re-entered.
 
-use super::backends::{self, Ended, Order, Reading};
-use super::clients::Answer;
+use super::backends::{self, Reading};
+use super::clock::Clock;
 use super::config::Config;
-use super::discovery::{Health, Member, Members};
 use super::pool::{self, Line, Pools};
-use maplefall::settings::{self, Names};
-use maplefall::*;
+use maplefall_policy::*;
+use maplefall_protocol::{Answer, Ended, Health, Incoming, Member, Members, Order};
+use maplefall_settings::{self as settings, Names};
 use std::cell::{Cell, RefCell};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, Notify};
 
 /// How long after its deadline the id of a request that is over is turned down. Every request has its own, a client's retry too: one
@@ -24,31 +23,6 @@
 /// Ids of requests that are over that are kept at most.
 const IDS_KEPT: usize = 8192;
 
-/// A monotonic clock that reads as Unix milliseconds, so that start times of backends compare with it.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    unix: Millis,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_secs_f64() * 1000.0 }
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Millis {
-        self.unix + self.start.elapsed().as_secs_f64() * 1000.0
-    }
-
-    /// A time of this clock as the runtime counts it.
-    pub fn instant(&self, at: Millis) -> tokio::time::Instant {
-        let after = Duration::try_from_secs_f64((at - self.unix) / 1000.0).unwrap_or_default();
-        tokio::time::Instant::from_std(self.start + after)
-    }
-}
-
 /// What comes due at a time.
 #[derive(Clone, Copy, Debug)]
 enum Due {
@@ -88,27 +62,6 @@
 
 impl Eq for Timer {}
 
-/// A client's request, read whole and found well formed.
-#[derive(Debug)]
-pub struct Incoming {
-    /// When its last byte came.
-    pub at: Millis,
-    /// When its client stops waiting.
-    pub deadline: Millis,
-    /// Its owner.
-    pub customer: CustomerId,
-    /// Its owner's plan.
-    pub plan: PlanId,
-    /// Its class.
-    pub class: ClassId,
-    /// Units that it takes.
-    pub units: f64,
-    /// Front doors in its owner's set.
-    pub spread: f64,
-    /// What goes on to a backend.
-    pub order: Order,
-}
-
 /// A request that has no final answer yet, or an attempt of which is still out.
 struct Entry {
     order: Rc<Order>,
@@ -150,6 +103,7 @@
     /// The names that the settings give to numbers.
     pub names: Names,
     pools: Rc<Pools>,
+    reading: Rc<Reading>,
     state: RefCell<State>,
     queue: RefCell<VecDeque<(Millis, Event)>>,
     last_event: Cell<Millis>,
@@ -173,12 +127,13 @@
     pub fn new(config: &Config) -> Rc<Door> {
         let told = &config.told;
         let reading = Reading::new(told, config.limits.memory_mb << 20);
-        let pools = Pools::new(told.links, pool::budget(config.limits.sockets), reading);
+        let pools = Pools::new(told.links, pool::budget(config.limits.sockets));
         Rc::new(Door {
             clock: Clock::new(),
             settings: told.settings.clone(),
             names: told.names.clone(),
             pools: Rc::new(pools),
+            reading: Rc::new(reading),
             state: RefCell::new(State {
                 gateway: Gateway::new(told.settings.clone(), config.seed),
                 requests: HashMap::new(),
@@ -321,9 +276,10 @@
         }
         let order = entry.order.clone();
         let line = Line::default();
-        let (door, pools, on) = (self.clone(), self.pools.clone(), line.clone());
+        let (door, on) = (self.clone(), line.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = backends::attempt(&pools, backend, &order, limit, care, &on).await;
+            let ended =
+                backends::attempt(&door.pools, &door.reading, backend, &order, limit, care, &on).await;
             door.settle(id, number, ended);
         });
         line.tie(task.abort_handle());
--- a/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod backends;
 mod clients;
+mod clock;
 pub mod config;
 mod discovery;
 mod door;
@@ -31,7 +32,13 @@
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
-    tokio::task::spawn_local(discovery::follow(door.clone(), agent.subscribe(), config.known));
+    let version = config.known.as_ref().map(|known| known.seq);
+    if let Some(known) = &config.known {
+        door.list_changed(known, true);
+    }
+    let told = door.clone();
+    let take = move |members: &_| told.list_changed(members, false);
+    tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version));
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
--- a/src/net/pool.rs
+++ b/crates/maplefall/src/net/pool.rs
@@ -1,13 +1,11 @@
 //! Connections to backends: pools, how far kept ones are trusted, and how much of a request has been written.
 
-use super::backends::Reading;
-use super::clients::BUFFER;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use maplefall::settings::Links;
-use maplefall::{BackendId, Care};
+use maplefall_policy::{BackendId, Care};
+use maplefall_settings::Links;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -24,6 +22,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Sleep;
 
+/// Bytes that a connection buffers at most, on either side; a longer head of a request is answered 431.
+pub const BUFFER: usize = 32 * 1024;
 /// Part of the backends' idle time for which a connection is kept: one closed there costs a request.
 const IDLE_PART: f64 = 0.6;
 /// How often idle connections are looked through.
@@ -324,8 +324,6 @@
 pub struct Pools {
     links: Links,
     budget: usize,
-    /// How answers are read.
-    pub reading: Reading,
     open: Rc<Cell<usize>>,
     pools: RefCell<HashMap<BackendId, Pool>>,
     ages: RefCell<Ages>,
@@ -333,15 +331,8 @@
 
 impl Pools {
     /// No backends yet, and at most `budget` connections.
-    pub fn new(links: Links, budget: usize, reading: Reading) -> Pools {
-        Pools {
-            links,
-            budget,
-            reading,
-            open: Rc::default(),
-            pools: RefCell::default(),
-            ages: RefCell::default(),
-        }
+    pub fn new(links: Links, budget: usize) -> Pools {
+        Pools { links, budget, open: Rc::default(), pools: RefCell::default(), ages: RefCell::default() }
     }
 
     /// A backend that may be sent to.
--- a/src/net/request.rs
+++ b/crates/maplefall/src/net/request.rs
@@ -1,28 +1,23 @@
 //! Validation: what a client's request must look like before the decisions see it. Nothing here is lenient:
 //! what goes on to a backend is what a client of this service would have written, or it is answered 400.
 
-use super::backends::{Order, LONGEST_BODY};
-use super::door::{Door, Incoming};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming as IncomingBody};
 use hyper::header::{HeaderName, CONTENT_TYPE, COOKIE, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
-use maplefall::settings::plain;
-use maplefall::{ClassId, CustomerId, Effect, Millis, PlanId, Settings};
+use maplefall_policy::{ClassId, CustomerId, Effect, Millis, PlanId, Settings};
+use maplefall_protocol::headers::{
+    API_PLAN, API_TERMS, IDEMPOTENCY_KEY, REQUEST_CLASS, REQUEST_ID, REQUEST_TIMEOUT,
+};
+use maplefall_protocol::{Incoming, Order, LONGEST_BODY};
+use maplefall_settings::{plain, Names};
 
 /// A customer's number is below this.
 const CUSTOMERS: u64 = 1 << 33;
 /// Longest id of a request, and longest key.
 const LONGEST_NAME: usize = 128;
 
-pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
-const REQUEST_CLASS: HeaderName = HeaderName::from_static("request-class");
-pub const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("request-timeout");
-pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-const API_PLAN: HeaderName = HeaderName::from_static("api-plan");
-const API_TERMS: HeaderName = HeaderName::from_static("api-terms");
-
 /// Why a request is turned down unread by the decisions.
 #[derive(Debug, thiserror::Error)]
 pub enum Bad {
@@ -72,7 +67,7 @@
 }
 
 /// Reads the head of a request whose first byte came at `first`.
-pub fn read_head(door: &Door, head: &Parts, first: Millis) -> Result<Incoming, Bad> {
+pub fn read_head(settings: &Settings, names: &Names, head: &Parts, first: Millis) -> Result<Incoming, Bad> {
     let headers = &head.headers;
     // Where both framings are given, the library goes by the chunks and drops the length without a word; what one
     // hop takes for the body another takes for the next request. Clients of this service tell the length.
@@ -80,13 +75,13 @@
         return Err(Bad::Unmeasured);
     }
     let id = name(headers, &REQUEST_ID)?;
-    let class = class(door, head)?;
+    let class = class(settings, names, head)?;
     let plan_name = plain(text(headers, &API_PLAN)?);
-    let plan = door.names.plans.iter().position(|name| *name == plan_name).ok_or(Bad::Plan)?;
+    let plan = names.plans.iter().position(|name| *name == plan_name).ok_or(Bad::Plan)?;
     let timeout = positive(text(headers, &REQUEST_TIMEOUT)?).ok_or(Bad::Header(REQUEST_TIMEOUT))?;
     // No client waits for longer than its class allows.
-    let timeout = (timeout * 1000.0).min(door.settings.classes[class].deadline);
-    let terms = Terms::read(text(headers, &API_TERMS)?, &door.settings).ok_or(Bad::Header(API_TERMS))?;
+    let timeout = (timeout * 1000.0).min(settings.classes[class].deadline);
+    let terms = Terms::read(text(headers, &API_TERMS)?, settings).ok_or(Bad::Header(API_TERMS))?;
     let path = head.uri.path_and_query().ok_or(Bad::Path)?;
     if !path.as_str().bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err(Bad::Path);
@@ -118,16 +113,16 @@
 }
 
 /// The class, which header, path and method must agree on.
-fn class(door: &Door, head: &Parts) -> Result<usize, Bad> {
+fn class(settings: &Settings, names: &Names, head: &Parts) -> Result<usize, Bad> {
     let name = text(&head.headers, &REQUEST_CLASS)?;
     let plain_name = plain(name);
-    let class = door.names.classes.iter().position(|known| *known == plain_name).ok_or(Bad::Class)?;
+    let class = names.classes.iter().position(|known| *known == plain_name).ok_or(Bad::Class)?;
     let rest = head.uri.path().strip_prefix('/').and_then(|path| path.strip_prefix(name));
     if !rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/')) {
         return Err(Bad::Class);
     }
     let keyed = head.headers.contains_key(IDEMPOTENCY_KEY);
-    let agrees = match door.settings.classes[class].effect {
+    let agrees = match settings.classes[class].effect {
         Effect::Safe => head.method == Method::GET && !keyed,
         Effect::Keyed { .. } => head.method == Method::POST && keyed,
         Effect::Unsafe => head.method == Method::POST && !keyed,
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,7 @@
 //! out the actions that come back. Nothing here reads a clock, opens a file or keeps shared state.
 //!
 //! ```
-//! use maplefall::*;
+//! use maplefall_policy::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class { aim: 500.0, deadline: 2000.0, ..Class::default() }],
@@ -42,12 +42,8 @@
 //! }
 //! ```
 
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
 mod interface;
 mod rules;
-pub mod settings;
 
 pub use interface::*;
 pub use rules::{Cewma, Gateway};
--- a/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -1,4 +1,4 @@
-//! The decisions of a gateway. Settings, events and actions are in `src/interface.rs`.
+//! The decisions of a gateway. Settings, events and actions are in `interface.rs`.
 //!
 //! Read from the top: constants, admission (the design: recent average, box, slice), the rules' own stores
 //! (ceiling, cold start), choice of backend, attempts and answers, the list of backends.
--- a/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use maplefall::*;
+use maplefall_policy::*;
 
 const LAMBDA: f64 = std::f64::consts::LN_2 / 2000.0;
 
--- a/tests/attempts.rs
+++ b/crates/policy/tests/attempts.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use maplefall::*;
+use maplefall_policy::*;
 
 fn open_plan() -> Plan {
     Plan { rate: 1000.0, burst: 1000.0, ..Plan::default() }
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A small stage for playing event sequences to a gateway.
 
-use maplefall::*;
+use maplefall_policy::*;
 
 /// A gateway with the actions of its last event.
 pub struct Stage {
--- a/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use maplefall::*;
+use maplefall_policy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use rand_core::{RngCore, SeedableRng};
--- a/src/settings.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,10 @@
 //! Settings by their wire names, as `path=value` lines: the one mapping for both programs. Unknown keys are
 //! skipped; missing ones take the defaults of [`Settings::default`], [`Class::default`] and [`Plan::default`].
 
-use crate::interface::*;
+use maplefall_policy::*;
+use serde_json::Value;
 use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::str::FromStr;
 
 /// A value of a load report; their order is that in which a report tells them.
@@ -235,6 +237,42 @@
     }
 }
 
+/// Nested settings as the `path=value` lines that the simulator tells, so that both are read the same way.
+pub fn facts(settings: &Value) -> String {
+    let mut lines = String::new();
+    flatten("", settings, &mut lines);
+    lines
+}
+
+fn flatten(path: &str, value: &Value, lines: &mut String) {
+    let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, value)| flatten(&below(key), value, lines)),
+        Value::Array(items) if items.iter().any(|item| item.is_object() || item.is_array()) => {
+            // A string takes any text; the error is that of a writer that can fail.
+            let _ = writeln!(lines, "{}={}", below("count"), items.len());
+            items.iter().enumerate().for_each(|(i, item)| flatten(&below(&i.to_string()), item, lines));
+        }
+        Value::Array(items) => {
+            let words: Vec<String> = items.iter().filter_map(word).collect();
+            let _ = writeln!(lines, "{path}={}", words.join(","));
+        }
+        value => {
+            if let Some(word) = word(value) {
+                let _ = writeln!(lines, "{path}={word}");
+            }
+        }
+    }
+}
+
+fn word(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(plain(text)),
+        Value::Bool(_) | Value::Number(_) => Some(value.to_string()),
+        Value::Null | Value::Array(_) | Value::Object(_) => None,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -263,4 +301,25 @@
         );
         assert!(parse("extra.meter=NaN").unwrap_err().contains("extra.meter"));
     }
+
+    #[test]
+    fn nested_settings_become_the_facts_of_the_wire() {
+        let value = serde_json::json!({
+            "tick": 2.0, "zones": ["a b", "c"], "none": null, "report": {"names": []},
+            "plans": [{"name": "x,y", "max_out": 2}], "policy_limits": {"cancel": true},
+        });
+        let text = facts(&value);
+        let mut lines: Vec<&str> = text.lines().collect();
+        lines.sort_unstable();
+        let expected = [
+            "plans.0.max_out=2",
+            "plans.0.name=x_y",
+            "plans.count=1",
+            "policy_limits.cancel=true",
+            "report.names=",
+            "tick=2.0",
+            "zones=a_b,c",
+        ];
+        assert_eq!(lines, expected);
+    }
 }
