--- /dev/null
+++ b/crates/judge/src/drains.rs
@@ -0,0 +1,77 @@
+//! Rule 3: nothing new goes to a node later than the stated grace after the front door was told that it drains or is
+//! gone. A send counts from its first byte, whole or not.
+
+use crate::view::View;
+use crate::Ruling;
+use maplefall_record::{DoorState, Health, Millis};
+use std::collections::BTreeMap;
+
+/// How recently a front door must have sent to a node for its drain to be a test.
+const RECENT: Millis = 10_000.0;
+
+/// What a front door knows of a node: since when it is to be left alone, and by which line.
+type Stopped = BTreeMap<(u32, u32), Option<(Millis, usize)>>;
+
+/// Judges it.
+pub fn judge(view: &View<'_>) -> Ruling {
+    let tested_by = "drains and removals told to a front door that had been sending there";
+    let mut ruling = Ruling::new(3, "drains kept", tested_by, "ms before the last moment");
+    let rules = view.record.header.rules;
+    let grace = rules.drain_grace_ms + rules.socket_slack_ms;
+    let mut stopped: Stopped = BTreeMap::new();
+    let mut sent: BTreeMap<(u32, u32), Millis> = BTreeMap::new();
+    let mut tellings = view.tellings.iter().peekable();
+    let starts = view.doors.iter().filter(|(_, _, state, _)| *state == DoorState::Started);
+    let mut starts = starts.peekable();
+    let mut sends: Vec<_> = view.attempts.iter().collect();
+    sends.sort_by(|a, b| a.first.total_cmp(&b.first));
+    for attempt in sends {
+        // All that was told, and every new life of a front door, up to this send; a start comes before what the
+        // front door starts with.
+        loop {
+            let told = tellings.peek().map(|t| (t.at, t.line)).filter(|(at, _)| *at <= attempt.first);
+            let start = starts.peek().map(|s| (s.0, s.3)).filter(|(at, _)| *at <= attempt.first);
+            match (told, start) {
+                (None, None) => break,
+                (told, Some(start)) if told.is_none_or(|told| start.1 < told.1) => {
+                    let Some((_, door, _, _)) = starts.next() else { break };
+                    stopped.retain(|(of, _), _| of != door);
+                    sent.retain(|(of, _), _| of != door);
+                }
+                _ => {
+                    let Some(telling) = tellings.next() else { break };
+                    let key = (telling.door, telling.node);
+                    let entry = stopped.entry(key).or_default();
+                    if telling.health == Health::Up {
+                        *entry = None;
+                    } else if entry.is_none() {
+                        *entry = Some((telling.at, telling.line));
+                        let recent = sent.get(&key).is_some_and(|at| telling.at - at < RECENT);
+                        ruling.tested += u64::from(recent);
+                    }
+                }
+            }
+        }
+        let key = (attempt.door, attempt.node);
+        if let Some(Some((since, line))) = stopped.get(&key) {
+            let after = attempt.first - since;
+            ruling.margin(attempt.first, grace - after);
+            if after > grace {
+                let text = format!(
+                    "front door {} sent to node {} {after:.0} ms after it was told to stop; {grace:.0} ms are allowed",
+                    attempt.door, attempt.node
+                );
+                ruling.broken(attempt.first, attempt.id, &[*line, attempt.line], text);
+            }
+        }
+        sent.insert(key, attempt.first);
+    }
+    // What was told after the last send was a test too, if there had been sends.
+    for telling in tellings.filter(|telling| telling.health != Health::Up) {
+        let key = (telling.door, telling.node);
+        let before = stopped.get(&key).is_some_and(Option::is_some);
+        let recent = sent.get(&key).is_some_and(|at| telling.at - at < RECENT);
+        ruling.tested += u64::from(recent && !before);
+    }
+    ruling.close()
+}
--- /dev/null
+++ b/crates/judge/src/repeats.rs
@@ -0,0 +1,87 @@
+//! Rule 2: no effect twice. Never two attempts of a request out together; after an attempt that may have run, an unsafe
+//! request is neither sent again nor refused, and a keyed one is sent again only while the nodes remember its key; no
+//! more attempts than the settings allow.
+
+use crate::view::{Attempt, View};
+use crate::{Ruling, BLUR};
+use maplefall_record::{Effect, End};
+
+/// Judges it.
+pub fn judge(view: &View<'_>) -> Ruling {
+    let tested_by = "requests whose attempt failed, or that were sent on more than once";
+    let mut ruling = Ruling::new(2, "repeats as the class permits", tested_by, "ms of a key's memory left");
+    let rules = view.record.header.rules;
+    for id in view.whole_by_id.keys() {
+        let Some(one) = view.try_of(id) else { continue };
+        let Some(class) = view.class(one) else { continue };
+        let attempts: Vec<&Attempt<'_>> = view.attempts_of(id).collect();
+        let failed = attempts.iter().any(|a| !matches!(a.over, Some((_, End::Served, _))));
+        ruling.tested += u64::from(failed || attempts.len() > 1);
+        if attempts.len() > rules.most_attempts as usize {
+            let lines: Vec<usize> = attempts.iter().map(|attempt| attempt.line).collect();
+            let text = format!("{} attempts; {} are allowed", attempts.len(), rules.most_attempts);
+            ruling.broken(attempts[0].at, id, &lines, text);
+        }
+        for (before, attempt) in attempts.iter().zip(&attempts[1..]) {
+            let out_until = before.over.map_or(f64::INFINITY, |(at, _, _)| at);
+            if out_until > attempt.at + BLUR {
+                let text = format!(
+                    "two attempts out: node {} had it from {:.1} to {out_until:.1} ms, node {} from {:.1} ms",
+                    before.node, before.at, attempt.node, attempt.at
+                );
+                ruling.broken(attempt.at, id, &[before.line, attempt.line], text);
+            }
+        }
+        repeats(class.effect, class.memory_ms + rules.socket_slack_ms, id, &attempts, &mut ruling);
+        let may_have_run = |attempt: &&&Attempt<'_>| !attempt.never_ran();
+        for place in &view.by_id[id] {
+            let Some(answer) = view.tries[*place].answer else { continue };
+            if !answer.refuses() || class.effect != Effect::Unsafe {
+                continue;
+            }
+            let ran = attempts.iter().filter(may_have_run).find(|a| a.at <= answer.at);
+            if let Some(attempt) = ran {
+                let text =
+                    format!("refused with {}, and it may have run at node {}", answer.status, attempt.node);
+                ruling.broken(answer.at, id, &[attempt.line, answer.line], text);
+            }
+        }
+        let ran: Vec<(f64, usize)> = attempts.iter().flat_map(|a| a.ran.iter().copied()).collect();
+        if let ([first, second, ..], true) = (&ran[..], class.effect != Effect::Safe) {
+            let text = format!("its effect ran at {:.1} ms and again at {:.1} ms", first.0, second.0);
+            ruling.broken(second.0, id, &[first.1, second.1], text);
+        }
+    }
+    ruling.close()
+}
+
+/// Attempts after one that may have run.
+fn repeats(effect: Effect, memory: f64, id: &str, attempts: &[&Attempt<'_>], ruling: &mut Ruling) {
+    let Some(first) = attempts.iter().position(|attempt| !attempt.never_ran()) else { return };
+    let ran = attempts[first];
+    for attempt in &attempts[first + 1..] {
+        let age = attempt.at - ran.at;
+        let lines = [ran.line, attempt.line];
+        match effect {
+            Effect::Safe => {}
+            Effect::Unsafe => {
+                let text = format!(
+                    "sent to node {} though it may have run at node {}, where it ended as {:?}",
+                    attempt.node,
+                    ran.node,
+                    ran.over.map(|(_, end, _)| end)
+                );
+                ruling.broken(attempt.at, id, &lines, text);
+            }
+            Effect::Keyed => {
+                ruling.margin(attempt.at, memory - age);
+                if age > memory {
+                    let text = format!(
+                        "sent again {age:.0} ms after it may have run; its key is kept {memory:.0} ms"
+                    );
+                    ruling.broken(attempt.at, id, &lines, text);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/judge/tests/rules.rs
@@ -0,0 +1,401 @@
+//! Each rule on records made by hand: kept, broken, just at the limit on either side, and not exercised.
+
+mod tale;
+
+use maplefall_judge::Verdict::{Broken, Kept, NotExercised};
+use maplefall_record::{DoorState, End, Entry, Health, Line, Lost, NodeState, Record};
+use tale::*;
+
+fn tale() -> Tale {
+    Tale::default()
+}
+
+// ---- Rule 1 -------------------------------------------------------------------------------------------
+
+#[test]
+fn nothing_seen_is_nothing_kept() {
+    let judgement = tale().judge();
+    assert!(judgement.rules.iter().all(|ruling| ruling.verdict == NotExercised));
+    assert_eq!(judgement.untested(&[1, 3]), [1, 3]);
+}
+
+#[test]
+fn a_served_request_keeps_rule_one() {
+    let ruling = tale().served(100.0, 1, "a", UNSAFE, 0).rule(1);
+    assert_eq!((ruling.verdict, ruling.tested), (Kept, 1));
+    assert_eq!(ruling.margin, Some(1000.0 + ANSWER_SLACK - 52.0));
+}
+
+#[test]
+fn an_answer_counts_up_to_the_last_moment_and_no_longer() {
+    for (late, verdict) in [(ANSWER_SLACK, Kept), (ANSWER_SLACK + 0.5, Broken)] {
+        let ruling = tale().asked(0.0, "a", SAFE).answered(1000.0 + late, "a", 502, None).rule(1);
+        assert_eq!(ruling.verdict, verdict, "{late}");
+    }
+}
+
+#[test]
+fn a_request_without_an_answer_is_lost() {
+    let ruling = tale().asked(0.0, "a", SAFE).lost(1100.0, "a", Lost::Silent).rule(1);
+    assert_eq!((ruling.verdict, ruling.findings[0].lines.clone()), (Broken, vec![2, 3]));
+    assert_eq!(ruling.findings[0].request, "a");
+    let ruling = tale().asked(0.0, "a", SAFE).lost(300.0, "a", Lost::Cut).rule(1);
+    assert_eq!(ruling.verdict, Broken);
+}
+
+#[test]
+fn a_connection_closed_with_nothing_sent_on_loses_nothing_and_with_something_all() {
+    let closed = |tale: Tale| tale.asked(0.0, "a", SAFE).lost(300.0, "a", Lost::Closed);
+    assert_eq!(closed(tale()).rule(1).verdict, NotExercised);
+    assert_eq!(closed(tale().came(5.0, 1, "a", 0).over(290.0, 1, End::GivenUp)).rule(1).verdict, Broken);
+}
+
+#[test]
+fn what_a_killed_front_door_held_is_the_clients_to_repeat() {
+    let held = |tale: Tale| {
+        tale.asked(0.0, "a", UNSAFE).came(5.0, 1, "a", 0).over(300.0, 1, End::GivenUp).lost(
+            300.0,
+            "a",
+            Lost::Closed,
+        )
+    };
+    assert_eq!(held(tale().door(299.0, DoorState::Killed)).rule(1).verdict, NotExercised);
+    // One that was told to stop owes its answers; so does one that was killed before or after.
+    assert_eq!(held(tale().door(200.0, DoorState::Terminated)).rule(1).verdict, Broken);
+    assert_eq!(held(tale().door(400.0, DoorState::Killed)).rule(1).verdict, Broken);
+}
+
+#[test]
+fn two_answers_are_one_too_many() {
+    let twice = tale().served(0.0, 1, "a", SAFE, 0);
+    let twice = twice.asked(60.0, "a", SAFE).answered(90.0, "a", 502, None);
+    assert_eq!(twice.rule(1).verdict, Broken);
+    let surplus = Entry::Surplus { door: 0, link: 1, id: "a".into() };
+    assert_eq!(tale().served(0.0, 1, "a", SAFE, 0).line(80.0, surplus).rule(1).verdict, Broken);
+}
+
+#[test]
+fn nothing_goes_out_after_the_final_answer() {
+    let after = |gap: f64| {
+        let tale = tale().asked(0.0, "a", SAFE).answered(100.0, "a", 502, None);
+        tale.came(100.0 + gap, 1, "a", 0).over(200.0 + gap, 1, End::Served).rule(1).verdict
+    };
+    // Two threads see an answer and an attempt of one moment in either order.
+    assert_eq!((after(maplefall_judge::BLUR), after(maplefall_judge::BLUR + 1.0)), (Kept, Broken));
+}
+
+#[test]
+fn what_is_served_was_made_by_a_node_for_that_request() {
+    let served = |attempt| {
+        let tale = tale().served(0.0, 1, "other", SAFE, 0).asked(100.0, "a", SAFE);
+        let tale = tale.came(102.0, 2, "a", 0).over(150.0, 2, End::Served);
+        tale.answered(160.0, "a", 200, attempt).rule(1).verdict
+    };
+    assert_eq!([served(Some(2)), served(Some(1)), served(None)], [Kept, Broken, Broken]);
+}
+
+#[test]
+fn a_front_door_that_ends_by_itself_or_badly_has_crashed() {
+    let ended = |first: Option<DoorState>, code| {
+        let tale = tale().served(0.0, 1, "a", SAFE, 0).door(0.0, DoorState::Started);
+        let tale = first.into_iter().fold(tale, |tale, state| tale.door(500.0, state));
+        tale.door(600.0, DoorState::Ended { code }).rule(1).verdict
+    };
+    assert_eq!(ended(Some(DoorState::Terminated), Some(0)), Kept);
+    assert_eq!(ended(Some(DoorState::Killed), None), Kept);
+    assert_eq!(ended(Some(DoorState::Terminated), Some(70)), Broken);
+    assert_eq!(ended(Some(DoorState::Reloaded), Some(0)), Broken);
+    assert_eq!(ended(None, Some(70)), Broken);
+}
+
+// ---- Rule 2 -------------------------------------------------------------------------------------------
+
+/// A request whose first attempt ends so at 100 ms, and whose second comes at `second`.
+fn repeated(class: usize, end: End, second: f64) -> Tale {
+    tale()
+        .asked(0.0, "a", class)
+        .came(5.0, 1, "a", 0)
+        .over(100.0, 1, end)
+        .came(second, 2, "a", 1)
+        .over(second + 40.0, 2, End::Served)
+        .ran(second + 40.0, 2)
+        .answered(second + 42.0, "a", 200, Some(2))
+}
+
+#[test]
+fn only_what_never_ran_is_repeated_whatever_its_class() {
+    for (class, end, verdict) in [
+        (SAFE, End::Reset, Kept),
+        (SAFE, End::TurnedAway, Kept),
+        (KEYED, End::Error, Kept),
+        (UNSAFE, End::TurnedAway, Kept),
+        (UNSAFE, End::Reset, Broken),
+        (UNSAFE, End::Error, Broken),
+        (UNSAFE, End::Spoilt, Broken),
+        (UNSAFE, End::GivenUp, Broken),
+    ] {
+        assert_eq!(repeated(class, end, 120.0).rule(2).verdict, verdict, "{class} {end:?}");
+    }
+    // A request that was served at once puts nothing to the test.
+    assert_eq!(tale().served(0.0, 1, "a", UNSAFE, 0).rule(2).verdict, NotExercised);
+}
+
+#[test]
+fn a_key_is_good_for_its_memory_and_no_longer() {
+    let at = |age: f64| {
+        let tale = tale().line(
+            0.0,
+            Entry::Asked {
+                id: "a".into(),
+                item: 1,
+                retry: 0,
+                door: 0,
+                link: 1,
+                customer: 7,
+                plan: 0,
+                class: KEYED,
+                units: 1.0,
+                deadline: 9000.0,
+            },
+        );
+        tale.came(5.0, 1, "a", 0).over(100.0, 1, End::Reset).came(5.0 + age, 2, "a", 1).over(
+            4000.0,
+            2,
+            End::Served,
+        )
+    };
+    assert_eq!(at(MEMORY).rule(2).verdict, Kept);
+    let ruling = at(MEMORY + 1.0).rule(2);
+    assert_eq!((ruling.verdict, ruling.margin), (Broken, Some(-1.0)));
+}
+
+#[test]
+fn two_attempts_are_never_out_together() {
+    let gap = |gap| repeated(SAFE, End::GivenUp, 100.0 - gap).rule(2).verdict;
+    // Both ends of one moment are seen in either order.
+    assert_eq!((gap(maplefall_judge::BLUR), gap(maplefall_judge::BLUR + 1.0)), (Kept, Broken));
+    let never_ended = tale().asked(0.0, "a", SAFE).came(5.0, 1, "a", 0).came(400.0, 2, "a", 1);
+    assert_eq!(never_ended.rule(2).verdict, Broken);
+    // A node whose process ended has let go of what it had.
+    let gone = tale()
+        .line(0.0, Entry::Node { node: 0, state: NodeState::Up { cores: 2.0, cold_from: 1.0, cold_ms: 0.0 } })
+        .asked(0.0, "a", SAFE)
+        .came(5.0, 1, "a", 0)
+        .line(50.0, Entry::Node { node: 0, state: NodeState::Gone })
+        .came(60.0, 2, "a", 1)
+        .over(90.0, 2, End::Served);
+    assert_eq!(gone.rule(2).verdict, Kept);
+}
+
+#[test]
+fn a_refusal_is_a_promise_that_an_unsafe_request_never_ran() {
+    let refused = |class, end, status| {
+        let tale = tale().asked(0.0, "a", class).came(5.0, 1, "a", 0).over(50.0, 1, end);
+        tale.answered(60.0, "a", status, None).rule(2).verdict
+    };
+    assert_eq!(refused(UNSAFE, End::TurnedAway, 429), Kept);
+    assert_eq!(refused(UNSAFE, End::Error, 502), Kept);
+    assert_eq!(refused(UNSAFE, End::Error, 429), Broken);
+    assert_eq!(refused(UNSAFE, End::GivenUp, 503), Broken);
+    assert_eq!(refused(KEYED, End::Error, 429), Kept);
+    assert_eq!(refused(SAFE, End::Reset, 429), Kept);
+}
+
+#[test]
+fn no_more_attempts_than_the_settings_allow_and_no_effect_twice() {
+    let many = |count: u64| {
+        let tale = (0..count).fold(tale().asked(0.0, "a", SAFE), |tale, i| {
+            let at = 10.0 + 100.0 * i as f64;
+            tale.came(at, i, "a", 0).over(at + 20.0, i, End::Reset)
+        });
+        tale.rule(2).verdict
+    };
+    assert_eq!((many(3), many(4)), (Kept, Broken));
+    let twice = repeated(KEYED, End::Reset, 120.0).ran(99.0, 1);
+    assert_eq!(twice.rule(2).verdict, Broken);
+}
+
+// ---- Rule 3 -------------------------------------------------------------------------------------------
+
+#[test]
+fn a_drain_is_kept_to_its_last_moment() {
+    let sent = |after: f64| {
+        let tale = tale().served(0.0, 1, "a", SAFE, 3).told(1000.0, 0, 3, Health::Draining, None);
+        tale.served(1000.0 + after - 2.0, 2, "b", SAFE, 3).rule(3)
+    };
+    let last = sent(DRAIN_GRACE);
+    assert_eq!((last.verdict, last.margin, last.tested), (Kept, Some(0.0), 1));
+    assert_eq!(sent(DRAIN_GRACE + 1.0).verdict, Broken);
+}
+
+#[test]
+fn a_drain_binds_the_front_door_that_was_told_until_it_is_taken_back() {
+    let drained = || tale().served(0.0, 1, "a", SAFE, 3).told(1000.0, 0, 3, Health::Draining, None);
+    let other = |tale: Tale| {
+        tale.asked(2000.0, "b", SAFE).came_from(1, 2002.0, 2, "b", 3, 10.0).over(2050.0, 2, End::Served)
+    };
+    assert_eq!(other(drained()).rule(3).verdict, Kept);
+    let elsewhere = drained().served(2000.0, 2, "b", SAFE, 4);
+    assert_eq!(elsewhere.rule(3).verdict, Kept);
+    // Gone after draining does not begin a new grace; up again ends it.
+    let gone = drained().told(1500.0, 0, 3, Health::Removed, None);
+    assert_eq!(gone.served(1700.0, 2, "b", SAFE, 3).rule(3).verdict, Broken);
+    let back = drained().told(1500.0, 0, 3, Health::Up, Some(1400.0));
+    assert_eq!(back.served(1900.0, 2, "b", SAFE, 3).rule(3).verdict, Kept);
+}
+
+#[test]
+fn a_send_counts_from_its_first_byte_whole_or_not() {
+    let broken_off = |first| {
+        let entry = Entry::Came {
+            attempt: 2,
+            node: 3,
+            door: 0,
+            id: String::new(),
+            key: None,
+            first,
+            whole: false,
+            work: 0.0,
+        };
+        tale().served(0.0, 1, "a", SAFE, 3).told(1000.0, 0, 3, Health::Removed, None).line(2000.0, entry)
+    };
+    assert_eq!(broken_off(1540.0).rule(3).verdict, Kept);
+    assert_eq!(broken_off(1560.0).rule(3).verdict, Broken);
+}
+
+#[test]
+fn a_drain_of_a_node_that_was_not_used_puts_nothing_to_the_test() {
+    assert_eq!(tale().told(1000.0, 0, 3, Health::Draining, None).rule(3).verdict, NotExercised);
+    let unused = tale().served(0.0, 1, "a", SAFE, 4).told(1000.0, 0, 3, Health::Draining, None);
+    assert_eq!(unused.served(2000.0, 2, "b", SAFE, 4).rule(3).verdict, NotExercised);
+    let last = tale().served(0.0, 1, "a", SAFE, 3).told(1000.0, 0, 3, Health::Draining, None);
+    assert_eq!(last.rule(3).verdict, Kept);
+}
+
+// ---- Rule 4 -------------------------------------------------------------------------------------------
+
+/// A node of two cores at a quarter of its capacity, told to both front doors, and so many attempts of 100 ms of work
+/// in one moment right after its start: its budget is 3 x 0.5 x 1500 + 100 = 2350 ms.
+fn cold(count: u64, from: impl Fn(u64) -> u32) -> Tale {
+    let up = NodeState::Up { cores: 2.0, cold_from: 0.25, cold_ms: 1e9 };
+    let tale = tale()
+        .line(1000.0, Entry::Node { node: 5, state: up })
+        .told(1001.0, 0, 5, Health::Up, Some(1000.0))
+        .told(1001.0, 1, 5, Health::Up, Some(1000.0));
+    (0..count).fold(tale, |tale, i| {
+        let id = format!("c{i}");
+        tale.asked(1010.0, &id, SAFE).came_from(from(i), 1100.0, 100 + i, &id, 5, 100.0).over(
+            1200.0,
+            100 + i,
+            End::TurnedAway,
+        )
+    })
+}
+
+#[test]
+fn a_cold_node_bears_its_budget_and_no_more() {
+    assert_eq!(cold(23, |i| (i % 2) as u32).rule(4).verdict, Kept);
+    assert_eq!(cold(24, |i| (i % 2) as u32).rule(4).verdict, Broken);
+    // Too few attempts are no test.
+    assert_eq!(cold(4, |_| 0).rule(4).verdict, NotExercised);
+}
+
+#[test]
+fn what_comes_from_front_doors_that_do_not_know_breaks_no_rule() {
+    // Front door 2 was never told: with more than a third of the work from there, nobody could have known.
+    assert_eq!(cold(24, |i| if i % 2 == 0 { 2 } else { 0 }).rule(4).verdict, Kept);
+    assert_eq!(cold(30, |i| if i % 10 == 0 { 2 } else { 0 }).rule(4).verdict, Broken);
+}
+
+#[test]
+fn a_window_that_has_passed_does_not_count() {
+    let two = |gap: f64| {
+        (0..15).fold(cold(15, |_| 0), |tale, i| {
+            let id = format!("d{i}");
+            let at = 1100.0 + gap;
+            tale.asked(at - 5.0, &id, SAFE).came_from(0, at, 200 + i, &id, 5, 100.0).over(
+                at + 10.0,
+                200 + i,
+                End::Served,
+            )
+        })
+    };
+    assert_eq!(two(1400.0).rule(4).verdict, Broken);
+    assert_eq!(two(1600.0).rule(4).verdict, Kept);
+}
+
+// ---- Rule 5 -------------------------------------------------------------------------------------------
+
+/// So many units at once for one customer with a ceiling of 40 units and 20 a second; 4 + 3 below nought are allowed.
+fn ceiling(units: u64) -> Tale {
+    (0..units).fold(tale(), |tale, i| {
+        let id = format!("u{i}");
+        tale.asked_of(0.0, &id, SAFE, 1, 9, 1.0).came_from((i % 2) as u32, 10.0, i, &id, 0, 1.0).over(
+            20.0,
+            i,
+            End::Served,
+        )
+    })
+}
+
+#[test]
+fn a_ceiling_holds_over_all_front_doors_with_its_slack() {
+    assert_eq!(ceiling(15).rule(5).verdict, NotExercised);
+    let last = ceiling(47).rule(5);
+    assert_eq!((last.verdict, last.margin), (Kept, Some(0.0)));
+    assert_eq!(ceiling(48).rule(5).verdict, Broken);
+}
+
+#[test]
+fn a_ceilings_store_refills_and_counts_each_request_once() {
+    let later = |at: f64| {
+        (0..20).fold(ceiling(40), |tale, i| {
+            let id = format!("v{i}");
+            tale.asked_of(at, &id, SAFE, 1, 9, 1.0).came_from(0, at + 10.0, 100 + i, &id, 0, 1.0).over(
+                at + 20.0,
+                100 + i,
+                End::Served,
+            )
+        })
+    };
+    assert_eq!(later(500.0).rule(5).verdict, Broken);
+    assert_eq!(later(1000.0).rule(5).verdict, Kept);
+    // A second attempt takes nothing.
+    let again = (0..40).fold(ceiling(40), |tale, i| {
+        tale.came_from(0, 30.0, 300 + i, &format!("u{i}"), 0, 1.0).over(40.0, 300 + i, End::Served)
+    });
+    assert_eq!(again.rule(5).verdict, Kept);
+}
+
+// ---- The whole judgement ------------------------------------------------------------------------------
+
+#[test]
+fn late_stand_ins_void_a_run_and_blame_nobody() {
+    let judge = |p99_ms, most_ms| {
+        let lateness = Entry::Lateness { actions: 100, p50_ms: 0.5, p99_ms, most_ms };
+        let lines = vec![Line { at: 1.0, entry: lateness }];
+        maplefall_judge::judge(&Record { header: header(), lines }).void
+    };
+    assert_eq!(judge(maplefall_judge::MOST_LATE_P99, maplefall_judge::MOST_LATE), None);
+    assert!(judge(maplefall_judge::MOST_LATE_P99 + 0.1, 20.0).is_some());
+    assert!(judge(1.0, maplefall_judge::MOST_LATE + 1.0).is_some());
+    let silent = maplefall_judge::judge(&Record { header: header(), lines: Vec::new() });
+    assert!(silent.void.is_some());
+}
+
+#[test]
+fn worth_counts_inside_the_quota_and_in_time() {
+    // The store holds 20 units: the 21st request at once is beyond the quota and counts for nothing.
+    let tale = (0..21).fold(tale(), |tale, i| {
+        let id = format!("w{i}");
+        let tale = tale.asked(0.0, &id, SAFE).came(5.0, i, &id, 0);
+        if i < 10 {
+            tale.over(30.0, i, End::Served).answered(40.0, &id, 200, Some(i))
+        } else {
+            tale.over(30.0, i, End::TurnedAway).answered(40.0, &id, 429, None)
+        }
+    });
+    let figures = tale.judge().figures;
+    assert_eq!((figures.requests, figures.served, figures.refused), (21, 10, 11));
+    assert!((figures.worth_share - 0.5).abs() < 1e-9, "{}", figures.worth_share);
+}
--- /dev/null
+++ b/crates/rehearsal/src/daemon.rs
@@ -0,0 +1,133 @@
+//! One front door as a process: started, watched, signalled and ended. Only processes started here are ever touched.
+
+use maplefall_record::Millis;
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+/// Clock ticks a second in the system's process table, on every Linux that Rust builds for.
+const TICKS: f64 = 100.0;
+
+/// A running front door. Dropped, it is killed.
+pub struct Door {
+    child: Child,
+    used: (Millis, u64),
+}
+
+/// Where a front door's files are.
+#[derive(Clone, Debug)]
+pub struct Files {
+    /// Its configuration.
+    pub config: PathBuf,
+    /// Its log.
+    pub log: PathBuf,
+}
+
+impl Files {
+    /// The files of a front door in this folder.
+    pub fn new(folder: &Path, door: usize) -> Files {
+        Files {
+            config: folder.join(format!("door-{door}.json")),
+            log: folder.join(format!("door-{door}.log")),
+        }
+    }
+
+    /// Replaces the configuration, whole at any moment.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub fn write(&self, config: &str) -> io::Result<()> {
+        let fresh = self.config.with_extension("new");
+        std::fs::write(&fresh, config)?;
+        std::fs::rename(&fresh, &self.config)
+    }
+}
+
+impl Door {
+    /// Starts the daemon with its configuration; its log goes on behind that of an earlier life.
+    ///
+    /// # Errors
+    /// What the system says where it does not start.
+    pub fn start(
+        daemon: &Path,
+        files: &Files,
+        door: usize,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+        breakage: Option<&str>,
+    ) -> io::Result<Door> {
+        let log = File::options().create(true).append(true).open(&files.log)?;
+        let mut command = Command::new(daemon);
+        command
+            .env("BALANCER_NAME", format!("door-{door}"))
+            .env("BALANCER_LISTEN", listen.to_string())
+            .env("BALANCER_DISCOVERY", discovery.to_string())
+            .env("BALANCER_CONFIG", &files.config)
+            .env_remove(BREAKAGE)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log);
+        if let Some(breakage) = breakage {
+            command.env(BREAKAGE, breakage);
+        }
+        Ok(Door { child: command.spawn()?, used: (0.0, 0) })
+    }
+
+    fn signal(&self, signal: Signal) {
+        // One that has ended by itself is found by `ended`.
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Tells it to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Tells it to read its configuration again.
+    pub fn reload(&self) {
+        self.signal(Signal::HUP);
+    }
+
+    /// Kills it outright and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// How it ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Looks up what it has used so far: processor time, and the most memory in KiB. The last figures stay once it
+    /// has ended.
+    pub fn used(&mut self) -> (Millis, u64) {
+        let table = |file: &str| std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id()));
+        if let Ok(stat) = table("stat") {
+            // The name in brackets may hold anything; what counts stands behind it.
+            let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+            let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+            self.used.0 = self.used.0.max((ticks(11) + ticks(12)) * 1000.0 / TICKS);
+        }
+        if let Ok(status) = table("status") {
+            let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+            let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0);
+            self.used.1 = self.used.1.max(kib);
+        }
+        self.used
+    }
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The variable that names a breakage to a daemon that was built to be broken; the released one knows nothing of it.
+pub const BREAKAGE: &str = "MAPLEFALL_BREAKAGE";
--- /dev/null
+++ b/crates/rehearsal/src/library.rs
@@ -0,0 +1,93 @@
+//! The scenarios that ship with the program.
+
+use crate::reading::Mistake;
+use crate::scenario::Scenario;
+use std::path::Path;
+
+macro_rules! shipped {
+    ($($name:literal),* $(,)?) => {
+        /// Name and text of each, the calmest first.
+        pub const SHIPPED: &[(&str, &str)] =
+            &[$(($name, include_str!(concat!("../../../rehearsals/", $name, ".toml")))),*];
+    };
+}
+
+shipped!("calm", "short");
+
+/// Why there is no such scenario.
+#[derive(Debug, thiserror::Error)]
+pub enum NoScenario {
+    /// None of that name ships.
+    #[error("no scenario is called {name:?}; there are {known}, or a file by its path")]
+    Unknown {
+        /// What was asked for.
+        name: String,
+        /// What there is.
+        known: String,
+    },
+    /// The file cannot be read.
+    #[error("{path}: {error}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// It has mistakes.
+    #[error("{name}: {} mistakes\n{}", mistakes.len(), list(mistakes))]
+    Mistakes {
+        /// The scenario.
+        name: String,
+        /// All of them.
+        mistakes: Vec<Mistake>,
+    },
+}
+
+fn list(mistakes: &[Mistake]) -> String {
+    mistakes.iter().map(|mistake| format!("  {mistake}")).collect::<Vec<_>>().join("\n")
+}
+
+/// A shipped scenario by its name, or one in a file by its path.
+///
+/// # Errors
+/// Why there is none.
+pub fn find(name: &str) -> Result<Scenario, NoScenario> {
+    let shipped = SHIPPED.iter().find(|(known, _)| *known == name);
+    let (name, text) = match shipped {
+        Some((name, text)) => ((*name).to_owned(), (*text).to_owned()),
+        None if name.ends_with(".toml") => {
+            let unreadable = |error| NoScenario::Unreadable { path: name.to_owned(), error };
+            let text = std::fs::read_to_string(name).map_err(unreadable)?;
+            let stem = Path::new(name).file_stem().map_or(name.into(), |stem| stem.to_string_lossy());
+            (stem.into_owned(), text)
+        }
+        None => {
+            let known: Vec<&str> = SHIPPED.iter().map(|(name, _)| *name).collect();
+            return Err(NoScenario::Unknown { name: name.to_owned(), known: known.join(", ") });
+        }
+    };
+    Scenario::read(&name, &text).map_err(|mistakes| NoScenario::Mistakes { name, mistakes })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_shipped_scenario_can_be_read_and_is_listed() {
+        for (name, _) in SHIPPED {
+            let scenario = find(name).unwrap_or_else(|error| panic!("{error}"));
+            assert!(!scenario.title.is_empty() && scenario.seconds <= 120.0, "{name}");
+        }
+        let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../rehearsals");
+        let files = std::fs::read_dir(folder).unwrap().filter_map(|file| {
+            let name = file.unwrap().file_name().into_string().unwrap();
+            name.strip_suffix(".toml").map(str::to_owned)
+        });
+        let mut files: Vec<String> = files.collect();
+        files.sort();
+        let mut shipped: Vec<String> = SHIPPED.iter().map(|(name, _)| (*name).to_owned()).collect();
+        shipped.sort();
+        assert_eq!(files, shipped, "a file that does not ship");
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/play.rs
@@ -0,0 +1,617 @@
+//! Plays a script: the nodes and agents on one thread, the clients on another, and the front doors as processes of the
+//! built daemon, driven from here. What all of them see goes into one record.
+
+use crate::daemon::{Door, Files};
+use crate::scenario::{Scenario, Strike};
+use crate::script::{DoorAct, Script, WorldAct};
+use crate::settings;
+use maplefall_protocol::{Health, Member};
+use maplefall_record as record;
+use maplefall_record::{DoorState, Entry, Millis, Record, Recorder};
+use maplefall_stand_ins::agent::{self, Agent, List};
+use maplefall_stand_ins::client::{Ask, Backoff, Board, Clients, DoorSeen, Habits, Kind};
+use maplefall_stand_ins::lateness::Lateness;
+use maplefall_stand_ins::node::{Fault, Metering, Node, Overload, Place, Seats, Spec, Trouble, Work, World};
+use maplefall_stand_ins::rude;
+use std::cell::RefCell;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Longest time for a front door to become ready.
+const READY: Duration = Duration::from_secs(20);
+/// Longest time for one to end after it was told to stop: the longest deadline of the platform and its 0.7 s, widely.
+const STOP: Duration = Duration::from_secs(15);
+/// How long an agent that has moved keeps its old connections (later-work page).
+const MOVE_GRACE: Duration = Duration::from_millis(1500);
+/// How long the front opens new connections to a front door that was told to stop (protocol page: 0.2 to 0.4 s).
+const STOP_MS: Millis = 300.0;
+/// How often the driver looks round.
+const LOOK: Duration = Duration::from_millis(5);
+/// Time after the last request in which its retries and answers come.
+pub const AFTER: Millis = 3500.0;
+
+/// Why a scenario could not be played.
+#[derive(Debug, thiserror::Error)]
+pub enum NotPlayed {
+    /// The system refused something.
+    #[error("{what}: {error}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// What the system said.
+        error: io::Error,
+    },
+    /// A front door did not become ready.
+    #[error("front door {door} was not ready within {READY:?}; its log ends: {log}")]
+    NotReady {
+        /// Which.
+        door: usize,
+        /// The end of its log.
+        log: String,
+    },
+    /// A thread of stand-ins ended early.
+    #[error("the stand-ins' {0} ended early")]
+    StandIn(&'static str),
+    /// More was seen than a record holds.
+    #[error("{0} lines found no room in the record: a shorter or smaller scenario is needed")]
+    Overflow(u64),
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> NotPlayed {
+    let what = what.into();
+    |error| NotPlayed::Io { what, error }
+}
+
+/// What is played, with what, and where.
+pub struct Play<'a> {
+    /// The scenario.
+    pub scenario: &'a Scenario,
+    /// Its script.
+    pub script: &'a Script,
+    /// The daemon.
+    pub daemon: &'a Path,
+    /// A breakage to name to it.
+    pub breakage: Option<&'a str>,
+    /// Where configurations and logs go; made if it is not there.
+    pub folder: PathBuf,
+    /// Told the time of the script in milliseconds now and then.
+    pub progress: &'a dyn Fn(Millis),
+}
+
+/// One front door and all that its driver knows of it.
+struct Slot {
+    files: Files,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    list: List,
+    door: Option<Door>,
+    life: u64,
+    /// Whether its end is expected, and after how long it is to come back.
+    stopping: Option<Millis>,
+    restart_at: Option<Millis>,
+    ready_by: Option<Instant>,
+}
+
+impl Play<'_> {
+    /// Plays the script to its end.
+    ///
+    /// # Errors
+    /// Why it could not be played; a front door that misbehaves is no reason.
+    pub fn play(&self) -> Result<Record, NotPlayed> {
+        let (scenario, script) = (self.scenario, self.script);
+        std::fs::create_dir_all(&self.folder)
+            .map_err(io_error(format!("the folder {}", self.folder.display())))?;
+        let recorder = Recorder::new();
+        let lateness = Lateness::default();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix_start = unix.as_secs_f64() * 1000.0 - recorder.now();
+        let doors = scenario.doors as usize;
+        let port = || TcpListener::bind("127.0.0.1:0");
+        let mut places = Vec::new();
+        for _ in 0..script.places {
+            places.push(Seats::open(doors).map_err(io_error("listeners for nodes"))?);
+        }
+        // Agents: one address to begin with, and one to move to.
+        let mut agents_at = Vec::new();
+        let mut slots = Vec::new();
+        for door in 0..doors {
+            let two = [port(), port()].map(|listener| {
+                let listener = listener?;
+                listener.set_nonblocking(true)?;
+                Ok(listener)
+            });
+            let [first, second] = two.map(|listener| listener.map_err(io_error("listeners for agents")));
+            let (first, second) = (first?, second?);
+            let local =
+                |listener: &TcpListener| listener.local_addr().map_err(io_error("the address of an agent"));
+            let member = |node: u32| member(places[node as usize].address(door), node, Health::Up, 0.0);
+            let list = List::new((0..scenario.nodes).map(member));
+            slots.push(Slot {
+                files: Files::new(&self.folder, door),
+                listen: free_address(door).map_err(io_error("an address for a front door"))?,
+                discovery: local(&first)?,
+                list: list.clone(),
+                door: None,
+                life: 0,
+                stopping: None,
+                restart_at: None,
+                ready_by: None,
+            });
+            agents_at.push((first, local(&second)?, second, list));
+        }
+        let moved: Vec<SocketAddr> = agents_at.iter().map(|(_, moved, _, _)| *moved).collect();
+        let board = Board::new(doors);
+        let addresses: Vec<SocketAddr> = slots.iter().map(|slot| slot.listen).collect();
+        let stop = Arc::new(AtomicBool::new(false));
+        // Set once all front doors are ready: the moment from which the script counts.
+        let (start_world, world_starts) = tokio::sync::oneshot::channel::<Millis>();
+        let (start_clients, clients_start) = tokio::sync::oneshot::channel::<Millis>();
+        std::thread::scope(|scope| {
+            let nodes = {
+                let (recorder, lateness, stop) = (recorder.clone(), lateness.clone(), stop.clone());
+                scope.spawn(move || {
+                    on_a_runtime(play_world(
+                        scenario,
+                        script,
+                        recorder,
+                        lateness,
+                        unix_start,
+                        places,
+                        agents_at,
+                        world_starts,
+                        stop,
+                    ))
+                })
+            };
+            let clients = {
+                let (recorder, lateness, board) = (recorder.clone(), lateness.clone(), board.clone());
+                scope.spawn(move || {
+                    on_a_runtime(play_clients(
+                        scenario,
+                        script,
+                        recorder,
+                        lateness,
+                        addresses,
+                        board,
+                        clients_start,
+                    ))
+                })
+            };
+            let driven = self.drive(
+                &recorder,
+                &board,
+                unix_start,
+                &mut slots,
+                &moved,
+                start_world,
+                start_clients,
+                &clients,
+            );
+            stop.store(true, Ordering::Relaxed);
+            let clients = clients.join().unwrap_or(Err(io::ErrorKind::Other.into()));
+            let nodes = nodes.join().unwrap_or(Err(io::ErrorKind::Other.into()));
+            driven?;
+            clients.map_err(|_| NotPlayed::StandIn("clients"))?;
+            nodes.map_err(|_| NotPlayed::StandIn("nodes"))
+        })?;
+        recorder.note(lateness.entry());
+        match recorder.dropped() {
+            0 => Ok(Record { header: script.header.clone(), lines: recorder.take() }),
+            dropped => Err(NotPlayed::Overflow(dropped)),
+        }
+    }
+
+    /// Starts the front doors, carries out what is done to them, and ends them.
+    #[allow(clippy::too_many_arguments)]
+    fn drive<T>(
+        &self,
+        recorder: &Recorder,
+        board: &Board,
+        unix_start: Millis,
+        slots: &mut [Slot],
+        moved: &[SocketAddr],
+        start_world: tokio::sync::oneshot::Sender<Millis>,
+        start_clients: tokio::sync::oneshot::Sender<Millis>,
+        clients: &std::thread::ScopedJoinHandle<'_, T>,
+    ) -> Result<(), NotPlayed> {
+        for door in 0..slots.len() {
+            self.start(recorder, unix_start, slots, door)?;
+        }
+        while slots.iter().any(|slot| slot.ready_by.is_some()) {
+            self.look(recorder, board, unix_start, slots)?;
+            std::thread::sleep(LOOK);
+        }
+        let zero = recorder.now() + 100.0;
+        // A thread that has ended is found when it is joined.
+        let _ = start_world.send(zero);
+        let _ = start_clients.send(zero);
+        let mut acts = self.script.doors.iter().peekable();
+        let mut failures = self.script.failures.iter().peekable();
+        loop {
+            let now = recorder.now() - zero;
+            while let Some((_, name, begins)) = failures.next_if(|(at, _, _)| *at <= now) {
+                recorder.note(Entry::Failure { name: name.clone(), begins: *begins });
+            }
+            while let Some((_, door, act)) = acts.next_if(|(at, _, _)| *at <= now) {
+                self.act(recorder, board, slots, moved, *door, *act)?;
+            }
+            self.look(recorder, board, unix_start, slots)?;
+            (self.progress)(now.max(0.0));
+            let idle = slots.iter().all(|slot| slot.restart_at.is_none() && slot.ready_by.is_none());
+            if clients.is_finished() && acts.peek().is_none() && idle && now >= self.script.length {
+                break;
+            }
+            std::thread::sleep(LOOK);
+        }
+        for (door, slot) in slots.iter_mut().enumerate() {
+            if let Some(process) = &slot.door {
+                recorder.note(Entry::Door { door: door as u32, state: DoorState::Terminated });
+                process.terminate();
+                slot.stopping = Some(f64::INFINITY);
+            }
+        }
+        let end = Instant::now() + STOP;
+        while slots.iter().any(|slot| slot.door.is_some()) && Instant::now() < end {
+            self.look(recorder, board, unix_start, slots)?;
+            std::thread::sleep(LOOK);
+        }
+        for (door, slot) in slots.iter_mut().enumerate() {
+            if let Some(mut process) = slot.door.take() {
+                process.kill();
+                // It was told to stop and did not: that is an end by a signal of nobody's script.
+                recorder.note(Entry::Door { door: door as u32, state: DoorState::Ended { code: None } });
+            }
+        }
+        Ok(())
+    }
+
+    fn start(
+        &self,
+        recorder: &Recorder,
+        unix_start: Millis,
+        slots: &mut [Slot],
+        door: usize,
+    ) -> Result<(), NotPlayed> {
+        let Some(slot) = slots.get_mut(door) else { return Ok(()) };
+        slot.life += 1;
+        let known = slot.list.whole();
+        let config = settings::config(
+            self.scenario,
+            self.script,
+            door,
+            slot.listen,
+            slot.discovery,
+            &known,
+            slot.life,
+        );
+        slot.files.write(&config.to_string()).map_err(io_error("a configuration"))?;
+        recorder.note(Entry::Door { door: door as u32, state: DoorState::Started });
+        agent::told(recorder, door as u32, &known, unix_start);
+        let started = Door::start(self.daemon, &slot.files, door, slot.listen, slot.discovery, self.breakage);
+        slot.door = Some(started.map_err(io_error(format!("the daemon {}", self.daemon.display())))?);
+        (slot.stopping, slot.restart_at) = (None, None);
+        slot.ready_by = Some(Instant::now() + READY);
+        Ok(())
+    }
+
+    fn act(
+        &self,
+        recorder: &Recorder,
+        board: &Board,
+        slots: &mut [Slot],
+        moved: &[SocketAddr],
+        door: usize,
+        act: DoorAct,
+    ) -> Result<(), NotPlayed> {
+        let Some(slot) = slots.get_mut(door) else { return Ok(()) };
+        let Some(process) = &mut slot.door else { return Ok(()) };
+        let number = door as u32;
+        let left = |told| {
+            let left = Some((recorder.now(), told));
+            board.set(door, DoorSeen { ready: true, left });
+        };
+        match act {
+            DoorAct::Kill(down) => {
+                let (cpu_ms, memory_kib) = process.used();
+                // Before the signal: what is lost from here on is the killer's doing.
+                recorder.note(Entry::Door { door: number, state: DoorState::Killed });
+                process.kill();
+                left(false);
+                recorder.note(Entry::Door { door: number, state: DoorState::Ended { code: None } });
+                recorder.note(Entry::Used { door: number, cpu_ms, memory_kib });
+                (slot.door, slot.ready_by) = (None, None);
+                slot.restart_at = Some(recorder.now() + down);
+            }
+            DoorAct::Stop(down) => {
+                recorder.note(Entry::Door { door: number, state: DoorState::Terminated });
+                process.terminate();
+                left(true);
+                slot.stopping = Some(down);
+            }
+            DoorAct::Reload => {
+                slot.discovery = moved[door];
+                let known = slot.list.whole();
+                let config = settings::config(
+                    self.scenario,
+                    self.script,
+                    door,
+                    slot.listen,
+                    slot.discovery,
+                    &known,
+                    slot.life,
+                );
+                slot.files.write(&config.to_string()).map_err(io_error("a configuration"))?;
+                recorder.note(Entry::Door { door: number, state: DoorState::Reloaded });
+                process.reload();
+            }
+        }
+        Ok(())
+    }
+
+    /// Sees who has become ready, who has ended, and who is due to come back.
+    fn look(
+        &self,
+        recorder: &Recorder,
+        board: &Board,
+        unix_start: Millis,
+        slots: &mut [Slot],
+    ) -> Result<(), NotPlayed> {
+        for door in 0..slots.len() {
+            let slot = &mut slots[door];
+            let number = door as u32;
+            if let Some(process) = &mut slot.door {
+                let (cpu_ms, memory_kib) = process.used();
+                if let Some(status) = process.ended() {
+                    let state = DoorState::Ended { code: status.code() };
+                    recorder.note(Entry::Door { door: number, state });
+                    recorder.note(Entry::Used { door: number, cpu_ms, memory_kib });
+                    slot.door = None;
+                    slot.ready_by = None;
+                    board.set(door, DoorSeen { ready: true, left: Some((recorder.now(), false)) });
+                    // One that ended by itself comes back too, as a supervisor would have it.
+                    let down = slot.stopping.unwrap_or(1000.0);
+                    slot.restart_at = down.is_finite().then_some(recorder.now() + down);
+                    continue;
+                }
+            }
+            if slot.restart_at.is_some_and(|at| recorder.now() >= at) {
+                self.start(recorder, unix_start, slots, door)?;
+                continue;
+            }
+            if let Some(by) = slot.ready_by {
+                if healthy(slot.listen) {
+                    slot.ready_by = None;
+                    recorder.note(Entry::Door { door: number, state: DoorState::Ready });
+                    board.set(door, DoorSeen { ready: true, left: None });
+                } else if Instant::now() > by {
+                    let log = std::fs::read_to_string(&slot.files.log).unwrap_or_default();
+                    let log = log.lines().last().unwrap_or("nothing").to_owned();
+                    return Err(NotPlayed::NotReady { door, log });
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// An address that is free, and that no outgoing connection takes: those come from 127.0.0.1.
+fn free_address(door: usize) -> io::Result<SocketAddr> {
+    let host = format!("127.64.{}.{}", std::process::id() % 250 + 1, door + 1);
+    TcpListener::bind((host.as_str(), 0))?.local_addr()
+}
+
+/// Whether a front door answers its readiness check with 200.
+fn healthy(door: SocketAddr) -> bool {
+    let ask = || -> io::Result<bool> {
+        let mut stream = TcpStream::connect_timeout(&door, Duration::from_millis(200))?;
+        stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+        stream.write_all(b"GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")?;
+        let mut answer = [0; 12];
+        stream.read_exact(&mut answer)?;
+        Ok(answer.ends_with(b" 200"))
+    };
+    ask().unwrap_or(false)
+}
+
+fn member(dial: SocketAddr, node: u32, health: Health, born_ms: Millis) -> Member {
+    Member { host: agent::host(node), dial, site: "z-1".into(), block: 0, health, share: 1.0, born_ms }
+}
+
+fn on_a_runtime<T>(of: impl std::future::Future<Output = io::Result<T>>) -> io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, of)
+}
+
+/// The nodes and agents, until the driver says that all is over.
+#[allow(clippy::too_many_arguments)]
+async fn play_world(
+    scenario: &Scenario,
+    script: &Script,
+    recorder: Recorder,
+    lateness: Lateness,
+    unix_start: Millis,
+    places: Vec<Seats>,
+    agents_at: Vec<(TcpListener, SocketAddr, TcpListener, List)>,
+    starts: tokio::sync::oneshot::Receiver<Millis>,
+    stop: Arc<AtomicBool>,
+) -> io::Result<()> {
+    let work = scenario.classes.iter().map(|class| Work {
+        class: class.name.clone(),
+        effect: class.effect,
+        memory_ms: class.memory_ms,
+        work_ms: class.work_ms,
+    });
+    let rules = script.header.rules;
+    let world = World::new(
+        script.header.seed,
+        recorder.clone(),
+        lateness.clone(),
+        work.collect(),
+        Metering {
+            period_ms: settings::METER_MS,
+            delay_ms: script.meter_delay_ms,
+            rates: scenario.plans.iter().map(|plan| plan.rate).collect(),
+        },
+        settings::IDLE_MS,
+        Overload {
+            factor: rules.overload_factor,
+            window_ms: rules.overload_window_ms,
+            slack_ms: rules.cold_slack_ms,
+        },
+    );
+    let spec = |number, cold_from| Spec {
+        number,
+        cores: scenario.cores,
+        queue: scenario.queue as usize,
+        cold_from,
+        cold_ms: scenario.cold_ms,
+        connections: scenario.connections as usize,
+    };
+    let places: Vec<Rc<Place>> = places.into_iter().map(Place::over).collect();
+    let born: RefCell<Vec<(u32, Millis)>> = RefCell::default();
+    for node in 0..scenario.nodes {
+        places[node as usize].house(Some(Node::start(&world, spec(node, 1.0))));
+    }
+    let mut agents = Vec::new();
+    let mut second = Vec::new();
+    for (door, (first, _, later, list)) in agents_at.into_iter().enumerate() {
+        let agent = Agent::new(door as u32, list, recorder.clone(), unix_start);
+        agent.listen(first, MOVE_GRACE);
+        agents.push(agent);
+        second.push(Some(later));
+    }
+    let Ok(zero) = starts.await else { return Ok(()) };
+    let moves = script.doors.iter().filter(|(_, _, act)| *act == DoorAct::Reload);
+    let moves: Vec<(Millis, usize)> = moves.map(|(at, door, _)| (*at, *door)).collect();
+    let mut moves = moves.into_iter().peekable();
+    let mut acts = script.world.iter().peekable();
+    while !stop.load(Ordering::Relaxed) {
+        let next = [acts.peek().map(|(at, _)| *at), moves.peek().map(|(at, _)| *at)];
+        let next = next.into_iter().flatten().fold(f64::INFINITY, f64::min) + zero;
+        // Looks up now and then, to see that all is over.
+        let until = next.min(recorder.now() + 50.0);
+        tokio::time::sleep_until(recorder.instant(until).into()).await;
+        let now = recorder.now();
+        while let Some((_, door)) = moves.next_if(|(at, _)| at + zero <= now) {
+            if let Some(listener) = second[door].take() {
+                agents[door].listen(listener, MOVE_GRACE);
+            }
+        }
+        while let Some((at, act)) = acts.next_if(|(at, _)| at + zero <= now) {
+            lateness.note(at + zero, now);
+            match *act {
+                WorldAct::Strike { place, strike, share, late_ms, for_ms } => {
+                    let trouble = match strike {
+                        Strike::Stall => Trouble::Stall,
+                        Strike::ResetBefore => Trouble::ResetBefore,
+                        Strike::ResetWithin => Trouble::ResetWithin,
+                        Strike::ResetAfter => Trouble::ResetAfter,
+                        Strike::Spoilt => Trouble::Spoilt,
+                        Strike::Endless => Trouble::Endless,
+                        Strike::FastErrors => Trouble::FastError,
+                        Strike::Late => Trouble::Late(late_ms),
+                        Strike::Refuse => Trouble::Refuse,
+                        Strike::Neighbour => Trouble::Neighbour(share),
+                    };
+                    places[place].fault(Fault { trouble, part: share, until: at + zero + for_ms });
+                }
+                WorldAct::Drain(place) => {
+                    if let Some(node) = places[place].tenant() {
+                        node.drain();
+                    }
+                }
+                WorldAct::End(place) => {
+                    if let Some(node) = places[place].tenant() {
+                        node.end();
+                    }
+                    places[place].house(None);
+                }
+                WorldAct::Start { place, node } => {
+                    let fresh = Node::start(&world, spec(node, scenario.cold_from));
+                    born.borrow_mut().push((node, fresh.born()));
+                    places[place].house(Some(fresh));
+                }
+                WorldAct::Tell { door, place, node, health } => {
+                    let health = match health {
+                        record::Health::Up => Health::Up,
+                        record::Health::Draining => Health::Draining,
+                        record::Health::Removed => Health::Removed,
+                    };
+                    let born = born.borrow();
+                    let life = born.iter().rev().find(|(known, _)| *known == node);
+                    let born_ms = life.map_or(0.0, |(_, at)| unix_start + at);
+                    agents[door].tell(&member(places[place].address(door), node, health, born_ms));
+                }
+                WorldAct::Silence { door, silent } => agents[door].silence(silent),
+                WorldAct::BreakOff => agents.iter().for_each(|agent| agent.break_off()),
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The clients, until the last of them has its answer.
+async fn play_clients(
+    scenario: &Scenario,
+    script: &Script,
+    recorder: Recorder,
+    lateness: Lateness,
+    doors: Vec<SocketAddr>,
+    board: Board,
+    starts: tokio::sync::oneshot::Receiver<Millis>,
+) -> io::Result<()> {
+    let kinds = scenario.classes.iter().map(|class| Kind {
+        name: class.name.clone(),
+        effect: class.effect,
+        memory_ms: class.memory_ms,
+        give_up_ms: class.give_up_ms,
+    });
+    let habits = Habits {
+        retries: scenario.retries,
+        backoff: match scenario.backoff.as_str() {
+            "none" => Backoff::AtOnce,
+            "doubling" => Backoff::Doubling(scenario.backoff_ms),
+            _ => Backoff::Fixed(scenario.backoff_ms),
+        },
+        honour: scenario.honour,
+        most_wait_ms: settings::MOST_WAIT_MS,
+        patience: scenario.patience,
+        notice_ms: script.notice_ms,
+        stop_ms: STOP_MS,
+        busiest_ms: scenario.busiest_ms,
+        answer_slack_ms: script.header.rules.answer_slack_ms + script.header.rules.socket_slack_ms,
+    };
+    let plans = scenario.plans.iter().map(|plan| plan.name.clone()).collect();
+    let clients = Clients::new(
+        script.header.seed,
+        recorder.clone(),
+        lateness,
+        kinds.collect(),
+        plans,
+        habits,
+        doors.clone(),
+        board,
+    );
+    let Ok(zero) = starts.await else { return Ok(()) };
+    let safe = scenario.classes.iter().find(|class| class.effect == record::Effect::Safe);
+    let class = safe.or(scenario.classes.first()).map_or(String::new(), |class| class.name.clone());
+    let plan = scenario.plans.first().map_or(String::new(), |plan| plan.name.clone());
+    let mut visits = tokio::task::JoinSet::new();
+    for (lot, at) in script.rude.iter().enumerate() {
+        let (recorder, class, plan) = (recorder.clone(), class.clone(), plan.clone());
+        let (at, door, kind) = (at + zero, doors[lot % doors.len()], rude::ALL[lot % rude::ALL.len()]);
+        visits.spawn_local(async move {
+            tokio::time::sleep_until(recorder.instant(at).into()).await;
+            rude::visit(&recorder, door, kind, lot as u64, &class, &plan).await;
+        });
+    }
+    let asks = script.asks.iter().map(|ask| Ask { at: ask.at + zero, ..ask.clone() });
+    clients.play(asks).await;
+    while visits.join_next().await.is_some() {}
+    Ok(())
+}
--- /dev/null
+++ b/crates/rehearsal/src/scenario.rs
@@ -0,0 +1,501 @@
+//! Scenarios as data: what a file under `rehearsals/` may say, and every mistake in one with its line.
+
+use crate::reading::{Mistake, Table};
+use maplefall_record::{Effect, Millis};
+
+/// Version of the form of a scenario file.
+const VERSION: u32 = 1;
+/// Most front doors, nodes and seconds: all of it runs on one machine.
+const MOST_DOORS: f64 = 8.0;
+const MOST_NODES: f64 = 200.0;
+const MOST_SECONDS: f64 = 300.0;
+
+/// A figure that is drawn anew for each seed, from this to that.
+pub type Range = [f64; 2];
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Part of all requests.
+    pub share: f64,
+    /// Whether it may run again.
+    pub effect: Effect,
+    /// For how long nodes drop a repeat of its key.
+    pub memory_ms: Millis,
+    /// Work of a request of the usual size.
+    pub work_ms: Range,
+    /// An answer within this earns its full worth.
+    pub aim_ms: Millis,
+    /// How long a client waits.
+    pub give_up_ms: Millis,
+    /// Worth of one unit.
+    pub worth: f64,
+    /// Part of the worth that a later answer still earns.
+    pub late_worth: f64,
+}
+
+/// A plan and its customers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Its name.
+    pub name: String,
+    /// Customers that hold it.
+    pub customers: u32,
+    /// Units a second of each one's quota.
+    pub rate: f64,
+    /// Units that may be used at once.
+    pub burst: f64,
+    /// Part of the quota that a customer asks for on average.
+    pub usage: Range,
+    /// Factor on the worth.
+    pub price: f64,
+    /// Part of its worth that a try beyond the quota costs.
+    pub over_cost: f64,
+    /// Attempts out at once that the quota covers; 0 for no such quota.
+    pub max_out: u32,
+    /// Units a second of the hard ceiling; 0 for none.
+    pub ceiling_rate: f64,
+    /// Units that the ceiling holds.
+    pub ceiling_burst: f64,
+    /// Units by which it may be overdrawn.
+    pub ceiling_slack: f64,
+}
+
+/// What strikes requests at a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Strike {
+    /// Never answered.
+    Stall,
+    /// Reset when the connection is accepted.
+    ResetBefore,
+    /// Reset at the first bytes.
+    ResetWithin,
+    /// Reset once the request is whole.
+    ResetAfter,
+    /// Answered with what is no HTTP.
+    Spoilt,
+    /// Answered without end.
+    Endless,
+    /// Answered 500 at once.
+    FastErrors,
+    /// Answered later.
+    Late,
+    /// Dials refused.
+    Refuse,
+    /// Another program takes a part of the machine, on and off.
+    Neighbour,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// Front doors are killed outright and come back.
+    KillDoors {
+        /// Part of them, rounded up.
+        part: f64,
+        /// How long each is down.
+        down_ms: Range,
+    },
+    /// Front doors are told to stop, one after the other, and come back.
+    StopDoors {
+        /// Part of them, rounded up.
+        part: f64,
+        /// How long each is down after it has ended.
+        down_ms: Range,
+    },
+    /// Front doors get a configuration in which their agent has moved.
+    ReloadDoors,
+    /// Trouble at nodes.
+    Strike {
+        /// What.
+        strike: Strike,
+        /// Part of the nodes, rounded up.
+        part: f64,
+        /// Part of the requests there (of the machine, for a neighbour).
+        share: Range,
+        /// By how much answers are late.
+        late_ms: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Nodes drain, go, and are replaced by cold ones, one after the other.
+    ReplaceNodes {
+        /// Part of them, rounded up.
+        part: f64,
+        /// Time from one node to the next.
+        every_ms: Range,
+        /// Time from the drain to the end.
+        drain_ms: Range,
+        /// Whether the replacement listens at the old address.
+        same_address: bool,
+        /// Whether there is a replacement at all.
+        replaced: bool,
+    },
+    /// Nodes die without a word and start again, cold.
+    CrashNodes {
+        /// Part of them, rounded up.
+        part: f64,
+        /// How long each is down.
+        down_ms: Range,
+    },
+    /// Agents say nothing.
+    SilentAgents {
+        /// Part of the front doors, rounded up.
+        part: f64,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Agents break off their watches.
+    BrokenAgents,
+    /// Customers of a plan ask for a multiple of their quota.
+    Flood {
+        /// Which plan.
+        plan: String,
+        /// How many of its customers.
+        customers: u32,
+        /// Multiple of the quota.
+        times: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Clients that ask once and are not seen again.
+    OneShots {
+        /// Requests a second, as a part of the usual ones.
+        share: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Clients that send what cannot be used.
+    Rude {
+        /// Of them a second.
+        rate: f64,
+        /// For how long.
+        for_ms: Range,
+    },
+}
+
+/// One event of the timeline.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    /// When.
+    pub at_ms: Range,
+    /// What.
+    pub what: What,
+}
+
+/// A scenario.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// The file's name without its ending.
+    pub name: String,
+    /// One line on what is played.
+    pub title: String,
+    /// How long requests come.
+    pub seconds: f64,
+    /// Rules (by number) that it must put under strain; a run in which one is not exercised counts as not played.
+    pub strains: Vec<u32>,
+    /// Front doors.
+    pub doors: u32,
+    /// Api nodes.
+    pub nodes: u32,
+    /// Cores of each.
+    pub cores: u32,
+    /// Requests that wait at each at most.
+    pub queue: u32,
+    /// Part of its capacity that a node starts with.
+    pub cold_from: f64,
+    /// Time until it is warm.
+    pub cold_ms: Millis,
+    /// Connections that a node holds.
+    pub connections: u32,
+    /// Descriptors of a front door.
+    pub sockets: u32,
+    /// Memory of a front door.
+    pub memory_mb: u32,
+    /// How late agents hear of a change.
+    pub agent_ms: Range,
+    /// Factor on all customers' requests.
+    pub load: f64,
+    /// Front doors of a customer's set.
+    pub spread: Range,
+    /// Tries after the first.
+    pub retries: u32,
+    /// The wait before each: `none`, `fixed` or `doubling`.
+    pub backoff: String,
+    /// Its length.
+    pub backoff_ms: f64,
+    /// Part of the clients that follow `Retry-After`.
+    pub honour: f64,
+    /// Part of the class's time for which a try waits.
+    pub patience: Range,
+    /// How long the front goes on sending to a dead front door.
+    pub notice_ms: Range,
+    /// After how long another front door of a set is the busiest.
+    pub busiest_ms: Millis,
+    /// The classes.
+    pub classes: Vec<Class>,
+    /// The plans.
+    pub plans: Vec<Plan>,
+    /// What happens.
+    pub events: Vec<Event>,
+}
+
+/// The classes of a scenario that names none.
+pub fn usual_classes() -> Vec<Class> {
+    let class = |name: &str, share, effect, memory_ms, aim_ms, give_up_ms, worth, late_worth| Class {
+        name: name.to_owned(),
+        share,
+        effect,
+        memory_ms,
+        work_ms: [63.0, 110.0],
+        aim_ms,
+        give_up_ms,
+        worth,
+        late_worth,
+    };
+    vec![
+        class("consulta", 0.46, Effect::Safe, 0.0, 600.0, 2500.0, 3.0, 0.2),
+        class("extension", 0.27, Effect::Keyed, 2000.0, 750.0, 2000.0, 5.0, 0.0),
+        class("cobro", 0.27, Effect::Unsafe, 0.0, 750.0, 2500.0, 3.0, 0.2),
+    ]
+}
+
+/// The plans of a scenario that names none.
+pub fn usual_plans() -> Vec<Plan> {
+    let plan = |name: &str, customers, rate, burst, price, over_cost| Plan {
+        name: name.to_owned(),
+        customers,
+        rate,
+        burst,
+        usage: [0.3, 0.8],
+        price,
+        over_cost,
+        max_out: 0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+        ceiling_slack: 0.0,
+    };
+    let municipal = Plan {
+        max_out: 6,
+        ceiling_rate: 50.0,
+        ceiling_burst: 80.0,
+        ceiling_slack: 8.0,
+        ..plan("municipal", 4, 24.0, 40.0, 1.8, 0.8)
+    };
+    vec![
+        plan("basico", 60, 1.6, 16.0, 0.55, 1.0),
+        plan("estandar", 24, 3.8, 18.0, 0.72, 0.6),
+        plan("empresa", 8, 11.0, 24.0, 1.2, 1.0),
+        municipal,
+    ]
+}
+
+impl Scenario {
+    /// Reads a scenario file's text.
+    ///
+    /// # Errors
+    /// Every mistake in it, each with its line.
+    pub fn read(name: &str, text: &str) -> Result<Scenario, Vec<Mistake>> {
+        Table::read(text, |top| {
+            let version = f64::from(VERSION);
+            top.number("version", None, version, version);
+            let fleet = top.table("fleet");
+            let traffic = top.table("traffic");
+            let classes: Vec<Class> = top.tables("class").iter().map(class).collect();
+            let plans: Vec<Plan> = top.tables("plan").iter().map(plan).collect();
+            let scenario = Scenario {
+                name: name.to_owned(),
+                title: top.text("title", None),
+                seconds: top.number("seconds", None, 2.0, MOST_SECONDS),
+                strains: top.numbers("strains", 1.0, 5.0).into_iter().map(|n| n as u32).collect(),
+                doors: fleet.whole("doors", Some(3.0), 1.0, MOST_DOORS),
+                nodes: fleet.whole("nodes", Some(10.0), 1.0, MOST_NODES),
+                cores: fleet.whole("cores", Some(2.0), 1.0, 64.0),
+                queue: fleet.whole("queue", Some(24.0), 0.0, 10_000.0),
+                cold_from: fleet.number("cold_from", Some(0.25), 0.01, 1.0),
+                cold_ms: fleet.number("cold_ms", Some(10_000.0), 0.0, 120_000.0),
+                connections: fleet.whole("connections", Some(400.0), 1.0, 10_000.0),
+                sockets: fleet.whole("sockets", Some(1024.0), 32.0, 65_536.0),
+                memory_mb: fleet.whole("memory_mb", Some(192.0), 32.0, 65_536.0),
+                agent_ms: fleet.range("agent_ms", Some([200.0, 1500.0]), 0.0, 60_000.0),
+                load: traffic.number("load", Some(1.0), 0.01, 1000.0),
+                spread: traffic.range("spread", Some([2.0, 3.0]), 1.0, MOST_DOORS),
+                retries: traffic.whole("retries", Some(2.0), 0.0, 2.0),
+                backoff: traffic.choice("backoff", "fixed", &["none", "fixed", "doubling"]),
+                backoff_ms: traffic.number("backoff_ms", Some(60.0), 0.0, 10_000.0),
+                honour: traffic.number("honour", Some(0.6), 0.0, 1.0),
+                patience: traffic.range("patience", Some([0.5, 1.0]), 0.05, 1.0),
+                notice_ms: traffic.range("notice_ms", Some([1100.0, 2500.0]), 0.0, 30_000.0),
+                busiest_ms: traffic.number("busiest_ms", Some(8000.0), 100.0, 600_000.0),
+                classes: if classes.is_empty() { usual_classes() } else { classes },
+                plans: if plans.is_empty() { usual_plans() } else { plans },
+                events: Vec::new(),
+            };
+            let tables = top.tables("event");
+            let events: Vec<Option<Event>> = tables.iter().map(event).collect();
+            fleet.finish();
+            traffic.finish();
+            for (event, table) in events.iter().zip(&tables) {
+                let Some(event) = event else { continue };
+                let end = scenario.seconds * 1000.0;
+                if event.at_ms[1] >= end {
+                    table.wrong("at_ms", &format!("a time before the end of the scenario at {end} ms"));
+                }
+                if let What::Flood { plan, .. } = &event.what {
+                    if !scenario.plans.iter().any(|known| known.name == *plan) {
+                        table.wrong("plan", "the name of a plan of this scenario");
+                    }
+                }
+            }
+            if !scenario.classes.iter().any(|class| class.share > 0.0) {
+                top.wrong("class", "at least one class with a share above 0");
+            }
+            Scenario { events: events.into_iter().flatten().collect(), ..scenario }
+        })
+    }
+}
+
+fn class(table: &Table<'_, '_>) -> Class {
+    let effect = table.choice("effect", "unsafe", &["safe", "keyed", "unsafe"]);
+    let class = Class {
+        name: table.text("name", None),
+        share: table.number("share", Some(1.0), 0.0, 1000.0),
+        effect: match effect.as_str() {
+            "safe" => Effect::Safe,
+            "keyed" => Effect::Keyed,
+            _ => Effect::Unsafe,
+        },
+        memory_ms: table.number("memory_ms", Some(2000.0), 0.0, 600_000.0),
+        work_ms: table.range("work_ms", Some([63.0, 110.0]), 0.0, 60_000.0),
+        aim_ms: table.number("aim_ms", Some(750.0), 1.0, 600_000.0),
+        give_up_ms: table.number("give_up_ms", Some(2500.0), 50.0, 600_000.0),
+        worth: table.number("worth", Some(3.0), 0.0, 1e6),
+        late_worth: table.number("late_worth", Some(0.0), 0.0, 1.0),
+    };
+    table.finish();
+    class
+}
+
+fn plan(table: &Table<'_, '_>) -> Plan {
+    let plan = Plan {
+        name: table.text("name", None),
+        customers: table.whole("customers", None, 0.0, 1e6),
+        rate: table.number("rate", None, 0.01, 1e6),
+        burst: table.number("burst", None, 0.01, 1e6),
+        usage: table.range("usage", Some([0.3, 0.8]), 0.0, 100.0),
+        price: table.number("price", Some(1.0), 0.0, 1e6),
+        over_cost: table.number("over_cost", Some(0.8), 0.0, 10.0),
+        max_out: table.whole("max_out", Some(0.0), 0.0, 1e6),
+        ceiling_rate: table.number("ceiling_rate", Some(0.0), 0.0, 1e6),
+        ceiling_burst: table.number("ceiling_burst", Some(0.0), 0.0, 1e6),
+        ceiling_slack: table.number("ceiling_slack", Some(8.0), 0.0, 1e6),
+    };
+    table.finish();
+    plan
+}
+
+/// The events that a file may name, and what each is.
+pub const EVENTS: [(&str, &str); 20] = [
+    ("kill_doors", "part, down_ms: front doors die outright and come back"),
+    ("stop_doors", "part, down_ms: front doors are told to stop, one after the other"),
+    ("reload_doors", "front doors get a new configuration, in which their agent has moved"),
+    ("stall", "part, share, for_ms: nodes read requests and never answer"),
+    ("reset_before", "part, share, for_ms: nodes reset connections as they accept them"),
+    ("reset_within", "part, share, for_ms: nodes reset connections at a request's first bytes"),
+    ("reset_after", "part, share, for_ms: nodes reset connections once the request is whole"),
+    ("spoilt", "part, share, for_ms: nodes answer with what is no HTTP"),
+    ("endless", "part, share, for_ms: nodes answer without end"),
+    ("fast_errors", "part, share, for_ms: nodes answer 500 at once"),
+    ("late", "part, share, late_ms, for_ms: nodes answer later"),
+    ("refuse", "part, for_ms: nodes refuse connections"),
+    ("neighbour", "part, share, for_ms: another program takes a part of nodes' machines, on and off"),
+    ("replace_nodes", "part, every_ms, drain_ms, same_address, replaced: drain, gone, cold replacement"),
+    ("crash_nodes", "part, down_ms: nodes die without a word and start again, cold"),
+    ("silent_agents", "part, for_ms: agents say nothing"),
+    ("broken_agents", "agents break off their watches"),
+    ("flood", "plan, customers, times, for_ms: customers ask for a multiple of their quota"),
+    ("one_shots", "share, for_ms: clients that ask once and are not seen again"),
+    ("rude", "rate, for_ms: clients that send what cannot be used"),
+];
+
+fn event(table: &Table<'_, '_>) -> Option<Event> {
+    let names: Vec<&str> = EVENTS.iter().map(|(name, _)| *name).collect();
+    let kind = table.choice("what", "", &names);
+    let at_ms = table.range("at_ms", None, 0.0, MOST_SECONDS * 1000.0);
+    let part = || table.number("part", Some(0.5), 0.001, 1.0);
+    let for_ms = || table.range("for_ms", Some([3000.0, 6000.0]), 1.0, MOST_SECONDS * 1000.0);
+    let down_ms = || table.range("down_ms", Some([1700.0, 3500.0]), 0.0, MOST_SECONDS * 1000.0);
+    let strike = |strike| What::Strike {
+        strike,
+        part: part(),
+        share: table.range("share", Some([1.0, 1.0]), 0.0, 1.0),
+        late_ms: table.range("late_ms", Some([300.0, 900.0]), 0.0, 60_000.0),
+        for_ms: for_ms(),
+    };
+    let what = match kind.as_str() {
+        "kill_doors" => What::KillDoors { part: part(), down_ms: down_ms() },
+        "stop_doors" => What::StopDoors { part: part(), down_ms: down_ms() },
+        "reload_doors" => What::ReloadDoors,
+        "stall" => strike(Strike::Stall),
+        "reset_before" => strike(Strike::ResetBefore),
+        "reset_within" => strike(Strike::ResetWithin),
+        "reset_after" => strike(Strike::ResetAfter),
+        "spoilt" => strike(Strike::Spoilt),
+        "endless" => strike(Strike::Endless),
+        "fast_errors" => strike(Strike::FastErrors),
+        "late" => strike(Strike::Late),
+        "refuse" => strike(Strike::Refuse),
+        "neighbour" => strike(Strike::Neighbour),
+        "replace_nodes" => What::ReplaceNodes {
+            part: part(),
+            every_ms: table.range("every_ms", Some([1500.0, 2500.0]), 0.0, 60_000.0),
+            drain_ms: table.range("drain_ms", Some([2500.0, 4000.0]), 0.0, 60_000.0),
+            same_address: table.yes("same_address", false),
+            replaced: table.yes("replaced", true),
+        },
+        "crash_nodes" => What::CrashNodes { part: part(), down_ms: down_ms() },
+        "silent_agents" => What::SilentAgents { part: part(), for_ms: for_ms() },
+        "broken_agents" => What::BrokenAgents,
+        "flood" => What::Flood {
+            plan: table.text("plan", None),
+            customers: table.whole("customers", Some(1.0), 1.0, 1e6),
+            times: table.range("times", Some([5.0, 8.0]), 0.0, 1000.0),
+            for_ms: for_ms(),
+        },
+        "one_shots" => {
+            What::OneShots { share: table.range("share", Some([0.2, 0.5]), 0.0, 100.0), for_ms: for_ms() }
+        }
+        "rude" => What::Rude { rate: table.number("rate", Some(20.0), 0.1, 2000.0), for_ms: for_ms() },
+        _ => return None,
+    };
+    table.finish();
+    Some(Event { at_ms, what })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a file that is played in part: every mistake is told, each with its line.
+    #[test]
+    fn every_mistake_is_told_with_its_line() {
+        let text = "version = 1\ntitle = \"x\"\nseconds = \"long\"\n\n[fleet]\ndoors = 99\nnods = 3\n\n\
+                    [[event]]\nwhat = \"earthquake\"\nat_ms = 5\n\n[[event]]\nwhat = \"flood\"\nat_ms = 1\nplan = \"none\"\n";
+        let mistakes = Scenario::read("x", text).unwrap_err();
+        let told: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+        let lines: Vec<usize> = mistakes.iter().map(|mistake| mistake.line).collect();
+        assert_eq!(lines, [3, 6, 7, 10, 16], "{told:#?}");
+        assert!(told[0].contains("seconds") && told[0].contains("a number from 2 to 300"), "{}", told[0]);
+        assert!(told[2].contains("fleet.nods") && told[2].contains("no such key"), "{}", told[2]);
+    }
+
+    #[test]
+    fn the_least_that_can_be_said_makes_a_scenario() {
+        let scenario = Scenario::read("x", "version = 1\ntitle = \"x\"\nseconds = 5\n").unwrap();
+        assert_eq!((scenario.doors, scenario.classes.len(), scenario.plans.len()), (3, 3, 4));
+        assert!(Scenario::read("x", "version = 2\ntitle = \"x\"\nseconds = 5\n").is_err());
+        assert!(Scenario::read("x", "version = = 1").unwrap_err()[0].line == 1);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/script.rs
@@ -0,0 +1,551 @@
+//! What will be played, drawn ahead from a scenario and a seed: the same seed gives the same script byte for byte.
+//! Nothing here does I/O.
+
+use crate::scenario::{Range, Scenario, Strike, What};
+use maplefall_record as record;
+use maplefall_record::{Ceiling, Header, Millis, Rules};
+use maplefall_stand_ins::client::Ask;
+use maplefall_stand_ins::node::USUAL_UNITS;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::fmt::Write;
+
+/// Units that a request may count, each with its part of the requests.
+const UNITS: [(f64, f64); 6] = [(1.0, 0.40), (2.0, 0.25), (3.0, 0.15), (4.0, 0.10), (6.0, 0.06), (8.0, 0.04)];
+/// Most units of a request.
+pub const MOST_UNITS: f64 = 8.0;
+/// Part of the customers that use nearly all of their quota, and of those that ask for a multiple of it.
+const NEAR: f64 = 0.12;
+const GREEDY: f64 = 0.06;
+/// First number of the customers that ask once.
+const ONE_SHOTS: u64 = 1 << 24;
+/// How long a neighbour is there, or away, at a time.
+const NEIGHBOUR_MS: Range = [700.0, 2000.0];
+/// Requests that a script holds at most.
+pub const MOST_ASKS: usize = 400_000;
+
+/// Something done to a front door's process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DoorAct {
+    /// Killed, and started again after this.
+    Kill(Millis),
+    /// Told to stop, and started again this long after it has ended.
+    Stop(Millis),
+    /// Handed a configuration in which its agent has moved.
+    Reload,
+}
+
+/// Something done to a node or by an agent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum WorldAct {
+    /// Trouble at the node in a place.
+    Strike {
+        /// Which place.
+        place: usize,
+        /// What.
+        strike: Strike,
+        /// Part of the requests, or of the machine.
+        share: f64,
+        /// By how much answers are late.
+        late_ms: Millis,
+        /// For how long.
+        for_ms: Millis,
+    },
+    /// The node in a place drains.
+    Drain(usize),
+    /// The node in a place ends.
+    End(usize),
+    /// A cold node moves into a place.
+    Start {
+        /// Which place.
+        place: usize,
+        /// The node's number.
+        node: u32,
+    },
+    /// An agent hears of a node.
+    Tell {
+        /// Which front door's agent.
+        door: usize,
+        /// Where the node is.
+        place: usize,
+        /// Which node.
+        node: u32,
+        /// Its state.
+        health: record::Health,
+    },
+    /// An agent falls silent, or speaks again.
+    Silence {
+        /// Which front door's agent.
+        door: usize,
+        /// Whether it is silent from now on.
+        silent: bool,
+    },
+    /// All agents break off their watches.
+    BreakOff,
+}
+
+/// A whole script. Times count from the moment at which the first request may come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Script {
+    /// What the record begins with.
+    pub header: Header,
+    /// How long requests come.
+    pub length: Millis,
+    /// Places that nodes live in.
+    pub places: usize,
+    /// First tries, in the order of their times.
+    pub asks: Vec<Ask>,
+    /// What is done to front doors.
+    pub doors: Vec<(Millis, usize, DoorAct)>,
+    /// What is done to nodes and by agents.
+    pub world: Vec<(Millis, WorldAct)>,
+    /// When clients come that send what cannot be used.
+    pub rude: Vec<Millis>,
+    /// When failures begin and end, for the report.
+    pub failures: Vec<(Millis, String, bool)>,
+    /// How long the front goes on sending to a dead front door.
+    pub notice_ms: Millis,
+    /// How late the meter is.
+    pub meter_delay_ms: Millis,
+}
+
+/// A source of chance with the few draws that scripts need.
+struct Dice(Pcg32);
+
+impl Dice {
+    fn new(seed: u64, stream: u64) -> Dice {
+        Dice(Pcg32::seed_from_u64(seed ^ stream.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+    }
+
+    fn one(&mut self) -> f64 {
+        f64::from(self.0.next_u32()) / 4_294_967_296.0
+    }
+
+    fn within(&mut self, [least, most]: Range) -> f64 {
+        least + (most - least) * self.one()
+    }
+
+    /// A wait of a Poisson process of so many a millisecond.
+    fn wait(&mut self, per_ms: f64) -> Millis {
+        -(1.0 - self.one()).ln() / per_ms
+    }
+
+    fn units(&mut self) -> f64 {
+        let mut left = self.one();
+        for (units, share) in UNITS {
+            if left < share {
+                return units;
+            }
+            left -= share;
+        }
+        1.0
+    }
+
+    /// So many of `count`, each once, in a drawn order.
+    fn pick(&mut self, count: usize, wanted: usize) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..count).collect();
+        for i in 0..wanted.min(count) {
+            let other = i + (self.one() * (count - i) as f64) as usize;
+            all.swap(i, other.min(count - 1));
+        }
+        all.truncate(wanted);
+        all
+    }
+
+    fn part(&mut self, count: usize, part: f64) -> Vec<usize> {
+        self.pick(count, ((count as f64 * part).ceil() as usize).clamp(1, count))
+    }
+}
+
+/// Draws the script of a scenario.
+pub fn draw(scenario: &Scenario, seed: u64) -> Script {
+    let length = scenario.seconds * 1000.0;
+    let mut dice = Dice::new(seed, 1);
+    let mut script = Script {
+        header: header(scenario, seed),
+        length,
+        places: scenario.nodes as usize,
+        asks: Vec::new(),
+        doors: Vec::new(),
+        world: Vec::new(),
+        rude: Vec::new(),
+        failures: Vec::new(),
+        notice_ms: dice.within(scenario.notice_ms),
+        meter_delay_ms: dice.within([340.0, 1100.0]),
+    };
+    let customers = customers(scenario, seed);
+    for customer in &customers {
+        arrivals(&mut script, scenario, seed, customer, 1.0, [0.0, length], 0);
+    }
+    let usual_rate = script.asks.len() as f64 / length;
+    let mut list = Told { seed, agent_ms: scenario.agent_ms, told: Vec::new(), last: Vec::new() };
+    let mut next_node = scenario.nodes;
+    for (number, event) in scenario.events.iter().enumerate() {
+        let mut dice = Dice::new(seed, 100 + number as u64);
+        let at = dice.within(event.at_ms);
+        let doors = scenario.doors as usize;
+        let (name, end) = match &event.what {
+            What::KillDoors { part, down_ms } => {
+                let mut end = at;
+                for door in dice.part(doors, *part) {
+                    let down = dice.within(*down_ms);
+                    script.doors.push((at, door, DoorAct::Kill(down)));
+                    end = end.max(at + down);
+                }
+                ("front doors killed".to_owned(), end)
+            }
+            What::StopDoors { part, down_ms } => {
+                let mut when = at;
+                for door in dice.part(doors, *part) {
+                    let down = dice.within(*down_ms);
+                    script.doors.push((when, door, DoorAct::Stop(down)));
+                    when += down + 1500.0;
+                }
+                ("planned restarts".to_owned(), when)
+            }
+            What::ReloadDoors => {
+                (0..doors).for_each(|door| script.doors.push((at, door, DoorAct::Reload)));
+                ("reload, agents move".to_owned(), at + 1500.0)
+            }
+            What::Strike { strike, part, share, late_ms, for_ms } => {
+                let length = dice.within(*for_ms);
+                for place in dice.part(scenario.nodes as usize, *part) {
+                    let share = dice.within(*share);
+                    let late_ms = dice.within(*late_ms);
+                    let (mut when, whole) = (at, *strike != Strike::Neighbour);
+                    while when < at + length {
+                        let for_ms = if whole { length } else { dice.within(NEIGHBOUR_MS) };
+                        let for_ms = for_ms.min(at + length - when);
+                        let act = WorldAct::Strike { place, strike: *strike, share, late_ms, for_ms };
+                        script.world.push((when, act));
+                        when += for_ms + if whole { 0.0 } else { dice.within(NEIGHBOUR_MS) };
+                    }
+                }
+                (strike_name(*strike).to_owned(), at + length)
+            }
+            What::ReplaceNodes { part, every_ms, drain_ms, same_address, replaced } => {
+                let (mut when, mut end) = (at, at);
+                for place in dice.part(scenario.nodes as usize, *part) {
+                    let gone = when + dice.within(*drain_ms);
+                    let node = place as u32;
+                    script.world.push((when, WorldAct::Drain(place)));
+                    list.tell(when, doors, place, node, record::Health::Draining);
+                    script.world.push((gone, WorldAct::End(place)));
+                    list.tell(gone, doors, place, node, record::Health::Removed);
+                    if *replaced {
+                        let fresh = if *same_address {
+                            place
+                        } else {
+                            script.places += 1;
+                            script.places - 1
+                        };
+                        let start = gone + 50.0;
+                        script.world.push((start, WorldAct::Start { place: fresh, node: next_node }));
+                        list.tell(start, doors, fresh, next_node, record::Health::Up);
+                        next_node += 1;
+                    }
+                    end = gone;
+                    when += dice.within(*every_ms);
+                }
+                ("nodes replaced".to_owned(), end)
+            }
+            What::CrashNodes { part, down_ms } => {
+                let mut end = at;
+                for place in dice.part(scenario.nodes as usize, *part) {
+                    let (node, start) = (place as u32, at + dice.within(*down_ms));
+                    script.world.push((at, WorldAct::End(place)));
+                    list.tell(at, doors, place, node, record::Health::Removed);
+                    script.world.push((start, WorldAct::Start { place, node }));
+                    list.tell(start, doors, place, node, record::Health::Up);
+                    end = end.max(start);
+                }
+                ("nodes crash".to_owned(), end)
+            }
+            What::SilentAgents { part, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                for door in dice.part(doors, *part) {
+                    script.world.push((at, WorldAct::Silence { door, silent: true }));
+                    script.world.push((end, WorldAct::Silence { door, silent: false }));
+                }
+                ("agents silent".to_owned(), end)
+            }
+            What::BrokenAgents => {
+                script.world.push((at, WorldAct::BreakOff));
+                ("watches broken off".to_owned(), at)
+            }
+            What::Flood { plan, customers: count, times, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                let of_plan: Vec<&Customer> =
+                    customers.iter().filter(|c| scenario.plans[c.plan].name == *plan).collect();
+                for pick in dice.pick(of_plan.len(), *count as usize) {
+                    let customer = of_plan[pick];
+                    let times = dice.within(*times) / customer.usage.max(0.01);
+                    let stream = 10 + number as u64;
+                    arrivals(&mut script, scenario, seed, customer, times, [at, end.min(length)], stream);
+                }
+                (format!("flood past quota ({plan})"), end)
+            }
+            What::OneShots { share, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                let rate = usual_rate * dice.within(*share);
+                let mut when = at + dice.wait(rate.max(1e-9));
+                while when < end.min(length) && script.asks.len() < MOST_ASKS {
+                    let item = script.asks.len() as u64;
+                    let doors = scenario.doors;
+                    script.asks.push(Ask {
+                        at: when,
+                        item,
+                        customer: ONE_SHOTS + item,
+                        plan: 0,
+                        class: class(scenario, dice.one()),
+                        units: dice.units(),
+                        spread: (dice.within(scenario.spread) as u32).clamp(1, doors),
+                        first: (dice.one() * f64::from(doors)) as u32,
+                    });
+                    when += dice.wait(rate);
+                }
+                ("one-shot clients".to_owned(), end)
+            }
+            What::Rude { rate, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                let mut when = at;
+                while when < end.min(length) {
+                    script.rude.push(when);
+                    when += dice.wait(rate / 1000.0);
+                }
+                ("bad clients".to_owned(), end)
+            }
+        };
+        script.failures.push((at, name.clone(), true));
+        script.failures.push((end.min(length), name, false));
+    }
+    script.world.append(&mut list.told);
+    script.asks.sort_by(|a, b| a.at.total_cmp(&b.at));
+    for (item, ask) in script.asks.iter_mut().enumerate() {
+        ask.item = item as u64;
+    }
+    // Stable sorts: what falls on one moment stays in the order in which it was drawn.
+    script.doors.sort_by(|a, b| a.0.total_cmp(&b.0));
+    script.world.sort_by(|a, b| a.0.total_cmp(&b.0));
+    script.rude.sort_by(f64::total_cmp);
+    script.failures.sort_by(|a, b| a.0.total_cmp(&b.0));
+    script
+}
+
+fn strike_name(strike: Strike) -> &'static str {
+    match strike {
+        Strike::Stall => "nodes stall",
+        Strike::ResetBefore => "connections reset at once",
+        Strike::ResetWithin => "connections reset within",
+        Strike::ResetAfter => "connections reset after",
+        Strike::Spoilt => "answers spoilt",
+        Strike::Endless => "answers without end",
+        Strike::FastErrors => "nodes fail fast",
+        Strike::Late => "answers late",
+        Strike::Refuse => "nodes refuse",
+        Strike::Neighbour => "noisy neighbours",
+    }
+}
+
+/// What agents are told of nodes: each change a drawn time late, and for one node in the order in which it happened.
+struct Told {
+    seed: u64,
+    agent_ms: Range,
+    told: Vec<(Millis, WorldAct)>,
+    last: Vec<(usize, u32, Millis)>,
+}
+
+impl Told {
+    fn tell(&mut self, at: Millis, doors: usize, place: usize, node: u32, health: record::Health) {
+        let mut dice = Dice::new(self.seed, 50_000 + self.told.len() as u64);
+        for door in 0..doors {
+            let mut when = at + dice.within(self.agent_ms);
+            match self.last.iter_mut().find(|(d, n, _)| (*d, *n) == (door, node)) {
+                Some((_, _, last)) => {
+                    when = when.max(*last + 1.0);
+                    *last = when;
+                }
+                None => self.last.push((door, node, when)),
+            }
+            self.told.push((when, WorldAct::Tell { door, place, node, health }));
+        }
+    }
+}
+
+/// A customer and how much it asks for.
+struct Customer {
+    number: u64,
+    plan: usize,
+    usage: f64,
+    spread: u32,
+    first: u32,
+}
+
+fn customers(scenario: &Scenario, seed: u64) -> Vec<Customer> {
+    let mut dice = Dice::new(seed, 2);
+    let mut all = Vec::new();
+    for (number, plan) in scenario.plans.iter().enumerate() {
+        for _ in 0..plan.customers {
+            let usage = match dice.one() {
+                lot if lot < NEAR => 0.95,
+                lot if lot < NEAR + GREEDY => dice.within([1.5, 4.0]),
+                _ => dice.within(plan.usage),
+            };
+            all.push(Customer {
+                number: all.len() as u64 + 1,
+                plan: number,
+                usage: usage * scenario.load,
+                spread: (dice.within(scenario.spread).round() as u32).clamp(1, scenario.doors),
+                first: (dice.one() * f64::from(scenario.doors)) as u32,
+            });
+        }
+    }
+    all
+}
+
+fn class(scenario: &Scenario, lot: f64) -> usize {
+    let whole: f64 = scenario.classes.iter().map(|class| class.share).sum();
+    let mut left = lot * whole;
+    for (number, class) in scenario.classes.iter().enumerate() {
+        if left < class.share {
+            return number;
+        }
+        left -= class.share;
+    }
+    0
+}
+
+/// Adds a customer's requests at `times` what it usually asks for.
+fn arrivals(
+    script: &mut Script,
+    scenario: &Scenario,
+    seed: u64,
+    customer: &Customer,
+    times: f64,
+    [from, to]: Range,
+    stream: u64,
+) {
+    let mean: f64 = UNITS.iter().map(|(units, share)| units * share).sum();
+    let per_ms = scenario.plans[customer.plan].rate * customer.usage * times / mean / 1000.0;
+    if per_ms <= 0.0 {
+        return;
+    }
+    let mut dice = Dice::new(seed, 1_000_000 * (stream + 1) + customer.number);
+    let mut when = from + dice.wait(per_ms);
+    while when < to && script.asks.len() < MOST_ASKS {
+        script.asks.push(Ask {
+            at: when,
+            item: 0,
+            customer: customer.number,
+            plan: customer.plan,
+            class: class(scenario, dice.one()),
+            units: dice.units(),
+            spread: customer.spread,
+            first: customer.first,
+        });
+        when += dice.wait(per_ms);
+    }
+}
+
+fn header(scenario: &Scenario, seed: u64) -> Header {
+    let class = |class: &crate::scenario::Class| record::Class {
+        name: class.name.clone(),
+        effect: class.effect,
+        memory_ms: class.memory_ms,
+        aim_ms: class.aim_ms,
+        worth: class.worth,
+        late_worth: class.late_worth,
+    };
+    let plan = |plan: &crate::scenario::Plan| record::Plan {
+        name: plan.name.clone(),
+        rate: plan.rate,
+        burst: plan.burst,
+        price: plan.price,
+        ceiling: (plan.ceiling_rate > 0.0).then_some(Ceiling {
+            rate: plan.ceiling_rate,
+            burst: plan.ceiling_burst,
+            slack: plan.ceiling_slack,
+        }),
+    };
+    let most_work = scenario.classes.iter().map(|class| class.work_ms[1]).fold(0.0, f64::max);
+    Header {
+        version: record::VERSION,
+        scenario: scenario.name.clone(),
+        seed,
+        doors: scenario.doors,
+        classes: scenario.classes.iter().map(class).collect(),
+        plans: scenario.plans.iter().map(plan).collect(),
+        rules: Rules {
+            answer_slack_ms: 8.0,
+            drain_grace_ms: 500.0,
+            overload_factor: 3.0,
+            overload_window_ms: 1500.0,
+            // Two of the largest requests.
+            cold_slack_ms: 2.0 * MOST_UNITS / USUAL_UNITS * most_work,
+            most_attempts: 3,
+            socket_slack_ms: 50.0,
+        },
+    }
+}
+
+impl Script {
+    /// The script as text: what `maplefall-rehearse script` prints, a line for each act.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        // A string takes any text; the errors are those of a writer that can fail.
+        let _ = writeln!(text, "{:?}", self.header);
+        let _ = writeln!(text, "length {:?} places {}", self.length, self.places);
+        let _ = writeln!(text, "notice {:?} meter {:?}", self.notice_ms, self.meter_delay_ms);
+        self.failures.iter().for_each(|line| {
+            let _ = writeln!(text, "failure {line:?}");
+        });
+        self.doors.iter().for_each(|line| {
+            let _ = writeln!(text, "door {line:?}");
+        });
+        self.world.iter().for_each(|line| {
+            let _ = writeln!(text, "world {line:?}");
+        });
+        self.rude.iter().for_each(|line| {
+            let _ = writeln!(text, "rude {line:?}");
+        });
+        self.asks.iter().for_each(|line| {
+            let _ = writeln!(text, "ask {line:?}");
+        });
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = "version = 1\ntitle = \"x\"\nseconds = 20\n[[event]]\nwhat = \"kill_doors\"\nat_ms = [4000, 6000]\n\
+        [[event]]\nwhat = \"replace_nodes\"\nat_ms = 1000\n[[event]]\nwhat = \"flood\"\nplan = \"municipal\"\nat_ms = 5000\n\
+        [[event]]\nwhat = \"one_shots\"\nat_ms = 2000\n[[event]]\nwhat = \"neighbour\"\nat_ms = 2000\n";
+
+    #[test]
+    fn the_same_seed_gives_the_same_script_and_another_another() {
+        let scenario = Scenario::read("x", TEXT).unwrap();
+        let texts: Vec<String> = [5, 5, 6].map(|seed| draw(&scenario, seed).to_text()).into();
+        assert_eq!(texts[0], texts[1]);
+        assert_ne!(texts[0], texts[2]);
+    }
+
+    #[test]
+    fn a_node_is_told_in_the_order_of_what_happened_to_it() {
+        let scenario = Scenario::read("x", TEXT).unwrap();
+        for seed in 0..20 {
+            let script = draw(&scenario, seed);
+            let mut last: std::collections::BTreeMap<(usize, u32), Millis> = Default::default();
+            for (at, act) in &script.world {
+                if let WorldAct::Tell { door, node, health, .. } = act {
+                    let before = last.insert((*door, *node), *at);
+                    assert!(before.is_none_or(|before| before < *at), "seed {seed}");
+                    assert_eq!(before.is_some(), *health == record::Health::Removed, "seed {seed}");
+                }
+            }
+            assert!(script.asks.windows(2).all(|pair| pair[0].at <= pair[1].at));
+            assert!(!script.doors.is_empty() && script.asks.iter().all(|ask| ask.at < script.length));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/settings.rs
@@ -0,0 +1,69 @@
+//! What a front door of a rehearsal is told: the platform's configuration (deployment page), made from a scenario.
+
+use crate::scenario::{Plan, Scenario};
+use crate::script::{Script, MOST_UNITS};
+use maplefall_protocol::Members;
+use maplefall_record::Effect;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// Longest advice that clients follow.
+pub const MOST_WAIT_MS: f64 = 2000.0;
+/// After how long nodes close an idle connection.
+pub const IDLE_MS: f64 = 30_000.0;
+/// Period of the meter.
+pub const METER_MS: f64 = 500.0;
+
+/// The settings, by their wire names.
+pub fn settings(scenario: &Scenario, script: &Script, me: usize) -> Value {
+    let rules = script.header.rules;
+    let class = |class: &crate::scenario::Class| {
+        let effect = match class.effect {
+            Effect::Safe => "safe",
+            Effect::Keyed => "keyed",
+            Effect::Unsafe => "unsafe",
+        };
+        json!({"name": class.name, "aim": class.aim_ms, "give_up": class.give_up_ms, "credit": class.worth,
+            "late_worth": class.late_worth, "idempotency": effect, "group": "all",
+            "memory_span": class.memory_ms, "streaming": false})
+    };
+    let plan = |plan: &Plan| {
+        json!({"name": plan.name, "per_second": plan.rate, "peak_units": plan.burst, "max_out": plan.max_out,
+            "pays": plan.price, "excess_worth": 0.0, "over_cost": plan.over_cost,
+            "cap_rate": plan.ceiling_rate, "never_over_depth": plan.ceiling_burst,
+            "hard_slack": if plan.ceiling_rate > 0.0 { plan.ceiling_slack } else { 0.0 }})
+    };
+    json!({
+        "fleet_size": scenario.doors, "me": me, "my_zone": 0, "zones": ["z-1"], "tick": 2.0,
+        "registry_mode": "pushed", "weights": "off",
+        "grades": scenario.classes.iter().map(class).collect::<Vec<_>>(),
+        "plans": scenario.plans.iter().map(plan).collect::<Vec<_>>(),
+        "extra": {"max_units": MOST_UNITS, "meter": METER_MS, "cost_after": true, "has_counter": false},
+        "policy_limits": {"send_cap": rules.most_attempts, "second_copies": false, "cancel": true,
+            "probes": false, "peers": false, "retry_after": true, "max_retry_after": MOST_WAIT_MS,
+            "dial_timeout": 250.0, "idle_close": IDLE_MS},
+        "report": {"names": [], "via": "off"},
+        "rules": {"answer_slack": rules.answer_slack_ms, "stop_sending_within": rules.drain_grace_ms,
+            "start_capacity": scenario.cold_from, "warm_up": scenario.cold_ms,
+            "overload_factor": rules.overload_factor, "fall": rules.overload_window_ms},
+    })
+}
+
+/// The whole configuration of one front door.
+pub fn config(
+    scenario: &Scenario,
+    script: &Script,
+    me: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: &Members,
+    life: u64,
+) -> Value {
+    let seed = maplefall_stand_ins::hash(&format!("{}/{me}/{life}", script.header.seed));
+    json!({
+        "name": format!("door-{me}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "seed": format!("{seed:016x}"),
+        "limits": {"cores": 1.0, "memory_mb": scenario.memory_mb, "sockets": scenario.sockets},
+        "known": known, "settings": settings(scenario, script, me),
+    })
+}
