--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -21,6 +21,10 @@
 pub const MOST_FINDINGS: usize = 20;
 /// Time within which two things seen by different threads, or in one turn of a thread, are not told apart.
 pub const BLUR: Millis = 25.0;
+/// Length of a stretch of time for which the least margin is told.
+pub const STRETCH: Millis = 250.0;
+/// Stretches that are looked back over for the one that a margin belongs to.
+const NEAR: usize = 16;
 /// Lateness of the stand-ins beyond which a run says nothing of the front doors.
 pub const MOST_LATE_P99: Millis = 15.0;
 /// Lateness of a single action beyond which it does not either.
@@ -70,6 +74,8 @@
     pub margin_unit: &'static str,
     /// When the margin was least.
     pub margin_at: Millis,
+    /// The least margin of each stretch of [`STRETCH`], as the time at which the stretch begins and the margin.
+    pub margins: Vec<(Millis, f64)>,
     /// How often it was broken.
     pub breaks: u64,
     /// The first of these.
@@ -87,6 +93,7 @@
             margin: None,
             margin_unit,
             margin_at: 0.0,
+            margins: Vec::new(),
             breaks: 0,
             findings: Vec::new(),
         }
@@ -96,6 +103,12 @@
         if self.margin.is_none_or(|least| margin < least) {
             (self.margin, self.margin_at) = (Some(margin), at);
         }
+        let begin = (at / STRETCH).floor() * STRETCH;
+        // Margins come nearly in the order of their times: the stretch is among the last few.
+        match self.margins.iter_mut().rev().take(NEAR).find(|(known, _)| *known == begin) {
+            Some((_, least)) => *least = least.min(margin),
+            None => self.margins.push((begin, margin)),
+        }
     }
 
     fn broken(&mut self, at: Millis, request: &str, lines: &[usize], text: String) {
@@ -109,6 +122,14 @@
     }
 
     fn close(mut self) -> Ruling {
+        self.margins.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.margins.dedup_by(|next, kept| {
+            let same = next.0 == kept.0;
+            if same {
+                kept.1 = kept.1.min(next.1);
+            }
+            same
+        });
         self.verdict = match (self.breaks, self.tested) {
             (0, 0) => Verdict::NotExercised,
             (0, _) => Verdict::Kept,
--- a/crates/maplefall/src/main.rs
+++ b/crates/maplefall/src/main.rs
@@ -6,8 +6,58 @@
 
 use std::process::ExitCode;
 
+const HELP: &str = "\
+The front door of a service sold by plan: holds each customer to its quota over all front doors, chooses a backend for
+every request, and repeats only what may be repeated.
+
+Usage:
+  maplefall                serves, by the BALANCER_* variables below
+  maplefall check FILE     tells every mistake in a configuration, each with its path; 0 if there is none
+  maplefall --help         this text
+  maplefall --version      the version
+
+Variables:
+  BALANCER_CONFIG          the configuration, a JSON file (deploy/example.json is one, docs/operators explains it)
+  BALANCER_NAME            its name in the log, before the file's `name`
+  BALANCER_LISTEN          where clients connect, before the file's `listen`
+  BALANCER_DISCOVERY       where discovery answers, before the file's `discovery`
+
+Signals:
+  SIGHUP                   reads the file again; `discovery` moves at once, the rest takes a restart
+  SIGTERM                  answers what has come, then ends with 0
+
+To rehearse failures on one machine: maplefall-rehearse --help
+";
+
+/// What the words behind the program's name ask for.
+enum Asked {
+    Serve,
+    Check(String),
+    Say(String),
+}
+
+fn asked(words: impl Iterator<Item = String>) -> Result<Asked, String> {
+    let words: Vec<String> = words.collect();
+    match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => Ok(Asked::Serve),
+        ["check", file] => Ok(Asked::Check(file.to_owned())),
+        ["--help" | "-h"] => Ok(Asked::Say(HELP.to_owned())),
+        ["--version" | "-V"] => Ok(Asked::Say(format!("maplefall {}\n", env!("CARGO_PKG_VERSION")))),
+        _ => Err(format!("{}: not understood; see maplefall --help", words.join(" "))),
+    }
+}
+
 fn main() -> ExitCode {
-    match serve() {
+    let ended = match asked(std::env::args().skip(1)) {
+        Ok(Asked::Serve) => serve(),
+        Ok(Asked::Check(file)) => return check(&file),
+        Ok(Asked::Say(text)) => {
+            print!("{text}");
+            Ok(())
+        }
+        Err(error) => Err(error),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("maplefall: {error}");
@@ -16,6 +66,23 @@
     }
 }
 
+/// Tells every mistake in a configuration on a line of its own.
+fn check(file: &str) -> ExitCode {
+    let found = match std::fs::read_to_string(file) {
+        Ok(text) => net::check::mistakes(&text),
+        Err(error) => vec![error.to_string()],
+    };
+    for mistake in &found {
+        println!("{file}: {mistake}");
+    }
+    if found.is_empty() {
+        println!("{file}: no mistakes");
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
 /// Serves on one thread: a front door has one core, and nothing on the path needs a lock.
 fn serve() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- /dev/null
+++ b/crates/maplefall/src/net/breakages.rs
@@ -0,0 +1,122 @@
+//! Ways to be broken on purpose, so that a rehearsal's judge can be shown to find each. Only builds with the feature
+//! `breakages` hold this file and the places that ask it; the released program has neither. Every breakage sits between
+//! the driver and the decision module or the sockets: the module itself is played unchanged.
+
+use maplefall_policy::{Action, BackendEntry, Effect, Millis, Settings};
+use std::sync::OnceLock;
+
+/// The variable that names the breakage.
+const VARIABLE: &str = "MAPLEFALL_BREAKAGE";
+/// How long a front door that sees drains late holds the list back.
+pub const LATE_MS: u64 = 650;
+/// How long after its client's time an answer that is held back comes.
+pub const HELD_MS: Millis = 120.0;
+
+/// A way to be broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breakage {
+    /// A served answer is written twice.
+    SecondAnswer,
+    /// SIGTERM ends the program at once.
+    DropsOnTerm,
+    /// A served request is sent on once more after its answer.
+    SentAfterAnswer,
+    /// Refusals come after the client's time.
+    HeldBack,
+    /// A request is answered with what was made for the one before.
+    StaleBody,
+    /// Unsafe requests are taken for safe ones.
+    UnsafeAgain,
+    /// Each request goes to two backends at once.
+    TwoOut,
+    /// What may have run is refused.
+    RefusedAfter,
+    /// Keys are taken to be remembered for ever.
+    KeyForEver,
+    /// Drains and removals are not heard.
+    DrainIgnored,
+    /// The list is heard late.
+    DrainLate,
+    /// A backend that has just started is taken for a warm one.
+    ColdAsWarm,
+    /// Everything goes to the backend that started last.
+    ColdFavoured,
+    /// Each front door gives the whole ceiling.
+    CeilingPerDoor,
+    /// There is no ceiling.
+    NoCeiling,
+}
+
+/// Their names.
+const NAMES: [(&str, Breakage); 15] = [
+    ("second-answer", Breakage::SecondAnswer),
+    ("drops-on-term", Breakage::DropsOnTerm),
+    ("sent-after-answer", Breakage::SentAfterAnswer),
+    ("held-back", Breakage::HeldBack),
+    ("stale-body", Breakage::StaleBody),
+    ("unsafe-again", Breakage::UnsafeAgain),
+    ("two-out", Breakage::TwoOut),
+    ("refused-after", Breakage::RefusedAfter),
+    ("key-for-ever", Breakage::KeyForEver),
+    ("drain-ignored", Breakage::DrainIgnored),
+    ("drain-late", Breakage::DrainLate),
+    ("cold-as-warm", Breakage::ColdAsWarm),
+    ("cold-favoured", Breakage::ColdFavoured),
+    ("ceiling-per-door", Breakage::CeilingPerDoor),
+    ("no-ceiling", Breakage::NoCeiling),
+];
+
+/// Whether the program is to be broken in this way.
+pub fn is(breakage: Breakage) -> bool {
+    static NAMED: OnceLock<Option<Breakage>> = OnceLock::new();
+    let named = NAMED.get_or_init(|| {
+        let name = std::env::var(VARIABLE).ok()?;
+        let found = NAMES.iter().find(|(known, _)| *known == name);
+        if found.is_none() {
+            // A breakage that is not played would pass for one that is not found.
+            eprintln!("{VARIABLE}: {name:?} is not a known breakage");
+            std::process::exit(64);
+        }
+        found.map(|(_, breakage)| *breakage)
+    });
+    *named == Some(breakage)
+}
+
+/// The settings that the decision module is handed.
+pub fn settings(mut settings: Settings) -> Settings {
+    for class in &mut settings.classes {
+        match &mut class.effect {
+            effect @ Effect::Unsafe if is(Breakage::UnsafeAgain) => *effect = Effect::Safe,
+            Effect::Keyed { memory, .. } if is(Breakage::KeyForEver) => *memory = 1e9,
+            _ => {}
+        }
+    }
+    let doors = f64::from(settings.gateways);
+    for plan in &mut settings.plans {
+        if is(Breakage::NoCeiling) {
+            plan.ceiling = None;
+        }
+        if let Some(ceiling) = plan.ceiling.as_mut().filter(|_| is(Breakage::CeilingPerDoor)) {
+            ceiling.rate *= doors;
+            ceiling.burst *= doors;
+            ceiling.slack *= doors;
+        }
+    }
+    settings
+}
+
+/// An action as it is carried out.
+pub fn action(action: Action) -> Action {
+    match action {
+        Action::Fail(request) if is(Breakage::RefusedAfter) => Action::Refuse { request, retry_after: None },
+        action => action,
+    }
+}
+
+/// An entry of the list as the decision module hears it.
+pub fn entry(mut entry: BackendEntry) -> BackendEntry {
+    if is(Breakage::ColdAsWarm) {
+        entry.started = None;
+    }
+    entry
+}
--- /dev/null
+++ b/crates/maplefall/src/net/check.rs
@@ -0,0 +1,174 @@
+//! `maplefall check FILE`: every mistake in a configuration at once, each with its path, where the start tells only that
+//! there is one. It also tells what can be read and cannot be meant.
+
+use super::config::{least_memory, LEAST_SOCKETS};
+use maplefall_protocol::Members;
+use maplefall_settings::{self as settings, Told};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// All mistakes in a configuration's text; none if it can be used.
+pub fn mistakes(text: &str) -> Vec<String> {
+    let value: Value = match serde_json::from_str(text) {
+        Ok(value) => value,
+        Err(error) => return vec![format!("the file is no JSON: {error}")],
+    };
+    if !value.is_object() {
+        return vec!["the file: an object was expected".to_owned()];
+    }
+    let mut found = Vec::new();
+    // The variables may stand in for these three; what is there must be usable all the same.
+    for (path, address) in [("name", false), ("listen", true), ("discovery", true)] {
+        match value.get(path).map(|value| value.as_str()) {
+            None => {}
+            Some(Some(text)) if !address || text.parse::<SocketAddr>().is_ok() => {}
+            Some(_) if address => found.push(format!("{path}: an address with a port was expected")),
+            Some(_) => found.push(format!("{path}: a text was expected")),
+        }
+    }
+    match value.get("seed").and_then(Value::as_str).map(|text| u64::from_str_radix(text, 16)) {
+        Some(Ok(_)) => {}
+        _ => found.push("seed: up to 16 hexadecimal digits in quotes were expected".to_owned()),
+    }
+    let least = [("sockets", LEAST_SOCKETS, true), ("memory_mb", least_memory(), false)];
+    for (key, least, needed) in least {
+        let limit = value.pointer(&format!("/limits/{key}"));
+        let number = limit.and_then(Value::as_u64).and_then(|number| usize::try_from(number).ok());
+        if number.is_none_or(|number| number < least) && (needed || limit.is_some()) {
+            found.push(format!("limits.{key}: a whole number of {least} or more was expected"));
+        }
+    }
+    if let Some(known) = value.get("known").filter(|known| !known.is_null()) {
+        known_list(known, &mut found);
+    }
+    match value.get("settings") {
+        None => found.push("settings: an object was expected".to_owned()),
+        Some(told) => match settings::parse_all(&settings::facts(told)) {
+            Ok(told) => meant(&told, &mut found),
+            Err(mistakes) => found.extend(mistakes),
+        },
+    }
+    found
+}
+
+/// The list of backends, entry by entry.
+fn known_list(known: &Value, found: &mut Vec<String>) {
+    if known.get("seq").and_then(Value::as_u64).is_none() {
+        found.push("known.seq: a whole number was expected".to_owned());
+    }
+    let Some(hosts) = known.get("hosts").and_then(Value::as_array) else {
+        return found.push("known.hosts: a list was expected".to_owned());
+    };
+    let before = found.len();
+    for (at, host) in hosts.iter().enumerate() {
+        // One entry as a list of its own, so that each mistake is told with its place.
+        let alone = serde_json::json!({"seq": 1, "whole": true, "hosts": [host]});
+        if let Err(error) = serde_json::from_value::<Members>(alone) {
+            found.push(format!("known.hosts.{at}: {error}"));
+        }
+    }
+    if found.len() == before && serde_json::from_value::<Members>(known.clone()).is_err() {
+        found.push("known.whole: true or false was expected".to_owned());
+    }
+}
+
+/// What can be read and cannot be meant.
+fn meant(told: &Told, found: &mut Vec<String>) {
+    let (set, names) = (&told.settings, &told.names);
+    for (list, known) in [("grades", &names.classes), ("plans", &names.plans)] {
+        if known.is_empty() {
+            found.push(format!("settings.{list}: at least one was expected; nothing can be served without"));
+        }
+        for (at, name) in known.iter().enumerate() {
+            if name.is_empty() {
+                found.push(format!("settings.{list}.{at}.name: a name was expected"));
+            } else if known[..at].contains(name) {
+                found.push(format!("settings.{list}.{at}.name: {name} stands there twice"));
+            }
+        }
+    }
+    for (at, class) in set.classes.iter().enumerate() {
+        if class.deadline <= 0.0 || class.aim <= 0.0 {
+            found.push(format!("settings.grades.{at}: aim and give_up above 0 were expected"));
+        } else if class.aim > class.deadline {
+            let (aim, end) = (class.aim, class.deadline);
+            found.push(format!("settings.grades.{at}.aim: {aim} is over its give_up of {end}"));
+        }
+    }
+    for (at, plan) in set.plans.iter().enumerate() {
+        if plan.rate < 0.0 || plan.burst < 0.0 {
+            found.push(format!("settings.plans.{at}: per_second and peak_units of 0 or more were expected"));
+        } else if plan.rate > 0.0 && plan.burst < set.max_units {
+            let (burst, most) = (plan.burst, set.max_units);
+            found.push(format!(
+                "settings.plans.{at}.peak_units: {burst} is under extra.max_units of {most}: its largest requests are \
+                 always refused"
+            ));
+        }
+        if let Some(ceiling) = plan.ceiling.filter(|ceiling| ceiling.burst <= 0.0) {
+            let rate = ceiling.rate;
+            found.push(format!(
+                "settings.plans.{at}.never_over_depth: above 0 was expected where cap_rate is {rate}"
+            ));
+        }
+    }
+    if set.max_attempts == 0 {
+        found.push("settings.policy_limits.send_cap: 1 or more was expected".to_owned());
+    }
+    if set.gateways == 0 {
+        found.push("settings.fleet_size: 1 or more was expected".to_owned());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the example that ships: whoever copies it begins with a configuration that can be used.
+    #[test]
+    fn the_shipped_example_has_no_mistakes() {
+        let text = include_str!("../../../../deploy/example.json");
+        assert_eq!(mistakes(text), Vec::<String>::new());
+    }
+
+    #[test]
+    fn every_mistake_is_told_at_once_with_its_path() {
+        let text = r#"{"listen": "here", "seed": "xyz", "limits": {"sockets": 3},
+            "known": {"seq": 1, "whole": true, "hosts": [
+                {"host": "a", "dial": "127.0.0.1:1", "health": "up"}, {"host": "b", "dial": "b:1", "health": "up"}]},
+            "settings": {"tick": "soon", "plans": [{"name": "x", "per_second": "much"}]}}"#;
+        let found = mistakes(text);
+        let begins = [
+            "listen:",
+            "seed:",
+            "limits.sockets:",
+            "known.hosts.1:",
+            "settings: tick=",
+            "settings: plans.0.",
+        ];
+        for begin in begins {
+            assert!(found.iter().any(|line| line.starts_with(begin)), "{begin} {found:#?}");
+        }
+        assert_eq!(found.len(), begins.len(), "{found:#?}");
+    }
+
+    #[test]
+    fn what_cannot_be_meant_is_told() {
+        let with = |settings: Value| {
+            let text = serde_json::json!({"seed": "1f", "limits": {"sockets": 64}, "settings": settings});
+            mistakes(&text.to_string())
+        };
+        let class = |aim: f64| serde_json::json!({"name": "c", "aim": aim, "give_up": 1000.0});
+        let plan = |burst: f64| serde_json::json!({"name": "p", "per_second": 1.0, "peak_units": burst});
+        let settings = |aim: f64, burst: f64| {
+            serde_json::json!({"grades": [class(aim)], "plans": [plan(burst)], "extra": {"max_units": 8},
+                "policy_limits": {"send_cap": 3}})
+        };
+        assert_eq!(with(settings(500.0, 8.0)), Vec::<String>::new());
+        assert!(with(settings(2000.0, 8.0))[0].contains("grades.0.aim: 2000 is over its give_up of 1000"));
+        assert!(with(settings(500.0, 7.0))[0].contains("plans.0.peak_units: 7 is under extra.max_units of 8"));
+        assert_eq!(with(serde_json::json!({})).len(), 2);
+        assert!(mistakes("[]")[0].contains("an object was expected"));
+        assert!(mistakes("{")[0].contains("no JSON"));
+    }
+}
--- a/crates/maplefall/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -1,5 +1,7 @@
 //! Clients: the listener, how long a connection may take, and the one final answer of each request.
 
+#[cfg(feature = "breakages")]
+use super::breakages;
 use super::door::Door;
 use super::pool::{client_budget, BUFFER};
 use super::request::{read_body, read_head, Bad};
@@ -166,6 +168,10 @@
         let longest = Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default();
         let end = tokio::time::Instant::now() + longest + LAST_CALL;
         self.phase.send_replace(Phase::Closing);
+        #[cfg(feature = "breakages")]
+        if breakages::is(breakages::Breakage::DropsOnTerm) {
+            return;
+        }
         tokio::time::sleep(LINGER).await;
         self.phase.send_replace(Phase::Sweeping);
         while !self.peers.borrow().is_empty() {
@@ -221,10 +227,17 @@
         incoming.order.body = read_body(body, &head.method, end).await?;
         incoming.at = peer.last.get();
         peer.whole();
+        #[cfg(feature = "breakages")]
+        let incoming_deadline = incoming.deadline;
         let (id, answer) = self.door.arrive(incoming).ok_or(Bad::Twice)?;
         let mut waiting = Waiting { door: &self.door, id: Some(id) };
         let answer = answer.await.unwrap_or(Answer::Failed);
         waiting.id = None;
+        #[cfg(feature = "breakages")]
+        if matches!(answer, Answer::Refused(_)) && breakages::is(breakages::Breakage::HeldBack) {
+            let late = incoming_deadline + breakages::HELD_MS;
+            tokio::time::sleep_until(self.door.clock.instant(late)).await;
+        }
         Ok(response(answer))
     }
 }
@@ -373,6 +386,13 @@
 
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        #[cfg(feature = "breakages")]
+        if buf.starts_with(b"HTTP/1.1 200") && breakages::is(breakages::Breakage::SecondAnswer) {
+            let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+            // Where there is no room for it, this one answer stays alone.
+            let _ = self.stream.try_write(buf);
+            return wrote;
+        }
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -393,6 +413,10 @@
     }
 
     fn is_write_vectored(&self) -> bool {
+        #[cfg(feature = "breakages")]
+        if breakages::is(breakages::Breakage::SecondAnswer) {
+            return false;
+        }
         self.stream.is_write_vectored()
     }
 }
--- a/crates/maplefall/src/net/config.rs
+++ b/crates/maplefall/src/net/config.rs
@@ -52,7 +52,7 @@
 }
 
 /// What every deployment gives at least.
-fn least_memory() -> usize {
+pub fn least_memory() -> usize {
     32
 }
 
@@ -91,7 +91,7 @@
 }
 
 /// Fewest descriptors with which a front door can do its work.
-const LEAST_SOCKETS: usize = 32;
+pub const LEAST_SOCKETS: usize = 32;
 
 impl Config {
     /// Reads the variables and the file. A variable goes before the file's own entry.
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -5,6 +5,8 @@
 //! while actions are carried out wait in a queue, so the module is never re-entered.
 
 use super::backends::{self, Reading};
+#[cfg(feature = "breakages")]
+use super::breakages;
 use super::clock::Clock;
 use super::config::Config;
 use super::pool::{self, Line, Pools};
@@ -109,6 +111,17 @@
     last_event: Cell<Millis>,
     busy: Cell<bool>,
     earlier: Notify,
+    #[cfg(feature = "breakages")]
+    last_body: RefCell<hyper::body::Bytes>,
+    #[cfg(feature = "breakages")]
+    last_started: Cell<Option<BackendId>>,
+}
+
+/// The settings that the decision module goes by.
+fn for_the_module(settings: Settings) -> Settings {
+    #[cfg(feature = "breakages")]
+    let settings = breakages::settings(settings);
+    settings
 }
 
 /// Ends the process if the module panics: a front door that cannot decide must not go on taking requests.
@@ -135,7 +148,7 @@
             pools: Rc::new(pools),
             reading: Rc::new(reading),
             state: RefCell::new(State {
-                gateway: Gateway::new(told.settings.clone(), config.seed),
+                gateway: Gateway::new(for_the_module(told.settings.clone()), config.seed),
                 requests: HashMap::new(),
                 ids: HashSet::new(),
                 past_ids: VecDeque::new(),
@@ -149,6 +162,10 @@
             last_event: Cell::new(0.0),
             busy: Cell::new(false),
             earlier: Notify::new(),
+            #[cfg(feature = "breakages")]
+            last_body: RefCell::default(),
+            #[cfg(feature = "breakages")]
+            last_started: Cell::new(None),
         })
     }
 
@@ -183,6 +200,8 @@
     }
 
     fn carry_out(self: &Rc<Self>, action: Action) {
+        #[cfg(feature = "breakages")]
+        let action = breakages::action(action);
         match action {
             Action::Send { request, backend, limit, care } => self.send(request, backend, limit, care),
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
@@ -277,17 +296,37 @@
         let order = entry.order.clone();
         let line = Line::default();
         let (door, on) = (self.clone(), line.clone());
+        let to = backend;
+        #[cfg(feature = "breakages")]
+        let to = match self.last_started.get() {
+            Some(last) if breakages::is(breakages::Breakage::ColdFavoured) => last,
+            _ => to,
+        };
         let task = tokio::task::spawn_local(async move {
-            let ended =
-                backends::attempt(&door.pools, &door.reading, backend, &order, limit, care, &on).await;
+            let ended = backends::attempt(&door.pools, &door.reading, to, &order, limit, care, &on).await;
             door.settle(id, number, ended);
         });
         line.tie(task.abort_handle());
+        #[cfg(feature = "breakages")]
+        if breakages::is(breakages::Breakage::TwoOut) {
+            self.send_again(backend, entry.order.clone(), 0);
+        }
         entry.out = Some(Attempt { number, backend, sent: now, line });
         drop(state);
         self.set_timer(now + limit, Due::TimeOut(id, number));
     }
 
+    /// Sends an order once more, past the decision module, after so many milliseconds.
+    #[cfg(feature = "breakages")]
+    fn send_again(self: &Rc<Self>, backend: BackendId, order: Rc<Order>, after_ms: u64) {
+        let door = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(std::time::Duration::from_millis(after_ms)).await;
+            let line = Line::default();
+            backends::attempt(&door.pools, &door.reading, backend, &order, 2000.0, Care::Usual, &line).await;
+        });
+    }
+
     /// Settles an attempt, once: whatever ends it later finds it gone.
     fn settle(self: &Rc<Self>, id: RequestId, number: u32, mut ended: Ended) {
         let now = self.clock.now();
@@ -302,6 +341,14 @@
                 }
                 attempt.line.give_up();
             }
+            #[cfg(feature = "breakages")]
+            if ended.outcome == Outcome::Ok && breakages::is(breakages::Breakage::StaleBody) {
+                std::mem::swap(&mut ended.body, &mut *self.last_body.borrow_mut());
+            }
+            #[cfg(feature = "breakages")]
+            if ended.outcome == Outcome::Ok && breakages::is(breakages::Breakage::SentAfterAnswer) {
+                self.send_again(attempt.backend, entry.order.clone(), 150);
+            }
             if let Some(sender) = entry.answer.take_if(|_| ended.outcome == Outcome::Ok) {
                 let _ = sender.send(Answer::Served(ended.body.clone()));
             }
@@ -368,8 +415,26 @@
 
     // ---- The list of backends -----------------------------------------------------------------------
 
+    /// Takes in a list of backends or its changes, later.
+    #[cfg(feature = "breakages")]
+    pub fn list_changed(self: &Rc<Self>, members: &Members, cached: bool) {
+        if cached || !breakages::is(breakages::Breakage::DrainLate) {
+            return self.list_heard(members, cached);
+        }
+        let (door, members) = (self.clone(), members.clone());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(std::time::Duration::from_millis(breakages::LATE_MS)).await;
+            door.list_heard(&members, cached);
+        });
+    }
+
     /// Takes in a list of backends or its changes.
+    #[cfg(not(feature = "breakages"))]
     pub fn list_changed(self: &Rc<Self>, members: &Members, cached: bool) {
+        self.list_heard(members, cached);
+    }
+
+    fn list_heard(self: &Rc<Self>, members: &Members, cached: bool) {
         let kind = match (cached, members.whole) {
             (true, _) => ListKind::Cached,
             (false, true) => ListKind::Full,
@@ -384,12 +449,17 @@
                 }
                 state.backends.retain(|host, _| listed.contains(host.as_str()));
             }
-            members.hosts.iter().map(|member| self.entry(&mut state, member)).collect()
+            members.hosts.iter().filter_map(|member| self.entry(&mut state, member)).collect()
         };
         self.post(self.clock.now(), Event::Backends(kind, entries));
     }
 
-    fn entry(&self, state: &mut State, member: &Member) -> BackendEntry {
+    /// An entry as the module hears it.
+    fn entry(&self, state: &mut State, member: &Member) -> Option<BackendEntry> {
+        #[cfg(feature = "breakages")]
+        if member.health != Health::Up && breakages::is(breakages::Breakage::DrainIgnored) {
+            return None;
+        }
         let id = state.backend(&member.host);
         let availability = match member.health {
             Health::Up => Availability::Ready,
@@ -406,14 +476,21 @@
         }
         let site = settings::plain(&member.site);
         let zone = self.names.zones.iter().position(|zone| *zone == site);
-        BackendEntry {
+        let entry = BackendEntry {
             id,
             zone: ZoneId(zone.map_or(u32::MAX, |zone| zone as u32)),
             cell: CellId(member.block),
             availability,
             started: (member.born_ms > 0.0).then_some(member.born_ms),
             size: member.share,
+        };
+        #[cfg(feature = "breakages")]
+        if entry.availability == Availability::Ready && entry.started.is_some() {
+            self.last_started.set(Some(id));
         }
+        #[cfg(feature = "breakages")]
+        let entry = breakages::entry(entry);
+        Some(entry)
     }
 
     /// Disposes of idle connections before backends do, for as long as the front door runs.
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -1,6 +1,9 @@
 //! The front door on real sockets: the parts round the decision module and how they start and stop.
 
 mod backends;
+#[cfg(feature = "breakages")]
+mod breakages;
+pub mod check;
 mod clients;
 mod clock;
 pub mod config;
--- a/crates/maplefall/tests/front_door.rs
+++ b/crates/maplefall/tests/front_door.rs
@@ -834,3 +834,28 @@
     other.answer(200, "", "in time");
     assert_eq!(client.read().body, b"in time");
 }
+
+/// Guards people at a terminal: the program tells what it is, checks a file and all its mistakes, and turns down words that
+/// it does not know rather than serve.
+#[test]
+fn the_command_line_helps_and_checks() {
+    let run = |words: &[&str]| {
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_maplefall"))
+            .args(words)
+            .env_remove("BALANCER_CONFIG")
+            .output()
+            .expect("the program starts");
+        (output.status.code(), String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned())
+    };
+    let (code, text) = run(&["--help"]);
+    assert!(code == Some(0) && text.contains("maplefall check FILE"), "{text}");
+    assert_eq!(run(&["--version"]), (Some(0), format!("maplefall {}\n", env!("CARGO_PKG_VERSION"))));
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/example.json");
+    assert_eq!(run(&["check", example]), (Some(0), format!("{example}: no mistakes\n")));
+    let bad = format!("{}/bad.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&bad, "{\"seed\": 5, \"limits\": {\"sockets\": 1}, \"settings\": {}}").expect("a file");
+    let (code, text) = run(&["check", &bad]);
+    assert_eq!((code, text.lines().count()), (Some(1), 4), "{text}");
+    let (code, text) = run(&["chek", &bad]);
+    assert!(code == Some(1) && text.contains("not understood"), "{text}");
+}
--- /dev/null
+++ b/crates/rehearsal/src/carry.rs
@@ -0,0 +1,129 @@
+//! How much the stand-ins carry by themselves: clients against nodes with no front door between and no work to do, at
+//! rising rates, until they are late. What a rehearsal asks of them must stay well below.
+
+use crate::settings;
+use maplefall_record::{Effect, Entry, Millis, Recorder};
+use maplefall_stand_ins::client::{Ask, Backoff, Board, Clients, DoorSeen, Habits, Kind};
+use maplefall_stand_ins::lateness::Lateness;
+use maplefall_stand_ins::node::{Metering, Node, Overload, Place, Seats, Spec, Work, World};
+use std::io;
+
+/// Lateness at the 99th percentile up to which a rate counts as carried.
+pub const CARRIED_MS: Millis = 5.0;
+
+/// What became of one rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Carried {
+    /// Requests a second that were due.
+    pub rate: f64,
+    /// Requests that were served.
+    pub served: u64,
+    /// Those that were due.
+    pub asked: u64,
+    /// Lateness at the 99th percentile.
+    pub p99_ms: Millis,
+    /// Lateness at most.
+    pub most_ms: Millis,
+}
+
+impl Carried {
+    /// Whether it was carried: all served, and nobody late.
+    pub fn good(&self) -> bool {
+        self.served == self.asked && self.p99_ms <= CARRIED_MS
+    }
+}
+
+fn on_a_runtime<T>(of: impl std::future::Future<Output = T>) -> io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, of))
+}
+
+/// Plays one rate for so many seconds: the nodes on one thread, the clients on another.
+///
+/// # Errors
+/// What the system says where it has no port or no thread.
+pub fn measure(rate: f64, seconds: f64) -> io::Result<Carried> {
+    let (recorder, lateness) = (Recorder::new(), Lateness::default());
+    let seats = Seats::open(1)?;
+    let address = seats.address(0);
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let asked = (rate * seconds) as u64;
+    let nodes = {
+        let (recorder, lateness) = (recorder.clone(), lateness.clone());
+        std::thread::spawn(move || {
+            on_a_runtime(async move {
+                let work = Work {
+                    class: "consulta".into(),
+                    effect: Effect::Safe,
+                    memory_ms: 0.0,
+                    work_ms: [0.0, 0.0],
+                };
+                let metering = Metering { period_ms: settings::METER_MS, delay_ms: 300.0, rates: vec![10.0] };
+                let overload = Overload { factor: 3.0, window_ms: 1500.0, slack_ms: 100.0 };
+                let world =
+                    World::new(1, recorder, lateness, vec![work], metering, settings::IDLE_MS, overload);
+                let place = Place::over(seats);
+                let spec = Spec {
+                    number: 0,
+                    cores: 64,
+                    queue: 10_000,
+                    cold_from: 1.0,
+                    cold_ms: 0.0,
+                    connections: 10_000,
+                };
+                place.house(Some(Node::start(&world, spec)));
+                // Whoever holds the other end says when it is over.
+                let _ = stopped.await;
+            })
+        })
+    };
+    on_a_runtime(async {
+        let board = Board::new(1);
+        board.set(0, DoorSeen { ready: true, left: None });
+        let kind =
+            Kind { name: "consulta".into(), effect: Effect::Safe, memory_ms: 0.0, give_up_ms: 10_000.0 };
+        let habits = Habits {
+            retries: 0,
+            backoff: Backoff::AtOnce,
+            honour: 0.0,
+            most_wait_ms: 0.0,
+            patience: [1.0, 1.0],
+            notice_ms: 0.0,
+            stop_ms: 0.0,
+            busiest_ms: 8000.0,
+            answer_slack_ms: 58.0,
+        };
+        let clients = Clients::new(
+            1,
+            recorder.clone(),
+            lateness.clone(),
+            vec![kind],
+            vec!["basico".into()],
+            habits,
+            vec![address],
+            board,
+        );
+        let zero = recorder.now() + 100.0;
+        let asks = (0..asked).map(|item| Ask {
+            at: zero + item as f64 * 1000.0 / rate,
+            item,
+            customer: item % 500,
+            plan: 0,
+            class: 0,
+            units: 1.0,
+            spread: 1,
+            first: 0,
+        });
+        clients.play(asks).await;
+    })?;
+    // The nodes may have ended already; then there is nobody to tell.
+    let _ = stop.send(());
+    let _ = nodes.join();
+    let lines = recorder.take();
+    let served =
+        lines.iter().filter(|line| matches!(line.entry, Entry::Answered { status: 200, .. })).count() as u64;
+    let Entry::Lateness { p99_ms, most_ms, .. } = lateness.entry() else {
+        return Err(io::ErrorKind::Other.into());
+    };
+    Ok(Carried { rate, served, asked, p99_ms, most_ms })
+}
--- a/crates/rehearsal/src/find.rs
+++ b/crates/rehearsal/src/find.rs
@@ -40,6 +40,24 @@
     }
 }
 
+/// A daemon that was built to be broken; built into a folder of its own, so that it never lies where the released one
+/// does.
+///
+/// # Errors
+/// Why there is none.
+pub fn broken_daemon(named: Option<&Path>) -> Result<PathBuf, NoDaemon> {
+    if let Some(path) = named {
+        return daemon(Some(path));
+    }
+    let root = workspace().ok_or_else(|| {
+        NoDaemon::Build("broken daemons are built from the sources: use cargo run, or --broken".into())
+    })?;
+    let target = root.join("target").join("broken");
+    let folder = target.to_string_lossy().into_owned();
+    build(&root, &["-p", "maplefall", "--features", "breakages", "--target-dir", &folder])?;
+    Ok(target.join("release").join("maplefall"))
+}
+
 /// The workspace, where `cargo run` started this program in one.
 fn workspace() -> Option<PathBuf> {
     std::env::var_os("CARGO")?;
--- a/crates/rehearsal/src/library.rs
+++ b/crates/rehearsal/src/library.rs
@@ -12,7 +12,23 @@
     };
 }
 
-shipped!("calm", "short");
+shipped!(
+    "calm",
+    "short",
+    "doors",
+    "month-end",
+    "municipal",
+    "errors",
+    "neighbours",
+    "rolling",
+    "silent",
+    "connections",
+    "rude",
+    "restart",
+    "crash",
+    "forgetful",
+    "quincena",
+);
 
 /// Why there is no such scenario.
 #[derive(Debug, thiserror::Error)]
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,9 +1,12 @@
 //! `maplefall-rehearse`: plays failures to the built daemon on one machine, and tells whether every rule held.
 
+mod carry;
 mod daemon;
 mod find;
+mod html;
 mod library;
 mod play;
+mod prove;
 mod reading;
 mod report;
 mod scenario;
@@ -12,13 +15,14 @@
 
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
-use maplefall_judge::Judgement;
+use maplefall_judge::{Judgement, Verdict};
 use maplefall_record::Record;
 use play::Play;
+use prove::{Proof, PROOFS};
 use scenario::Scenario;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Rehearses a maplefall front door on one machine: api nodes, the discovery agent and clients are played on loopback
 /// sockets, front doors are real processes of the built daemon, failures come by script, and a judge decides rule by
@@ -52,6 +56,53 @@
         /// Writes the record, which can be judged again later.
         #[arg(long, value_name = "FILE")]
         record: Option<PathBuf>,
+        /// Writes the report as one page with a timeline.
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+        /// Names a breakage to a daemon that was built with the feature `breakages` (see prove).
+        #[arg(long, value_name = "NAME")]
+        breakage: Option<String>,
+    },
+    /// Plays all shipped scenarios, one after the other.
+    All {
+        #[command(flatten)]
+        options: Options,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds of each.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Only these scenarios, by their names.
+        #[arg(long, value_name = "NAME", value_delimiter = ',')]
+        only: Vec<String>,
+        /// Scenarios that play at once; each wants a core for the stand-ins and a part of one for each front door.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+    },
+    /// Plays deliberately broken daemons, and tells whether the judge finds each by the right rule and does not call the
+    /// whole one broken.
+    Prove {
+        #[command(flatten)]
+        options: Options,
+        /// A daemon built with the feature `breakages`; without it one is built from this workspace.
+        #[arg(long, value_name = "PATH")]
+        broken: Option<PathBuf>,
+        /// Only these breakages, by their names.
+        #[arg(long, value_name = "NAME", value_delimiter = ',')]
+        only: Vec<String>,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Runs that play at once.
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+    },
+    /// Measures how many requests a second the stand-ins carry by themselves, with no front door between.
+    Carry {
+        /// How long each rate is played.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
     },
     /// Judges a record that an earlier run wrote.
     Judge {
@@ -60,6 +111,9 @@
         /// Writes the judgement as JSON.
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
+        /// Writes the report as one page with a timeline.
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
     },
     /// Prints the script that a scenario and a seed give, without playing it.
     Script {
@@ -91,10 +145,16 @@
 fn main() -> ExitCode {
     let ended = match Arguments::parse().command {
         Command::List => list(),
-        Command::Run { scenario, options, seed, json, record } => {
-            run(&scenario, &options, seed, json.as_deref(), record.as_deref())
+        Command::Run { scenario, options, seed, json, record, html, breakage } => {
+            let files = Files { json, record, html };
+            run(&scenario, &options, seed, &files, breakage.as_deref())
+        }
+        Command::All { options, seed, seeds, only, jobs } => all(&options, seed, seeds, &only, jobs),
+        Command::Prove { options, broken, only, seed, jobs } => {
+            prove(&options, broken.as_deref(), &only, seed, jobs)
         }
-        Command::Judge { record, json } => judge_again(&record, json.as_deref()),
+        Command::Carry { seconds } => carried(seconds),
+        Command::Judge { record, json, html } => judge_again(&record, &Files { json, record: None, html }),
         Command::Script { scenario, seed } => library::find(&scenario).map_err(plainly).map(|scenario| {
             print!("{}", script::draw(&scenario, seed).to_text());
             Ended::Held
@@ -179,34 +239,210 @@
     name: &str,
     options: &Options,
     seed: u64,
-    json: Option<&Path>,
-    keep: Option<&Path>,
+    files: &Files,
+    breakage: Option<&str>,
 ) -> Result<Ended, String> {
     let scenario = library::find(name).map_err(plainly)?;
     let daemon = find::daemon(options.daemon.as_deref()).map_err(plainly)?;
     let folder = folder(options, &scenario.name, seed);
-    let record = play(&scenario, seed, &daemon, None, folder.clone())?;
-    if let Some(path) = keep {
-        write(path, &record.to_text().map_err(plainly)?)?;
-    }
+    let record = play(&scenario, seed, &daemon, breakage, folder.clone())?;
     let judgement = maplefall_judge::judge(&record);
-    told(&judgement, json)?;
+    told(&record, &judgement, files)?;
     println!("  logs of the front doors: {}", folder.display());
     verdict(&judgement, &scenario.strains)
 }
 
-fn told(judgement: &Judgement, json: Option<&Path>) -> Result<(), String> {
+/// Carries out `work` for each of these, `jobs` at once, and hands the results out in order.
+fn side_by_side<T: Sync, R: Send>(jobs: usize, of: &[T], work: impl Fn(&T) -> R + Sync) -> Vec<R> {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    let worker = || {
+        let mut done = Vec::new();
+        loop {
+            let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            match of.get(at) {
+                Some(one) => done.push((at, work(one))),
+                None => return done,
+            }
+        }
+    };
+    let mut done: Vec<(usize, R)> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..jobs.max(1)).map(|_| scope.spawn(worker)).collect();
+        workers.into_iter().flat_map(|worker| worker.join().unwrap_or_default()).collect()
+    });
+    done.sort_by_key(|(at, _)| *at);
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+/// The verdicts of all rules, as one letter each: kept, broken, not exercised.
+fn letters(judgement: &Judgement) -> String {
+    let letter = |ruling: &maplefall_judge::Ruling| match ruling.verdict {
+        Verdict::Kept => 'k',
+        Verdict::Broken => 'B',
+        Verdict::NotExercised => '-',
+    };
+    judgement.rules.iter().map(letter).collect()
+}
+
+fn all(options: &Options, seed: u64, seeds: u64, only: &[String], jobs: usize) -> Result<Ended, String> {
+    let daemon = find::daemon(options.daemon.as_deref()).map_err(plainly)?;
+    if let Some(name) = only.iter().find(|name| !library::SHIPPED.iter().any(|(known, _)| known == name)) {
+        return Err(library::find(name).map_err(plainly).map_or_else(|error| error, |_| name.clone()));
+    }
+    let names = library::SHIPPED.iter().map(|(name, _)| *name);
+    let wanted = names.filter(|name| only.is_empty() || only.iter().any(|only| only == name));
+    let runs: Vec<(&str, u64)> =
+        wanted.flat_map(|name| (seed..seed.saturating_add(seeds)).map(move |seed| (name, seed))).collect();
+    println!("{:<12} {:>5} rules 1-5  worth  p99 ms  late p99  wall s", "scenario", "seed");
+    let ends = side_by_side(jobs, &runs, |(name, seed)| {
+        let begun = Instant::now();
+        let played = library::find(name).map_err(plainly).and_then(|scenario| {
+            let folder = folder(options, name, *seed);
+            let record = play(&scenario, *seed, &daemon, None, folder)?;
+            let judgement = maplefall_judge::judge(&record);
+            let end = verdict(&judgement, &scenario.strains);
+            Ok((judgement, end))
+        });
+        let wall = begun.elapsed().as_secs_f64();
+        match played {
+            Ok((judgement, end)) => {
+                let figures = &judgement.figures;
+                let note = end.as_ref().err().map(|error| format!("  {error}")).unwrap_or_default();
+                println!(
+                    "{name:<12} {seed:>5} {:<10} {:>5.3} {:>7.0} {:>9.2} {wall:>7.1}{note}",
+                    letters(&judgement),
+                    figures.worth_share,
+                    figures.times.p99_ms,
+                    figures.late_p99_ms,
+                );
+                for ruling in judgement.rules.iter().filter(|ruling| ruling.verdict == Verdict::Broken) {
+                    for finding in ruling.findings.iter().take(2) {
+                        println!("    rule {}: {:.1} ms {}", ruling.rule, finding.at, finding.text);
+                    }
+                }
+                end
+            }
+            Err(error) => {
+                println!("{name:<12} {seed:>5} not played: {error}");
+                Err(error)
+            }
+        }
+    });
+    let broken = ends.iter().filter(|end| matches!(end, Ok(Ended::Broken))).count();
+    let other = ends.iter().filter(|end| end.is_err()).count();
+    let held = ends.len() - broken - other;
+    println!("{held} held, {broken} broke a rule, {other} void or not played");
+    match (broken, other) {
+        (0, 0) => Ok(Ended::Held),
+        (0, other) => Err(format!("{other} of {} runs were void or not played", ends.len())),
+        _ => Ok(Ended::Broken),
+    }
+}
+
+fn prove(
+    options: &Options,
+    broken: Option<&Path>,
+    only: &[String],
+    seed: u64,
+    jobs: usize,
+) -> Result<Ended, String> {
+    let whole = find::daemon(options.daemon.as_deref()).map_err(plainly)?;
+    let broken = find::broken_daemon(broken).map_err(plainly)?;
+    let wanted = |proof: &&Proof| only.is_empty() || only.iter().any(|name| name == proof.breakage);
+    let proofs: Vec<Proof> = PROOFS.iter().filter(wanted).copied().collect();
+    if let Some(name) = only.iter().find(|name| !PROOFS.iter().any(|proof| proof.breakage == **name)) {
+        let known: Vec<&str> = PROOFS.iter().map(|proof| proof.breakage).collect();
+        return Err(format!("no breakage is called {name:?}; there are {}", known.join(", ")));
+    }
+    let mut scenarios: Vec<&str> = proofs.iter().map(|proof| proof.scenario).collect();
+    scenarios.sort_unstable();
+    scenarios.dedup();
+    // The whole daemon in each scenario, then each breakage.
+    let mut runs: Vec<(&str, Option<Proof>)> = scenarios.iter().map(|name| (*name, None)).collect();
+    runs.extend(proofs.iter().map(|proof| (proof.scenario, Some(*proof))));
+    println!("{:<18} {:<11} rules 1-5  by rule  found", "breakage", "scenario");
+    let ends = side_by_side(jobs, &runs, |(name, proof)| {
+        let scenario = library::find(name).map_err(plainly)?;
+        let breakage = proof.map(|proof| proof.breakage);
+        let daemon = if breakage.is_some() { &broken } else { &whole };
+        let folder = folder(options, &format!("{name}-{}", breakage.unwrap_or("whole")), seed);
+        let judgement = maplefall_judge::judge(&play(&scenario, seed, daemon, breakage, folder)?);
+        let found: Vec<u32> =
+            judgement.rules.iter().filter(|r| r.verdict == Verdict::Broken).map(|r| r.rule).collect();
+        let good = judgement.void.is_none()
+            && match proof {
+                Some(proof) => found.contains(&proof.rule),
+                None => found.is_empty(),
+            };
+        let by = proof.map_or("none".to_owned(), |proof| proof.rule.to_string());
+        let first = proof.and_then(|proof| judgement.rules.iter().find(|r| r.rule == proof.rule));
+        let first = first.and_then(|ruling| ruling.findings.first().map(|finding| finding.text.clone()));
+        println!(
+            "{:<18} {name:<11} {:<10} {by:<8} {}  {}{}",
+            breakage.unwrap_or("(whole)"),
+            letters(&judgement),
+            if good { "yes" } else { "NO" },
+            first.unwrap_or_default(),
+            judgement.void.as_ref().map(|void| format!("  VOID: {void}")).unwrap_or_default(),
+        );
+        if proof.is_none() {
+            for finding in judgement.rules.iter().flat_map(|ruling| &ruling.findings).take(3) {
+                println!("    {:.1} ms {} {}", finding.at, finding.request, finding.text);
+            }
+        }
+        match &judgement.void {
+            Some(void) => Err(format!("{name} is void: {void}")),
+            None => Ok(good),
+        }
+    });
+    if let Some(error) = ends.iter().find_map(|end| end.as_ref().err()) {
+        return Err(error.clone());
+    }
+    let bad = ends.iter().filter(|end| matches!(end, Ok(false))).count();
+    println!("{} of {} as they should be", ends.len() - bad, ends.len());
+    Ok(if bad == 0 { Ended::Held } else { Ended::Broken })
+}
+
+/// Where the results of a run go besides the terminal.
+struct Files {
+    json: Option<PathBuf>,
+    record: Option<PathBuf>,
+    html: Option<PathBuf>,
+}
+
+fn told(record: &Record, judgement: &Judgement, files: &Files) -> Result<(), String> {
     print!("{}", report::text(judgement));
-    if let Some(path) = json {
+    if let Some(path) = &files.json {
         write(path, &serde_json::to_string_pretty(judgement).map_err(plainly)?)?;
     }
+    if let Some(path) = &files.record {
+        write(path, &record.to_text().map_err(plainly)?)?;
+    }
+    if let Some(path) = &files.html {
+        write(path, &html::page(record, judgement))?;
+    }
     Ok(())
 }
 
-fn judge_again(path: &Path, json: Option<&Path>) -> Result<Ended, String> {
+fn carried(seconds: f64) -> Result<Ended, String> {
+    println!("{:>6} {:>8} {:>8} {:>12} {:>12}", "a sec.", "due", "served", "late p99 ms", "late most ms");
+    for rate in [500.0, 1000.0, 2000.0, 4000.0, 6000.0, 8000.0, 12_000.0, 16_000.0, 24_000.0] {
+        let one = carry::measure(rate, seconds.clamp(0.5, 60.0)).map_err(plainly)?;
+        println!(
+            "{:>6.0} {:>8} {:>8} {:>12.2} {:>12.1}",
+            one.rate, one.asked, one.served, one.p99_ms, one.most_ms
+        );
+        if !one.good() {
+            println!("carried up to the rate before, late by at most {} ms at p99", carry::CARRIED_MS);
+            break;
+        }
+    }
+    Ok(Ended::Held)
+}
+
+fn judge_again(path: &Path, files: &Files) -> Result<Ended, String> {
     let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     let record = Record::from_text(&text).map_err(|error| format!("{}: {error}", path.display()))?;
     let judgement = maplefall_judge::judge(&record);
-    told(&judgement, json)?;
+    told(&record, &judgement, files)?;
     verdict(&judgement, &[])
 }
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -443,7 +443,8 @@
     let work = scenario.classes.iter().map(|class| Work {
         class: class.name.clone(),
         effect: class.effect,
-        memory_ms: class.memory_ms,
+        // Every limit is longer by this on sockets, that of a node's memory too (protocol page).
+        memory_ms: class.memory_ms + script.header.rules.socket_slack_ms,
         work_ms: class.work_ms,
     });
     let rules = script.header.rules;
@@ -520,9 +521,9 @@
                     };
                     places[place].fault(Fault { trouble, part: share, until: at + zero + for_ms });
                 }
-                WorldAct::Drain(place) => {
+                WorldAct::Drain { place, turns_away } => {
                     if let Some(node) = places[place].tenant() {
-                        node.drain();
+                        node.drain(turns_away);
                     }
                 }
                 WorldAct::End(place) => {
--- /dev/null
+++ b/crates/rehearsal/src/prove.rs
@@ -0,0 +1,55 @@
+//! Whether the judge can be trusted: each breakage must be found by the rule that it breaks, in the scenario that is for
+//! it, and the whole daemon must not be called broken there.
+
+/// A breakage, the scenario that is to find it, and the rule by which.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Proof {
+    /// The breakage, by the name that the broken daemon knows.
+    pub breakage: &'static str,
+    /// The scenario.
+    pub scenario: &'static str,
+    /// The rule.
+    pub rule: u32,
+    /// What is broken.
+    pub about: &'static str,
+}
+
+const fn proof(breakage: &'static str, scenario: &'static str, rule: u32, about: &'static str) -> Proof {
+    Proof { breakage, scenario, rule, about }
+}
+
+/// All of them, by rule.
+pub const PROOFS: [Proof; 15] = [
+    proof("second-answer", "short", 1, "a served answer is written twice"),
+    proof("stale-body", "short", 1, "a request is answered with what was made for the one before"),
+    proof("sent-after-answer", "short", 1, "a served request is sent on once more"),
+    proof("held-back", "short", 1, "refusals come after the client's time"),
+    proof("drops-on-term", "restart", 1, "SIGTERM drops what was in hand"),
+    proof("unsafe-again", "errors", 2, "an unsafe request that may have run is sent again"),
+    proof("two-out", "short", 2, "each request is at two nodes at once"),
+    proof("refused-after", "errors", 2, "what may have run is refused"),
+    proof("key-for-ever", "forgetful", 2, "a key is taken to be remembered for ever"),
+    proof("drain-ignored", "rolling", 3, "drains and removals are not heard"),
+    proof("drain-late", "rolling", 3, "drains are heard 650 ms late"),
+    proof("cold-as-warm", "crash", 4, "a node that has just started is taken for a warm one"),
+    proof("cold-favoured", "rolling", 4, "everything goes to the node that started last"),
+    proof("ceiling-per-door", "municipal", 5, "each front door gives the whole ceiling"),
+    proof("no-ceiling", "municipal", 5, "there is no ceiling"),
+];
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn every_rule_has_two_breakages_and_every_scenario_is_there() {
+        for rule in 1..=5 {
+            let count = PROOFS.iter().filter(|proof| proof.rule == rule).count();
+            assert!(count >= 2, "rule {rule}: {count}");
+        }
+        for proof in PROOFS {
+            let scenario = crate::library::find(proof.scenario).unwrap_or_else(|error| panic!("{error}"));
+            assert!(scenario.strains.contains(&proof.rule), "{} strains {}", proof.scenario, proof.rule);
+        }
+    }
+}
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -132,6 +132,8 @@
         same_address: bool,
         /// Whether there is a replacement at all.
         replaced: bool,
+        /// Whether a draining node turns away what comes; else it goes on serving, and only the list tells.
+        turns_away: bool,
     },
     /// Nodes die without a word and start again, cold.
     CrashNodes {
@@ -218,6 +220,8 @@
     pub agent_ms: Range,
     /// Factor on all customers' requests.
     pub load: f64,
+    /// Most units of a request.
+    pub most_units: f64,
     /// Front doors of a customer's set.
     pub spread: Range,
     /// Tries after the first.
@@ -321,6 +325,7 @@
                 memory_mb: fleet.whole("memory_mb", Some(192.0), 32.0, 65_536.0),
                 agent_ms: fleet.range("agent_ms", Some([200.0, 1500.0]), 0.0, 60_000.0),
                 load: traffic.number("load", Some(1.0), 0.01, 1000.0),
+                most_units: traffic.number("most_units", Some(8.0), 1.0, 8.0),
                 spread: traffic.range("spread", Some([2.0, 3.0]), 1.0, MOST_DOORS),
                 retries: traffic.whole("retries", Some(2.0), 0.0, 2.0),
                 backoff: traffic.choice("backoff", "fixed", &["none", "fixed", "doubling"]),
@@ -411,7 +416,10 @@
     ("late", "part, share, late_ms, for_ms: nodes answer later"),
     ("refuse", "part, for_ms: nodes refuse connections"),
     ("neighbour", "part, share, for_ms: another program takes a part of nodes' machines, on and off"),
-    ("replace_nodes", "part, every_ms, drain_ms, same_address, replaced: drain, gone, cold replacement"),
+    (
+        "replace_nodes",
+        "part, every_ms, drain_ms, same_address, replaced, turns_away: drain, gone, cold replacement",
+    ),
     ("crash_nodes", "part, down_ms: nodes die without a word and start again, cold"),
     ("silent_agents", "part, for_ms: agents say nothing"),
     ("broken_agents", "agents break off their watches"),
@@ -454,6 +462,7 @@
             drain_ms: table.range("drain_ms", Some([2500.0, 4000.0]), 0.0, 60_000.0),
             same_address: table.yes("same_address", false),
             replaced: table.yes("replaced", true),
+            turns_away: table.yes("turns_away", true),
         },
         "crash_nodes" => What::CrashNodes { part: part(), down_ms: down_ms() },
         "silent_agents" => What::SilentAgents { part: part(), for_ms: for_ms() },
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -12,8 +12,6 @@
 
 /// Units that a request may count, each with its part of the requests.
 const UNITS: [(f64, f64); 6] = [(1.0, 0.40), (2.0, 0.25), (3.0, 0.15), (4.0, 0.10), (6.0, 0.06), (8.0, 0.04)];
-/// Most units of a request.
-pub const MOST_UNITS: f64 = 8.0;
 /// Part of the customers that use nearly all of their quota, and of those that ask for a multiple of it.
 const NEAR: f64 = 0.12;
 const GREEDY: f64 = 0.06;
@@ -52,7 +50,12 @@
         for_ms: Millis,
     },
     /// The node in a place drains.
-    Drain(usize),
+    Drain {
+        /// Which place.
+        place: usize,
+        /// Whether it turns away what comes.
+        turns_away: bool,
+    },
     /// The node in a place ends.
     End(usize),
     /// A cold node moves into a place.
@@ -130,11 +133,11 @@
         -(1.0 - self.one()).ln() / per_ms
     }
 
-    fn units(&mut self) -> f64 {
+    fn units(&mut self, most: f64) -> f64 {
         let mut left = self.one();
         for (units, share) in UNITS {
             if left < share {
-                return units;
+                return units.min(most);
             }
             left -= share;
         }
@@ -223,12 +226,12 @@
                 }
                 (strike_name(*strike).to_owned(), at + length)
             }
-            What::ReplaceNodes { part, every_ms, drain_ms, same_address, replaced } => {
+            What::ReplaceNodes { part, every_ms, drain_ms, same_address, replaced, turns_away } => {
                 let (mut when, mut end) = (at, at);
                 for place in dice.part(scenario.nodes as usize, *part) {
                     let gone = when + dice.within(*drain_ms);
                     let node = place as u32;
-                    script.world.push((when, WorldAct::Drain(place)));
+                    script.world.push((when, WorldAct::Drain { place, turns_away: *turns_away }));
                     list.tell(when, doors, place, node, record::Health::Draining);
                     script.world.push((gone, WorldAct::End(place)));
                     list.tell(gone, doors, place, node, record::Health::Removed);
@@ -298,7 +301,7 @@
                         customer: ONE_SHOTS + item,
                         plan: 0,
                         class: class(scenario, dice.one()),
-                        units: dice.units(),
+                        units: dice.units(scenario.most_units),
                         spread: (dice.within(scenario.spread) as u32).clamp(1, doors),
                         first: (dice.one() * f64::from(doors)) as u32,
                     });
@@ -425,7 +428,7 @@
     [from, to]: Range,
     stream: u64,
 ) {
-    let mean: f64 = UNITS.iter().map(|(units, share)| units * share).sum();
+    let mean: f64 = UNITS.iter().map(|(units, share)| units.min(scenario.most_units) * share).sum();
     let per_ms = scenario.plans[customer.plan].rate * customer.usage * times / mean / 1000.0;
     if per_ms <= 0.0 {
         return;
@@ -439,7 +442,7 @@
             customer: customer.number,
             plan: customer.plan,
             class: class(scenario, dice.one()),
-            units: dice.units(),
+            units: dice.units(scenario.most_units),
             spread: customer.spread,
             first: customer.first,
         });
@@ -481,7 +484,7 @@
             overload_factor: 3.0,
             overload_window_ms: 1500.0,
             // Two of the largest requests.
-            cold_slack_ms: 2.0 * MOST_UNITS / USUAL_UNITS * most_work,
+            cold_slack_ms: 2.0 * scenario.most_units / USUAL_UNITS * most_work,
             most_attempts: 3,
             socket_slack_ms: 50.0,
         },
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -1,7 +1,7 @@
 //! What a front door of a rehearsal is told: the platform's configuration (deployment page), made from a scenario.
 
 use crate::scenario::{Plan, Scenario};
-use crate::script::{Script, MOST_UNITS};
+use crate::script::Script;
 use maplefall_protocol::Members;
 use maplefall_record::Effect;
 use serde_json::{json, Value};
@@ -38,7 +38,7 @@
         "registry_mode": "pushed", "weights": "off",
         "grades": scenario.classes.iter().map(class).collect::<Vec<_>>(),
         "plans": scenario.plans.iter().map(plan).collect::<Vec<_>>(),
-        "extra": {"max_units": MOST_UNITS, "meter": METER_MS, "cost_after": true, "has_counter": false},
+        "extra": {"max_units": scenario.most_units, "meter": METER_MS, "cost_after": true, "has_counter": false},
         "policy_limits": {"send_cap": rules.most_attempts, "second_copies": false, "cancel": true,
             "probes": false, "peers": false, "retry_after": true, "max_retry_after": MOST_WAIT_MS,
             "dial_timeout": 250.0, "idle_close": IDLE_MS},
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,7 +3,8 @@
 
 use maplefall_policy::*;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 use std::str::FromStr;
 
@@ -67,139 +68,193 @@
     }
 }
 
+/// Entries of a list of objects that are read at most.
+const MOST_LISTED: usize = 4096;
+
 /// A value as the facts hold it: spaces and commas as underscores.
 pub fn plain(value: &str) -> String {
     value.replace([' ', ','], "_")
 }
 
-struct Facts<'a>(BTreeMap<&'a str, &'a str>);
+/// The facts, and what is wrong with those that have been read.
+struct Facts<'a> {
+    told: BTreeMap<&'a str, &'a str>,
+    mistakes: RefCell<Vec<String>>,
+}
 
 impl Facts<'_> {
-    fn get<T: FromStr>(&self, path: &str, otherwise: T) -> Result<T, String> {
-        match self.0.get(path) {
-            None => Ok(otherwise),
-            Some(text) => text.trim().parse().map_err(|_| format!("settings: {path}={text} cannot be read")),
-        }
+    fn wrong(&self, path: &str, what: impl std::fmt::Display) {
+        self.mistakes.borrow_mut().push(format!("settings: {path}={what}"));
     }
 
-    fn number(&self, path: &str, otherwise: f64) -> Result<f64, String> {
-        let value: f64 = self.get(path, otherwise)?;
+    fn get<T: FromStr>(&self, path: &str, otherwise: T) -> T {
+        let Some(text) = self.told.get(path) else { return otherwise };
+        text.trim().parse().unwrap_or_else(|_| {
+            self.wrong(path, format_args!("{text} cannot be read"));
+            otherwise
+        })
+    }
+
+    fn number(&self, path: &str, otherwise: f64) -> f64 {
+        let value: f64 = self.get(path, otherwise);
         if value.is_finite() {
-            Ok(value)
-        } else {
-            Err(format!("settings: {path}={value} is not a finite number"))
+            return value;
         }
+        self.wrong(path, format_args!("{value} is not a finite number"));
+        otherwise
+    }
+
+    /// The length of a list of objects.
+    fn count(&self, list: &str) -> usize {
+        let path = format!("{list}.count");
+        let count = self.get(&path, 0);
+        if count <= MOST_LISTED {
+            return count;
+        }
+        self.wrong(&path, format_args!("{count} is over {MOST_LISTED}"));
+        0
     }
 
     fn list(&self, path: &str) -> Vec<String> {
-        let text = self.0.get(path).copied().unwrap_or_default();
+        let text = self.told.get(path).copied().unwrap_or_default();
         text.split(',').filter(|name| !name.is_empty()).map(str::to_owned).collect()
     }
 
-    fn names(&self, list: &str) -> Result<Vec<String>, String> {
+    fn names(&self, list: &str) -> Vec<String> {
         let name =
-            |i| self.0.get(format!("{list}.{i}.name").as_str()).copied().unwrap_or_default().to_owned();
-        Ok((0..self.get(&format!("{list}.count"), 0)?).map(name).collect())
+            |i| self.told.get(format!("{list}.{i}.name").as_str()).copied().unwrap_or_default().to_owned();
+        (0..self.count(list)).map(name).collect()
     }
 
-    fn choice<T: Copy>(&self, path: &str, otherwise: T, choices: &[(&str, T)]) -> Result<T, String> {
-        let Some(text) = self.0.get(path) else { return Ok(otherwise) };
+    fn choice<T: Copy>(&self, path: &str, otherwise: T, choices: &[(&str, T)]) -> T {
+        let Some(text) = self.told.get(path) else { return otherwise };
         let found = choices.iter().find(|(word, _)| word == text);
-        found.map(|(_, value)| *value).ok_or_else(|| format!("settings: {path}={text} is not a known choice"))
+        found.map_or_else(
+            || {
+                self.wrong(path, format_args!("{text} is not a known choice"));
+                otherwise
+            },
+            |(_, value)| *value,
+        )
     }
 }
 
-/// Reads the facts; an error names the one that cannot be read.
+/// Reads the facts.
+///
+/// # Errors
+/// All that cannot be read, each named by its path, in one line.
 pub fn parse(text: &str) -> Result<Told, String> {
-    let facts = Facts(text.lines().filter_map(|line| line.split_once('=')).collect());
+    parse_all(text).map_err(|mistakes| mistakes.join("; "))
+}
+
+/// Reads the facts.
+///
+/// # Errors
+/// All that cannot be read, each named by its path.
+pub fn parse_all(text: &str) -> Result<Told, Vec<String>> {
+    let told = text.lines().filter_map(|line| line.split_once('=')).collect();
+    let facts = Facts { told, mistakes: RefCell::default() };
+    let told = read(&facts);
+    let mut mistakes = facts.mistakes.into_inner();
+    // A count is read once for the names and once for the rest.
+    let mut seen = BTreeSet::new();
+    mistakes.retain(|mistake| seen.insert(mistake.clone()));
+    if mistakes.is_empty() {
+        Ok(told)
+    } else {
+        Err(mistakes)
+    }
+}
+
+fn read(facts: &Facts<'_>) -> Told {
     let base = Settings::default();
     let links = Links::default();
     let names = Names {
-        classes: facts.names("grades")?,
-        plans: facts.names("plans")?,
+        classes: facts.names("grades"),
+        plans: facts.names("plans"),
         zones: facts.list("zones"),
         metrics: facts.list("report.names"),
     };
     let settings = Settings {
-        gateways: facts.get("fleet_size", base.gateways)?,
-        zone: ZoneId(facts.get("my_zone", base.zone.0)?),
-        tick: facts.number("tick", base.tick)?,
-        classes: (0..facts.get("grades.count", 0)?).map(|i| class(&facts, i)).collect::<Result<_, _>>()?,
-        plans: (0..facts.get("plans.count", 0)?).map(|i| plan(&facts, i)).collect::<Result<_, _>>()?,
-        max_units: facts.number("extra.max_units", base.max_units)?,
-        meter_period: facts.number("extra.meter", base.meter_period)?,
+        gateways: facts.get("fleet_size", base.gateways),
+        zone: ZoneId(facts.get("my_zone", base.zone.0)),
+        tick: facts.number("tick", base.tick),
+        classes: (0..facts.count("grades")).map(|i| class(facts, i)).collect(),
+        plans: (0..facts.count("plans")).map(|i| plan(facts, i)).collect(),
+        max_units: facts.number("extra.max_units", base.max_units),
+        meter_period: facts.number("extra.meter", base.meter_period),
         discovery: facts.choice(
             "registry_mode",
             base.discovery,
             &[("pushed", Discovery::Pushed), ("on_request", Discovery::OnRequest)],
-        )?,
+        ),
         reports: facts.choice(
             "report.via",
             base.reports,
             &[("off", Reports::Off), ("inline", Reports::Inline), ("on_probe", Reports::OnProbe)],
-        )?,
-        max_attempts: facts.get("policy_limits.send_cap", base.max_attempts)?,
-        second_copies: facts.get("policy_limits.second_copies", base.second_copies)?,
-        cancel: facts.get("policy_limits.cancel", base.cancel)?,
-        probes: facts.get("policy_limits.probes", base.probes)?,
-        retry_after: facts.get("policy_limits.retry_after", base.retry_after)?,
-        max_retry_after: facts.number("policy_limits.max_retry_after", base.max_retry_after)?,
-        cross_zone_price: facts.number("charges.cross_zone", base.cross_zone_price)?,
-        answer_slack: facts.number("rules.answer_slack", base.answer_slack)?,
-        drain_grace: facts.number("rules.stop_sending_within", base.drain_grace)?,
-        ask_within: facts.number("rules.ask_within", base.ask_within)?,
-        start_capacity: facts.number("rules.start_capacity", base.start_capacity)?,
-        warm_up: facts.number("rules.warm_up", base.warm_up)?,
-        overload_factor: facts.number("rules.overload_factor", base.overload_factor)?,
-        overload_window: facts.number("rules.fall", base.overload_window)?,
+        ),
+        max_attempts: facts.get("policy_limits.send_cap", base.max_attempts),
+        second_copies: facts.get("policy_limits.second_copies", base.second_copies),
+        cancel: facts.get("policy_limits.cancel", base.cancel),
+        probes: facts.get("policy_limits.probes", base.probes),
+        retry_after: facts.get("policy_limits.retry_after", base.retry_after),
+        max_retry_after: facts.number("policy_limits.max_retry_after", base.max_retry_after),
+        cross_zone_price: facts.number("charges.cross_zone", base.cross_zone_price),
+        answer_slack: facts.number("rules.answer_slack", base.answer_slack),
+        drain_grace: facts.number("rules.stop_sending_within", base.drain_grace),
+        ask_within: facts.number("rules.ask_within", base.ask_within),
+        start_capacity: facts.number("rules.start_capacity", base.start_capacity),
+        warm_up: facts.number("rules.warm_up", base.warm_up),
+        overload_factor: facts.number("rules.overload_factor", base.overload_factor),
+        overload_window: facts.number("rules.fall", base.overload_window),
     };
-    Ok(Told {
+    Told {
         settings,
         metrics: names.metrics.iter().map(|name| metric(name)).collect(),
         names,
         links: Links {
-            dial_timeout: facts.number("policy_limits.dial_timeout", links.dial_timeout)?,
-            idle_close: facts.number("policy_limits.idle_close", links.idle_close)?,
+            dial_timeout: facts.number("policy_limits.dial_timeout", links.dial_timeout),
+            idle_close: facts.number("policy_limits.idle_close", links.idle_close),
         },
-    })
+    }
 }
 
-fn class(facts: &Facts<'_>, index: usize) -> Result<Class, String> {
+fn class(facts: &Facts<'_>, index: usize) -> Class {
     let path = |key: &str| format!("grades.{index}.{key}");
     let base = Class::default();
     let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
     let keyed = Effect::Keyed {
-        group: facts.choice(&path("group"), Group::Cell, &groups)?,
-        memory: facts.number(&path("memory_span"), 0.0)?,
+        group: facts.choice(&path("group"), Group::Cell, &groups),
+        memory: facts.number(&path("memory_span"), 0.0),
     };
     let effects = [("safe", Effect::Safe), ("keyed", keyed), ("unsafe", Effect::Unsafe)];
-    Ok(Class {
-        aim: facts.number(&path("aim"), base.aim)?,
-        deadline: facts.number(&path("give_up"), base.deadline)?,
-        worth: facts.number(&path("credit"), base.worth)?,
-        late_worth: facts.number(&path("late_worth"), base.late_worth)?,
-        effect: facts.choice(&path("idempotency"), base.effect, &effects)?,
-        streaming: facts.get(&path("streaming"), base.streaming)?,
-    })
+    Class {
+        aim: facts.number(&path("aim"), base.aim),
+        deadline: facts.number(&path("give_up"), base.deadline),
+        worth: facts.number(&path("credit"), base.worth),
+        late_worth: facts.number(&path("late_worth"), base.late_worth),
+        effect: facts.choice(&path("idempotency"), base.effect, &effects),
+        streaming: facts.get(&path("streaming"), base.streaming),
+    }
 }
 
-fn plan(facts: &Facts<'_>, index: usize) -> Result<Plan, String> {
+fn plan(facts: &Facts<'_>, index: usize) -> Plan {
     let path = |key: &str| format!("plans.{index}.{key}");
     let base = Plan::default();
     let ceiling = Ceiling {
-        rate: facts.number(&path("cap_rate"), 0.0)?,
-        burst: facts.number(&path("never_over_depth"), 0.0)?,
-        slack: facts.number(&path("hard_slack"), 0.0)?,
+        rate: facts.number(&path("cap_rate"), 0.0),
+        burst: facts.number(&path("never_over_depth"), 0.0),
+        slack: facts.number(&path("hard_slack"), 0.0),
     };
-    Ok(Plan {
-        rate: facts.number(&path("per_second"), base.rate)?,
-        burst: facts.number(&path("peak_units"), base.burst)?,
-        max_open: facts.get(&path("max_out"), base.max_open)?,
-        price: facts.number(&path("pays"), base.price)?,
-        over_worth: facts.number(&path("excess_worth"), base.over_worth)?,
-        over_cost: facts.number(&path("over_cost"), base.over_cost)?,
+    Plan {
+        rate: facts.number(&path("per_second"), base.rate),
+        burst: facts.number(&path("peak_units"), base.burst),
+        max_open: facts.get(&path("max_out"), base.max_open),
+        price: facts.number(&path("pays"), base.price),
+        over_worth: facts.number(&path("excess_worth"), base.over_worth),
+        over_cost: facts.number(&path("over_cost"), base.over_cost),
         ceiling: (ceiling.rate > 0.0).then_some(ceiling),
-    })
+    }
 }
 
 fn metric(name: &str) -> Metric {
@@ -292,6 +347,22 @@
         assert_eq!((told.queue, told.in_flight, told.utilisation), (Some(4.0), Some(6.0), None));
     }
 
+    /// Guards operators against mending one mistake after the other: all are told at once.
+    #[test]
+    fn all_that_cannot_be_read_is_told_at_once() {
+        let text =
+            "tick=soon\nplans.count=1\nplans.0.per_second=much\ngrades.count=99999999999\nreport.via=post";
+        let mistakes = parse_all(text).unwrap_err();
+        let expected = [
+            "settings: grades.count=99999999999 is over 4096",
+            "settings: tick=soon cannot be read",
+            "settings: plans.0.per_second=much cannot be read",
+            "settings: report.via=post is not a known choice",
+        ];
+        let of = |text: &&str| mistakes.iter().filter(|mistake| mistake == text).count();
+        assert_eq!(expected.iter().map(of).collect::<Vec<_>>(), [1, 1, 1, 1], "{mistakes:#?}");
+    }
+
     #[test]
     fn what_cannot_be_read_is_named() {
         assert_eq!(parse("tick=soon").unwrap_err(), "settings: tick=soon cannot be read");
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -291,9 +291,11 @@
         self.spec.number
     }
 
-    /// From now on it finishes what it has and turns away what comes.
-    pub fn drain(&self) {
-        self.turn(Life::Draining, NodeState::Draining);
+    /// From now on it finishes what it has, and either turns away what comes or goes on serving it, as a process does
+    /// that only its list knows to be draining.
+    pub fn drain(&self, turns_away: bool) {
+        let life = if turns_away { Life::Draining } else { *self.life.borrow() };
+        self.turn(life, NodeState::Draining);
     }
 
     /// Its process ends: its connections are reset.
@@ -464,6 +466,11 @@
             world.meter(now, customer, units);
         }
         self.press(now, work);
+        if *self.life.borrow() == Life::Fell {
+            // The one that pushes it over breaks with it.
+            over(End::Reset);
+            return Talk::Reset;
+        }
         let usage = world.usage(now, customer, plan);
         let usage = usage.map(|percent| format!("Api-Usage: {percent}\r\n")).unwrap_or_default();
         let full = self.held.get() >= self.spec.cores as usize + self.spec.queue;
@@ -474,6 +481,8 @@
         }
         let mine = |t: &Trouble| !matches!(t, Trouble::Neighbour(_) | Trouble::Refuse | Trouble::ResetBefore);
         let trouble = self.struck(now, attempt, mine);
+        let key = message.header("idempotency-key").filter(|_| class.effect == Effect::Keyed);
+        let repeats = || key.is_some_and(|key| world.repeat(key, now, class.memory_ms));
         match trouble {
             Some(Trouble::FastError) => {
                 over(End::Error);
@@ -481,7 +490,8 @@
                 return Talk::after(link.write(text.as_bytes()).await);
             }
             Some(Trouble::ResetAfter) => {
-                if draw(world.seed, attempt, 7) < 0.5 {
+                // What runs is remembered, and what is remembered does not run.
+                if draw(world.seed, attempt, 7) < 0.5 && !repeats() {
                     recorder.note(Entry::Ran { attempt });
                 }
                 over(End::Reset);
@@ -494,9 +504,7 @@
             }
             _ => {}
         }
-        let key = message.header("idempotency-key");
-        let repeat =
-            class.effect == Effect::Keyed && key.is_some_and(|k| world.repeat(k, now, class.memory_ms));
+        let repeat = repeats();
         let late = if let Some(Trouble::Late(by)) = trouble { by } else { 0.0 };
         if !repeat {
             let Some((done, held)) = self.queue(now, work) else { return Talk::Close };
--- a/crates/stand-ins/tests/played.rs
+++ b/crates/stand-ins/tests/played.rs
@@ -113,6 +113,24 @@
     assert_eq!((ran, seen.iter().filter_map(came).count()), (2, 3));
 }
 
+/// Guards the judge against a stand-in that forgets: a key whose effect ran before its connection was reset is
+/// remembered, and a repeat does not run.
+#[test]
+fn what_ran_before_a_reset_is_remembered() {
+    let ran = play(async {
+        let (scene, _) = scene(1.0, SPEC);
+        let until = f64::INFINITY;
+        scene.place.fault(Fault { trouble: Trouble::ResetAfter, part: 0.7, until });
+        for i in 0..40 {
+            let mut link = scene.link(0).await;
+            let _ = link.write(request(&format!("r{i}"), "extend", Some("k")).as_bytes()).await;
+            let _ = link.message().await;
+        }
+        scene.seen().iter().filter(|entry| matches!(entry, Entry::Ran { .. })).count()
+    });
+    assert_eq!(ran, 1);
+}
+
 #[test]
 fn a_full_or_draining_node_turns_away_with_the_word_that_nothing_ran() {
     play(async {
@@ -126,7 +144,10 @@
         }
         let answer = ask(&mut links[2], &request("c", "read", None)).await;
         assert_eq!((answer.status, answer.header("not-started")), (503, Some("1")));
-        node.drain();
+        node.drain(false);
+        let answer = ask(&mut links[2], &request("e", "read", None)).await;
+        assert_eq!(answer.status, 503, "full as before");
+        node.drain(true);
         let answer = ask(&mut links[2], &request("d", "read", None)).await;
         assert_eq!((answer.status, answer.header("not-started")), (503, Some("1")));
         // Its end resets what it had.
