--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -16,197 +16,105 @@
 //! 4. **Lost sources.** What a lost source said stands. Nodes known from lost sources alone age out after a time, but only
 //!    while another source is there; with all sources lost nothing ages, for a failing discovery must not empty the list.
 //! 5. **One address, one node.** Of several nodes that are not gone at one address, the one that started last holds it, then
-//!    the one told by the source named first, then the lower name; the others count as removed for as long as that lasts.
+//!    the lower name; the others count as removed for as long as that lasts.
 //! 6. **Details** (address, zone, size) come from the newest life, then from the source named first.
 
+mod interface;
 mod merge;
 mod source;
 
+pub use interface::{Event, Report, SourceSettings, Update, MOST_NODES};
+
 use maplefall_policy::Millis;
 use maplefall_protocol::{Health, Member, Members};
-use source::Source;
-use std::collections::{BTreeMap, BTreeSet};
-
-/// Nodes that a roster holds at most; further ones are reported and left out.
-pub const MOST_NODES: usize = 20_000;
-
-/// How a source is treated.
-#[derive(Clone, Debug, PartialEq)]
-pub struct SourceSettings {
-    /// What it is called in reports.
-    pub name: String,
-    /// Whether its drains and removals win over what others say. One that is not may only add nodes.
-    pub authoritative: bool,
-    /// Part of its nodes that a whole list of it may lack and be believed at once; 1 believes all.
-    pub believed_part: f64,
-    /// How long missing nodes are doubted beyond that.
-    pub doubt: Millis,
-    /// After how long nodes that only lost sources know are given up, while another source is there.
-    pub keep: Millis,
-}
-
-impl SourceSettings {
-    /// An authoritative source whose every word is believed at once, as the platform's agent is.
-    pub fn trusted(name: &str) -> SourceSettings {
-        SourceSettings {
-            name: name.to_owned(),
-            authoritative: true,
-            believed_part: 1.0,
-            doubt: 0.0,
-            keep: f64::INFINITY,
-        }
-    }
-}
-
-/// What a source learned. `source` is its place in the settings; the first goes before the others.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// The whole list at a version.
-    Snapshot {
-        /// Which source.
-        source: usize,
-        /// The list; its `whole` is not looked at.
-        members: Members,
-    },
-    /// What changed up to a version, as one change: a drain and the start of a replacement are seen together.
-    Change {
-        /// Which source.
-        source: usize,
-        /// The changed entries.
-        members: Members,
-    },
-    /// The source is not heard any more.
-    Lost {
-        /// Which source.
-        source: usize,
-    },
-    /// It is heard again.
-    Resumed {
-        /// Which source.
-        source: usize,
-    },
-    /// Another service answers under its name: its versions begin anew, and all that it said before stands only until its
-    /// next whole list, which is doubted like any other.
-    Reborn {
-        /// Which source.
-        source: usize,
-    },
-}
-
-/// Something that people should know.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Report {
-    /// A whole list lacks so many of the nodes that the source had that it is not believed yet.
-    Doubted {
-        /// The source.
-        source: String,
-        /// Nodes that are missing.
-        missing: usize,
-        /// Nodes that it had.
-        of: usize,
-    },
-    /// So many nodes were removed at once.
-    MassRemoval {
-        /// The source.
-        source: String,
-        /// Nodes that went.
-        removed: usize,
-        /// Nodes that it had.
-        of: usize,
-    },
-    /// Two nodes at one address; the second counts as removed.
-    SharedAddress {
-        /// Who holds it.
-        holder: String,
-        /// Who does not.
-        other: String,
-    },
-    /// A node that only lost sources knew was given up.
-    GivenUp {
-        /// Which.
-        host: String,
-    },
-    /// There was no room for so many nodes of this source.
-    NoRoom {
-        /// The source.
-        source: String,
-        /// Nodes left out.
-        left_out: usize,
-    },
-}
-
-/// What came of an event.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Update {
-    /// Changes for the decision module, each node once: stops first, so that nothing new goes there while the rest is
-    /// taken in.
-    pub changes: Vec<Member>,
-    /// What people should know.
-    pub reports: Vec<Report>,
-}
+use source::{Lives, Source, Touched};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 
 /// The roster.
 #[derive(Debug)]
 pub struct Roster {
     sources: Vec<Source>,
+    /// What the sources come to for each node that is not gone, before addresses are looked at.
+    merged: BTreeMap<String, Member>,
+    /// The same nodes by their addresses.
+    at: HashMap<SocketAddr, BTreeSet<String>>,
     /// What has been handed out of each node that is not gone.
     told: BTreeMap<String, Member>,
-    /// Pairs at one address that have been reported.
-    shared: BTreeSet<(String, String)>,
+    /// Nodes that give way at their address, and to whom, as reported.
+    giving_way: BTreeMap<String, String>,
 }
 
 impl Roster {
     /// An empty roster over these sources, the one that goes before the others first.
     pub fn new(sources: Vec<SourceSettings>) -> Roster {
-        let sources = sources.into_iter().map(Source::new).collect();
-        Roster { sources, told: BTreeMap::new(), shared: BTreeSet::new() }
+        Roster {
+            sources: sources.into_iter().map(Source::new).collect(),
+            merged: BTreeMap::new(),
+            at: HashMap::new(),
+            told: BTreeMap::new(),
+            giving_way: BTreeMap::new(),
+        }
     }
 
     /// Begins with a list that an earlier life had: as if the source had told it, at no version, so that its first own word
     /// goes before it.
     pub fn recall(&mut self, now: Millis, source: usize, members: &Members) -> Update {
         let Some(known) = self.sources.get_mut(source) else { return Update::default() };
-        known.recall(&members.hosts);
-        self.settle(now, Vec::new())
+        let touched = known.recall(&members.hosts);
+        self.settle(now, touched)
     }
 
-    /// Takes what a source learned at `now`.
+    /// Takes what a source learned at `now`. The cost is that of the nodes that the event names, and of those that share
+    /// their addresses; only a whole list, and a source that is lost for long or comes back, touch all nodes of a source.
     pub fn take(&mut self, now: Millis, event: Event) -> Update {
-        let mut reports = Vec::new();
+        // What anybody knows of each node's lives bears on what a stop is for.
+        let mut lives = Lives::new();
+        if let Event::Snapshot { members, .. } | Event::Change { members, .. } = &event {
+            let named = members.hosts.iter().map(|member| member.host.clone());
+            lives.extend(named.map(|host| (host, 0.0)));
+        }
+        if let Event::Snapshot { source, .. } = &event {
+            let had = self.sources.get(*source).into_iter().flat_map(Source::hosts);
+            lives.extend(had.map(|host| (host.to_owned(), 0.0)));
+        }
+        for (host, life) in &mut lives {
+            let starts = self.sources.iter().filter_map(|source| source.said(host));
+            *life = starts.map(|said| said.member.born_ms).fold(0.0, f64::max);
+        }
         let (Event::Snapshot { source, .. }
         | Event::Change { source, .. }
         | Event::Lost { source }
         | Event::Resumed { source }
         | Event::Reborn { source }) = event;
-        // What others know of each node's lives bears on what a stop is for.
-        let lives = |host: &str| self.life(host);
-        let known: BTreeMap<String, Millis> = match &event {
-            Event::Snapshot { members, .. } | Event::Change { members, .. } => {
-                let named = members.hosts.iter().map(|member| member.host.as_str());
-                let had = self.sources.get(source).into_iter().flat_map(Source::hosts);
-                named.chain(had).map(|host| (host.to_owned(), lives(host))).collect()
+        let Some(of) = self.sources.get_mut(source) else { return Update::default() };
+        let touched = match event {
+            Event::Snapshot { members, .. } => of.snapshot(now, members, &lives),
+            Event::Change { members, .. } => of.change(members, &lives),
+            Event::Lost { .. } => {
+                of.lose(now);
+                Touched::default()
+            }
+            Event::Resumed { .. } => {
+                of.resume();
+                Touched::default()
+            }
+            Event::Reborn { .. } => {
+                of.reborn();
+                Touched::default()
             }
-            _ => BTreeMap::new(),
         };
-        let Some(of) = self.sources.get_mut(source) else { return Update::default() };
-        match event {
-            Event::Snapshot { members, .. } => of.snapshot(now, members, &known, &mut reports),
-            Event::Change { members, .. } => of.change(now, members, &known, &mut reports),
-            Event::Lost { .. } => of.lose(now),
-            Event::Resumed { .. } => of.resume(),
-            Event::Reborn { .. } => of.reborn(),
-        }
-        self.settle(now, reports)
+        self.settle(now, touched)
     }
 
-    /// Carries out what has come due: doubts that have lasted, nodes that have aged.
+    /// Carries out what has come due: sources that have been lost for long.
     pub fn tick(&mut self, now: Millis) -> Update {
-        self.settle(now, Vec::new())
+        self.settle(now, Touched::default())
     }
 
     /// When [`Roster::tick`] has something to do next.
     pub fn next_due(&self) -> Option<Millis> {
-        let due = self.sources.iter().filter_map(|source| source.due());
+        let due = self.sources.iter().filter_map(Source::due);
         due.min_by(f64::total_cmp)
     }
 
@@ -215,50 +123,92 @@
         self.told.values()
     }
 
-    /// The latest start of a node that anybody told of.
-    fn life(&self, host: &str) -> Millis {
-        self.sources.iter().filter_map(|source| source.life(host)).fold(0.0, f64::max)
-    }
-
     /// Brings what has been handed out in line with what the sources say now.
-    fn settle(&mut self, now: Millis, mut reports: Vec<Report>) -> Update {
-        let heard = self.sources.iter().filter(|source| source.heard()).count();
-        let mut aged = Vec::new();
-        for (place, source) in self.sources.iter_mut().enumerate() {
-            if source.pass_time(now, heard > 0) {
-                aged.push(place);
+    fn settle(&mut self, now: Millis, mut touched: Touched) -> Update {
+        let heard = self.sources.iter().any(Source::heard);
+        let mut aged = BTreeSet::new();
+        for source in &mut self.sources {
+            if source.pass_time(now, heard) {
+                touched.hosts.extend(source.hosts().map(str::to_owned));
+                if source.aged() {
+                    aged.extend(source.hosts().map(str::to_owned));
+                }
             }
         }
-        let merged = merge::merge(&self.sources);
-        for place in aged {
-            let given_up = self.sources[place]
-                .hosts()
-                .filter(|host| self.told.contains_key(*host) && !merged.contains_key(*host));
-            reports.extend(given_up.map(|host| Report::GivenUp { host: host.to_owned() }));
+        let mut addresses = BTreeSet::new();
+        for host in &touched.hosts {
+            self.remerge(host, &mut addresses);
         }
-        let (merged, shared) = merge::one_to_an_address(merged);
-        for pair in &shared {
-            if !self.shared.contains(pair) {
-                let (holder, other) = pair.clone();
-                reports.push(Report::SharedAddress { holder, other });
+        let mut hosts = touched.hosts;
+        for address in &addresses {
+            self.share(*address, &mut hosts, &mut touched.reports);
+        }
+        let (mut changes, mut ups) = (Vec::new(), Vec::new());
+        for host in hosts {
+            let now_is = self.merged.get(&host).filter(|_| !self.giving_way.contains_key(&host));
+            let before = match now_is {
+                Some(member) if self.told.get(&host) == Some(member) => continue,
+                Some(member) => {
+                    let list = if member.health == Health::Up { &mut ups } else { &mut changes };
+                    list.push(member.clone());
+                    self.told.insert(host.clone(), member.clone())
+                }
+                None => self.told.remove(&host),
+            };
+            if now_is.is_none() {
+                let Some(before) = before else { continue };
+                changes.push(Member { health: Health::Removed, ..before });
+                if aged.contains(&host) {
+                    touched.reports.push(Report::GivenUp { host });
+                }
             }
         }
-        self.shared = shared;
-        let mut stops = Vec::new();
-        let mut rest = Vec::new();
-        for (host, before) in &self.told {
-            if !merged.contains_key(host) {
-                stops.push(Member { health: Health::Removed, ..before.clone() });
+        changes.append(&mut ups);
+        Update { changes, reports: touched.reports }
+    }
+
+    /// Puts together anew what the sources say of a node; notes the addresses where something changed.
+    fn remerge(&mut self, host: &str, addresses: &mut BTreeSet<SocketAddr>) {
+        let now_is = merge::merge(&self.sources, host);
+        let before = self.merged.get(host);
+        if before == now_is.as_ref() {
+            return;
+        }
+        if let Some(before) = before {
+            addresses.insert(before.dial);
+            if let Some(there) = self.at.get_mut(&before.dial) {
+                there.remove(host);
+                if there.is_empty() {
+                    self.at.remove(&before.dial);
+                }
             }
         }
-        for (host, member) in &merged {
-            if self.told.get(host) != Some(member) {
-                let list = if member.health == Health::Up { &mut rest } else { &mut stops };
-                list.push(member.clone());
+        match now_is {
+            Some(member) => {
+                addresses.insert(member.dial);
+                self.at.entry(member.dial).or_default().insert(host.to_owned());
+                self.merged.insert(host.to_owned(), member);
+            }
+            None => {
+                self.merged.remove(host);
+                self.giving_way.remove(host);
+            }
+        }
+    }
+
+    /// Settles who holds an address; adds the nodes there to those that are looked at.
+    fn share(&mut self, address: SocketAddr, hosts: &mut BTreeSet<String>, reports: &mut Vec<Report>) {
+        let Some(there) = self.at.get(&address) else { return };
+        let holder = merge::holder(there.iter().filter_map(|host| self.merged.get(host)));
+        let Some(holder) = holder.map(|member| member.host.clone()) else { return };
+        for host in there {
+            hosts.insert(host.clone());
+            if *host == holder {
+                self.giving_way.remove(host);
+            } else if self.giving_way.insert(host.clone(), holder.clone()).as_ref() != Some(&holder) {
+                let (holder, other) = (holder.clone(), host.clone());
+                reports.push(Report::SharedAddress { holder, other });
             }
         }
-        self.told = merged;
-        stops.append(&mut rest);
-        Update { changes: stops, reports }
     }
 }
--- a/crates/roster/src/source.rs
+++ b/crates/roster/src/source.rs
@@ -1,6 +1,6 @@
 //! What one source has said of each node, and how far it is believed.
 
-use crate::{Report, SourceSettings, MOST_NODES};
+use crate::interface::{Report, SourceSettings, MOST_NODES};
 use maplefall_policy::Millis;
 use maplefall_protocol::{Health, Member, Members};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,12 +13,32 @@
 /// What a source says of a node.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Said {
-    /// Its entry. Once removed it is kept, for the stop that it is, until a newer life is told of.
+    /// Its entry. Once removed it is kept, for the stop that it is.
     pub member: Member,
     /// For a stop: the latest life known when it was told.
     pub stopped_life: Millis,
     /// Since when whole lists have lacked it, if they are doubted.
     missing: Option<Millis>,
+    /// Tells this word from earlier ones on the same node.
+    word: u64,
+}
+
+impl Said {
+    fn listed(&self) -> bool {
+        self.member.health != Health::Removed
+    }
+}
+
+/// The latest start of each node that bears on an event, by anybody's word.
+pub(crate) type Lives = BTreeMap<String, Millis>;
+
+/// What an event changed.
+#[derive(Debug, Default)]
+pub(crate) struct Touched {
+    /// Nodes of which the source now says something else.
+    pub hosts: BTreeSet<String>,
+    /// What people should know.
+    pub reports: Vec<Report>,
 }
 
 /// One source.
@@ -26,13 +46,17 @@
 pub(crate) struct Source {
     pub settings: SourceSettings,
     said: BTreeMap<String, Said>,
+    /// How many of these it lists as not gone.
+    listed: usize,
+    words: u64,
     version: Option<u64>,
     lost: Option<Millis>,
     /// Whether it has been heard at all.
     begun: bool,
+    /// Whether it has been lost for so long that its nodes are given up.
     aged: bool,
-    /// Nodes that it removed, the oldest first: stops are remembered, but not without end.
-    removed: VecDeque<String>,
+    /// Removals, the oldest first, each with its word: stops are remembered, but not without end.
+    removed: VecDeque<(String, u64)>,
 }
 
 impl Source {
@@ -40,6 +64,8 @@
         Source {
             settings,
             said: BTreeMap::new(),
+            listed: 0,
+            words: 0,
             version: None,
             lost: None,
             begun: false,
@@ -53,24 +79,22 @@
         self.begun && self.lost.is_none()
     }
 
-    pub fn said(&self) -> impl Iterator<Item = (&String, &Said)> {
-        self.said.iter()
+    pub fn said(&self, host: &str) -> Option<&Said> {
+        self.said.get(host)
     }
 
     pub fn hosts(&self) -> impl Iterator<Item = &str> {
         self.said.keys().map(String::as_str)
     }
 
-    /// The latest start of a node by this source; `None` if it says nothing of it.
-    pub fn life(&self, host: &str) -> Option<Millis> {
-        self.said.get(host).map(|said| said.member.born_ms)
+    pub fn aged(&self) -> bool {
+        self.aged
     }
 
-    pub fn recall(&mut self, members: &[Member]) {
-        for member in members.iter().take(MOST_NODES) {
-            let said = Said { member: member.clone(), stopped_life: member.born_ms, missing: None };
-            self.said.insert(member.host.clone(), said);
-        }
+    pub fn recall(&mut self, members: &[Member]) -> Touched {
+        let mut touched = Touched::default();
+        self.take_in(members.to_vec(), &Lives::new(), &mut touched);
+        touched
     }
 
     pub fn lose(&mut self, now: Millis) {
@@ -96,117 +120,107 @@
         true
     }
 
-    /// Nodes that it lists as not gone.
-    fn listed(&self) -> usize {
-        self.said.values().filter(|said| said.member.health != Health::Removed).count()
-    }
-
-    pub fn snapshot(
-        &mut self,
-        now: Millis,
-        members: Members,
-        lives: &BTreeMap<String, Millis>,
-        reports: &mut Vec<Report>,
-    ) {
+    pub fn snapshot(&mut self, now: Millis, members: Members, lives: &Lives) -> Touched {
+        let mut touched = Touched::default();
         if !self.news(members.seq) {
-            return;
+            return touched;
         }
-        let had = self.listed();
+        let had = self.listed;
         // A list of many is looked up by name, not walked for each.
         let named: BTreeSet<&str> = members.hosts.iter().map(|member| member.host.as_str()).collect();
-        let missing: Vec<String> = self
-            .said
-            .iter()
-            .filter(|(host, said)| said.member.health != Health::Removed && !named.contains(host.as_str()))
-            .map(|(host, _)| host.clone())
-            .collect();
+        let missing = self.said.iter().filter(|(host, said)| said.listed() && !named.contains(host.as_str()));
+        let missing: Vec<String> = missing.map(|(host, _)| host.clone()).collect();
         let doubted = missing.len() as f64 > self.settings.believed_part * had as f64;
-        let fresh = missing.iter().any(|host| self.said[host].missing.is_none());
+        let (mut gone, mut fresh) = (0, false);
         for host in &missing {
             let Some(said) = self.said.get_mut(host) else { continue };
+            fresh |= said.missing.is_none();
             let since = *said.missing.get_or_insert(now);
             if !doubted || now - since >= self.settings.doubt {
-                said.stopped_life = lives.get(host).copied().unwrap_or(0.0).max(said.member.born_ms);
-                said.member.health = Health::Removed;
-                said.missing = None;
-                self.removed.push_back(host.clone());
+                let member = Member { health: Health::Removed, ..said.member.clone() };
+                self.put(member, lives, &mut touched);
+                gone += 1;
             }
         }
-        let gone = missing.iter().filter(|host| self.said[*host].member.health == Health::Removed).count();
-        let source = self.settings.name.clone();
         if doubted && gone < missing.len() && fresh {
-            reports.push(Report::Doubted { source, missing: missing.len(), of: had });
+            let source = self.settings.name.clone();
+            touched.reports.push(Report::Doubted { source, missing: missing.len(), of: had });
         } else {
-            self.report_mass(gone, had, reports);
+            self.report_mass(gone, had, &mut touched);
         }
-        self.take_in(members.hosts, lives, reports);
+        self.take_in(members.hosts, lives, &mut touched);
+        touched
     }
 
-    pub fn change(
-        &mut self,
-        _now: Millis,
-        members: Members,
-        lives: &BTreeMap<String, Millis>,
-        reports: &mut Vec<Report>,
-    ) {
-        if !self.news(members.seq) {
-            return;
+    pub fn change(&mut self, members: Members, lives: &Lives) -> Touched {
+        let mut touched = Touched::default();
+        if self.news(members.seq) {
+            let removed = members.hosts.iter().filter(|m| m.health == Health::Removed).count();
+            self.report_mass(removed, self.listed, &mut touched);
+            self.take_in(members.hosts, lives, &mut touched);
         }
-        let had = self.listed();
-        let removed = members.hosts.iter().filter(|m| m.health == Health::Removed).count();
-        self.report_mass(removed, had, reports);
-        self.take_in(members.hosts, lives, reports);
+        touched
     }
 
-    fn report_mass(&self, removed: usize, of: usize, reports: &mut Vec<Report>) {
+    fn report_mass(&self, removed: usize, of: usize, touched: &mut Touched) {
         if removed >= MASS && removed * 2 > of {
-            reports.push(Report::MassRemoval { source: self.settings.name.clone(), removed, of });
+            let source = self.settings.name.clone();
+            touched.reports.push(Report::MassRemoval { source, removed, of });
         }
     }
 
-    fn take_in(&mut self, members: Vec<Member>, lives: &BTreeMap<String, Millis>, reports: &mut Vec<Report>) {
+    fn take_in(&mut self, members: Vec<Member>, lives: &Lives, touched: &mut Touched) {
         let mut left_out = 0;
         for member in members {
-            if !self.said.contains_key(&member.host) && self.said.len() >= MOST_NODES {
+            // Kept stops have a bound of their own and take nobody's room.
+            let full = self.listed >= MOST_NODES && !self.said.get(&member.host).is_some_and(Said::listed);
+            if full && member.health != Health::Removed {
                 left_out += 1;
-                continue;
-            }
-            let life = lives.get(&member.host).copied().unwrap_or(0.0).max(member.born_ms);
-            let host = member.host.clone();
-            if member.health == Health::Removed {
-                self.removed.push_back(host.clone());
+            } else {
+                self.put(member, lives, touched);
             }
-            self.said.insert(host, Said { member, stopped_life: life, missing: None });
         }
         while self.removed.len() > MOST_STOPS {
-            let Some(host) = self.removed.pop_front() else { break };
+            let Some((host, word)) = self.removed.pop_front() else { break };
             // It may have come back, and may have been removed again since.
-            let gone = self.said.get(&host).is_some_and(|said| said.member.health == Health::Removed);
-            if gone && !self.removed.contains(&host) {
+            if self.said.get(&host).is_some_and(|said| said.word == word) {
                 self.said.remove(&host);
+                touched.hosts.insert(host);
             }
         }
         if left_out > 0 {
-            reports.push(Report::NoRoom { source: self.settings.name.clone(), left_out });
+            touched.reports.push(Report::NoRoom { source: self.settings.name.clone(), left_out });
+        }
+    }
+
+    /// The source's word on one node from now on.
+    fn put(&mut self, member: Member, lives: &Lives, touched: &mut Touched) {
+        self.words += 1;
+        let life = lives.get(&member.host).copied().unwrap_or(0.0).max(member.born_ms);
+        let said = Said { member, stopped_life: life, missing: None, word: self.words };
+        let host = said.member.host.clone();
+        touched.hosts.insert(host.clone());
+        if said.listed() {
+            self.listed += 1;
+        } else {
+            self.removed.push_back((host.clone(), self.words));
+        }
+        if self.said.insert(host, said).is_some_and(|before| before.listed()) {
+            self.listed -= 1;
         }
     }
 
-    /// Lets time pass; tells whether it has just aged: what it says of nodes counts for nothing until it is heard again,
-    /// but its stops stand.
+    /// Lets time pass. Tells whether it has aged or is heard again: then what it says of nodes counts for nothing, or
+    /// counts again; its stops stand throughout.
     pub fn pass_time(&mut self, now: Millis, another: bool) -> bool {
         let before = self.aged;
         self.aged = another && self.lost.is_some_and(|since| now - since >= self.settings.keep);
-        self.aged && !before
-    }
-
-    /// Whether it has been lost for so long that its nodes are given up.
-    pub fn aged(&self) -> bool {
-        self.aged
+        self.aged != before
     }
 
     /// When it has something to do by itself.
     pub fn due(&self) -> Option<Millis> {
-        let waits = self.listed() > 0 && !self.aged;
+        let waits = self.listed > 0 && !self.aged;
         self.lost.map(|since| since + self.settings.keep).filter(|due| waits && due.is_finite())
     }
 }
--- a/crates/roster/tests/rules.rs
+++ b/crates/roster/tests/rules.rs
@@ -195,3 +195,28 @@
     assert_eq!(update.reports, [Report::NoRoom { source: "agent".into(), left_out: 5 }]);
     assert_eq!(roster.members().count(), maplefall_roster::MOST_NODES);
 }
+
+/// Guards a service in which ever new nodes come and go: they find room without end, the stops of late are remembered, and
+/// the oldest are forgotten.
+#[test]
+fn old_stops_are_forgotten_and_those_of_late_are_not() {
+    let mut roster = two();
+    let ids = 10_000u64;
+    for i in 0..ids {
+        let host = format!("n{i}");
+        let update = roster.take(0.0, change(ETCD, 2 * i + 1, &[node(&host, Up, 1.0)]));
+        assert!(update.reports.is_empty(), "{i}: {:?}", update.reports);
+        roster.take(0.0, change(ETCD, 2 * i + 2, &[node(&host, Removed, 1.0)]));
+    }
+    let last = format!("n{}", ids - 1);
+    assert_eq!(changes(&roster.take(1.0, change(AGENT, 1, &[node(&last, Up, 1.0)]))), [], "stopped of late");
+    assert_eq!(changes(&roster.take(2.0, change(AGENT, 2, &[node("n0", Up, 1.0)]))), [("n0", Up)]);
+    // One that came back meanwhile is not forgotten with its old stop.
+    let mut roster = two();
+    roster.take(0.0, change(ETCD, 1, &[node("kept", Removed, 1.0)]));
+    roster.take(0.0, change(ETCD, 2, &[node("kept", Draining, 2.0)]));
+    for i in 0..ids {
+        roster.take(0.0, change(ETCD, 3 + i, &[node(&format!("n{i}"), Removed, 1.0)]));
+    }
+    assert_eq!(state(&roster), [("kept", Draining)]);
+}
