List goes through the roster; an etcd v3 follower without I/O, its client, a played etcd

Change: the daemon hands the agent's lines to the roster and the roster's changes to the driver. The roster doubts a shrunken list by time alone (a watch does not say again what has not changed) and keeps what stands under an unreadable value. crates/etcd: Follower (no I/O: reads at one revision page by page, watches from seen + 1, pieces, compaction, another cluster, a member that lags, silence, back-off, tokens, leases) and a client on tonic; messages by hand in crates/etcd-wire, so that a build needs no protoc. stand-ins: a store with a true history, members that are cut at a byte, silent, slow, behind, down.

--- /dev/null
+++ b/crates/etcd/src/interface.rs
@@ -0,0 +1,240 @@
+//! What passes between the follower and whoever carries out its commands.
+
+use maplefall_etcd_wire::{RangeRequest, RangeResponse, WatchCreateRequest, WatchResponse};
+use maplefall_policy::Millis;
+use maplefall_roster::Event;
+
+/// Number of a connection. What an old one still says is not listened to.
+pub type Connection = u64;
+
+/// How a prefix is followed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its place among the roster's sources.
+    pub source: usize,
+    /// How many endpoints there are.
+    pub endpoints: usize,
+    /// Keys are `PREFIX/members/ID`.
+    pub prefix: String,
+    /// Whether there is a user to sign in.
+    pub credentials: bool,
+    /// Keys of one page of a whole reading.
+    pub page: i64,
+    /// A watch that says nothing for half of this is asked how far it is; after all of it, it is lost.
+    pub silence: Millis,
+    /// A call that is not answered within this has failed.
+    pub answer: Millis,
+    /// Shortest and longest pause before another try.
+    pub retry: [Millis; 2],
+    /// For the jitter of the pauses.
+    pub seed: u64,
+    /// Unix time in milliseconds at time 0 here.
+    pub unix_start: Millis,
+}
+
+impl Settings {
+    /// What an operator who names nothing but places gets.
+    pub fn usual(source: usize, endpoints: usize, prefix: &str) -> Settings {
+        Settings {
+            source,
+            endpoints,
+            prefix: prefix.to_owned(),
+            credentials: false,
+            page: 1000,
+            silence: 6000.0,
+            answer: 3000.0,
+            retry: [50.0, 2000.0],
+            seed: 0,
+            unix_start: 0.0,
+        }
+    }
+}
+
+/// What is to be done. Whatever comes of it is handed to [`crate::Follower::handle`] under the connection's number.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Open a connection to this endpoint.
+    Open {
+        /// Its number.
+        connection: Connection,
+        /// Which endpoint.
+        endpoint: usize,
+    },
+    /// Sign the user in; calls carry the token from then on.
+    SignIn {
+        /// Where.
+        connection: Connection,
+    },
+    /// Read keys.
+    Range {
+        /// Where.
+        connection: Connection,
+        /// What.
+        request: RangeRequest,
+    },
+    /// Watch keys, on a new stream; one that was open on this connection ends.
+    Watch {
+        /// Where.
+        connection: Connection,
+        /// What.
+        request: WatchCreateRequest,
+    },
+    /// Ask on the stream how far it is.
+    AskProgress {
+        /// Where.
+        connection: Connection,
+    },
+    /// Ask what is left of a lease.
+    LeaseLeft {
+        /// Where.
+        connection: Connection,
+        /// Which.
+        lease: i64,
+    },
+    /// Drop the connection and all that is out on it.
+    Close {
+        /// Which.
+        connection: Connection,
+    },
+}
+
+/// What came of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Input {
+    /// The connection is open.
+    Opened,
+    /// The user is signed in.
+    SignedIn,
+    /// Keys.
+    Page(RangeResponse),
+    /// Something on the watch.
+    Watched(WatchResponse),
+    /// What is left of a lease in seconds; -1 if it is gone, `None` if nobody could say.
+    LeaseLeft {
+        /// Which.
+        lease: i64,
+        /// Seconds.
+        ttl: Option<i64>,
+    },
+    /// A call, the stream or the connection failed.
+    Failed(Failure),
+}
+
+/// Why something failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Failure {
+    /// Nobody answers there, or the answer broke off.
+    #[error("{0}")]
+    Broken(String),
+    /// The token is not accepted any more.
+    #[error("the token was refused")]
+    TokenRefused,
+    /// User or password are wrong, or the user may not read the prefix: trying again soon is of no use.
+    #[error("not permitted: {0}")]
+    NotPermitted(String),
+    /// The revision that was asked for is not kept any more.
+    #[error("the revision asked for has been compacted")]
+    Compacted,
+}
+
+/// What the roster is to hear.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// What.
+    pub event: Event,
+    /// By how many revisions the member's store was ahead of the oldest change in it.
+    pub behind: i64,
+    /// How long ago the oldest change in it was written, in milliseconds, where a value says.
+    pub late: Option<Millis>,
+}
+
+/// What comes out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// For whoever does the I/O.
+    Command(Command),
+    /// For the roster.
+    Tell(Told),
+    /// For people.
+    Report(Report),
+}
+
+/// Something that people should know; each prints as one line. `endpoint` is its place in the settings.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum Report {
+    /// The watch is on.
+    #[error("watching from revision {from} at endpoint {endpoint}")]
+    Watching {
+        /// Where.
+        endpoint: usize,
+        /// From where on.
+        from: i64,
+    },
+    /// All keys were read.
+    #[error(
+        "read {nodes} nodes at revision {revision} from endpoint {endpoint}; {unread} values are unreadable"
+    )]
+    Read {
+        /// Where.
+        endpoint: usize,
+        /// At which revision.
+        revision: i64,
+        /// Nodes.
+        nodes: usize,
+        /// Unreadable values.
+        unread: usize,
+    },
+    /// An endpoint fails; told once for each kind of failure until the watch is on again.
+    #[error("endpoint {endpoint}: {failure}")]
+    Lost {
+        /// Which.
+        endpoint: usize,
+        /// How.
+        failure: Failure,
+    },
+    /// A member answers from before what has been seen: its word is not taken.
+    #[error("endpoint {endpoint} is behind: at revision {at}, {seen} was seen")]
+    Behind {
+        /// Which.
+        endpoint: usize,
+        /// Its revision.
+        at: i64,
+        /// The one seen.
+        seen: i64,
+    },
+    /// Another cluster answers: all is read anew, and what vanished is doubted by the roster's rules.
+    #[error("another cluster answers: {is:x} instead of {was:x}; reading all anew")]
+    OtherCluster {
+        /// Before.
+        was: u64,
+        /// Now.
+        is: u64,
+    },
+    /// The history since what was seen is gone.
+    #[error("history from revision {wanted} is compacted up to {kept}; reading all anew")]
+    Compacted {
+        /// Wanted from.
+        wanted: i64,
+        /// Kept from; 0 if not told.
+        kept: i64,
+    },
+    /// A key or value that cannot be used; what was said of the node before stands. Told once for each.
+    #[error("{key}: {why}")]
+    Unreadable {
+        /// The key.
+        key: String,
+        /// Why.
+        why: String,
+    },
+    /// Nodes are gone since their lease ran out or was revoked, not by somebody's hand.
+    #[error("gone with their lease {lease:x}: {}", hosts.join(", "))]
+    LeaseGone {
+        /// The lease.
+        lease: i64,
+        /// The nodes.
+        hosts: Vec<String>,
+    },
+    /// One answer brought more than is held; all is read anew.
+    #[error("an answer of over {0} changes; reading all anew")]
+    TooMany(usize),
+}
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -9,12 +9,14 @@
 pub mod config;
 mod discovery;
 mod door;
+mod membership;
 mod pool;
 mod request;
 
 use clients::Clients;
 use config::Config;
 use door::Door;
+use membership::Membership;
 use std::net::SocketAddr;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -36,11 +38,12 @@
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
     let version = config.known.as_ref().map(|known| known.seq);
+    let membership = Membership::new(door.clone());
     if let Some(known) = &config.known {
-        door.list_changed(known, true);
+        membership.recall(known);
     }
-    let told = door.clone();
-    let take = move |members: &_| told.list_changed(members, false);
+    let told = membership.clone();
+    let take = move |members: &_| told.agent_told(members);
     tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version));
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
--- a/crates/roster/examples/churn.rs
+++ b/crates/roster/examples/churn.rs
@@ -24,7 +24,7 @@
         let begun = Instant::now();
         for source in 0..2 {
             let members = Members { seq: 1, whole: true, hosts: hosts.clone() };
-            roster.take(0.0, Event::Snapshot { source, members });
+            roster.take(0.0, Event::Snapshot { source, members, unread: Vec::new() });
         }
         let whole = begun.elapsed().as_secs_f64() * 1e3 / 2.0;
         let begun = Instant::now();
--- a/crates/roster/src/interface.rs
+++ b/crates/roster/src/interface.rs
@@ -43,6 +43,8 @@
         source: usize,
         /// The list; its `whole` is not looked at.
         members: Members,
+        /// Nodes that stand in the list with entries that could not be read: what was said of them before stands.
+        unread: Vec<String>,
     },
     /// What changed up to a version, as one change: a drain and the start of a replacement are seen together.
     Change {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -11,8 +11,8 @@
 //!    source takes it back or anybody tells of a newer life of the node (a later start). A stop is for the lives known when
 //!    it was told, and for no later one.
 //! 3. **Whole lists.** A node that a source had and a whole list of it lacks was removed by that source; but where the list
-//!    lacks more than a part, the missing are doubted: they stay until a later list of that source still lacks them after
-//!    the time of doubt. Removals told one by one are believed at once.
+//!    lacks more than a part, the missing are doubted: they stay until the source, still heard, has not told of them for the
+//!    time of doubt. An entry that stands there and cannot be read is not missing: what was said of it stands. Removals told one by one are believed at once.
 //! 4. **Lost sources.** What a lost source said stands. Nodes known from lost sources alone age out after a time, but only
 //!    while another source is there; with all sources lost nothing ages, for a failing discovery must not empty the list.
 //! 5. **One address, one node.** Of several nodes that are not gone at one address, the one that started last holds it, then
@@ -69,19 +69,14 @@
     /// their addresses; only a whole list, and a source that is lost for long or comes back, touch all nodes of a source.
     pub fn take(&mut self, now: Millis, event: Event) -> Update {
         // What anybody knows of each node's lives bears on what a stop is for.
-        let mut lives = Lives::new();
+        let mut hosts: Vec<&str> = Vec::new();
         if let Event::Snapshot { members, .. } | Event::Change { members, .. } = &event {
-            let named = members.hosts.iter().map(|member| member.host.clone());
-            lives.extend(named.map(|host| (host, 0.0)));
+            hosts.extend(members.hosts.iter().map(|member| member.host.as_str()));
         }
         if let Event::Snapshot { source, .. } = &event {
-            let had = self.sources.get(*source).into_iter().flat_map(Source::hosts);
-            lives.extend(had.map(|host| (host.to_owned(), 0.0)));
-        }
-        for (host, life) in &mut lives {
-            let starts = self.sources.iter().filter_map(|source| source.said(host));
-            *life = starts.map(|said| said.member.born_ms).fold(0.0, f64::max);
+            hosts.extend(self.sources.get(*source).into_iter().flat_map(Source::hosts));
         }
+        let lives = self.lives(hosts.into_iter());
         let (Event::Snapshot { source, .. }
         | Event::Change { source, .. }
         | Event::Lost { source }
@@ -89,7 +84,7 @@
         | Event::Reborn { source }) = event;
         let Some(of) = self.sources.get_mut(source) else { return Update::default() };
         let touched = match event {
-            Event::Snapshot { members, .. } => of.snapshot(now, members, &lives),
+            Event::Snapshot { members, unread, .. } => of.snapshot(now, members, &unread, &lives),
             Event::Change { members, .. } => of.change(members, &lives),
             Event::Lost { .. } => {
                 of.lose(now);
@@ -107,7 +102,16 @@
         self.settle(now, touched)
     }
 
-    /// Carries out what has come due: sources that have been lost for long.
+    /// The latest start of each of these nodes, by anybody's word.
+    fn lives<'a>(&self, hosts: impl Iterator<Item = &'a str>) -> Lives {
+        let life = |host: &str| {
+            let starts = self.sources.iter().filter_map(|source| source.said(host));
+            starts.map(|said| said.member.born_ms).fold(0.0, f64::max)
+        };
+        hosts.map(|host| (host.to_owned(), life(host))).collect()
+    }
+
+    /// Carries out what has come due: sources that have been lost for long, nodes that have been doubted for long.
     pub fn tick(&mut self, now: Millis) -> Update {
         self.settle(now, Touched::default())
     }
@@ -125,6 +129,13 @@
 
     /// Brings what has been handed out in line with what the sources say now.
     fn settle(&mut self, now: Millis, mut touched: Touched) -> Update {
+        for at in 0..self.sources.len() {
+            let over = self.sources[at].doubts_over(now);
+            if !over.is_empty() {
+                let lives = self.lives(over.iter().map(String::as_str));
+                self.sources[at].believe(&over, &lives, &mut touched);
+            }
+        }
         let heard = self.sources.iter().any(Source::heard);
         let mut aged = BTreeSet::new();
         for source in &mut self.sources {
--- a/crates/roster/src/source.rs
+++ b/crates/roster/src/source.rs
@@ -17,8 +17,6 @@
     pub member: Member,
     /// For a stop: the latest life known when it was told.
     pub stopped_life: Millis,
-    /// Since when whole lists have lacked it, if they are doubted.
-    missing: Option<Millis>,
     /// Tells this word from earlier ones on the same node.
     word: u64,
 }
@@ -57,6 +55,8 @@
     aged: bool,
     /// Removals, the oldest first, each with its word: stops are remembered, but not without end.
     removed: VecDeque<(String, u64)>,
+    /// Nodes that whole lists have lacked and that are not given up yet, and since when.
+    doubts: BTreeMap<String, Millis>,
 }
 
 impl Source {
@@ -71,6 +71,7 @@
             begun: false,
             aged: false,
             removed: VecDeque::new(),
+            doubts: BTreeMap::new(),
         }
     }
 
@@ -107,6 +108,8 @@
 
     pub fn reborn(&mut self) {
         self.version = None;
+        // What the old one did not list, the new one may.
+        self.doubts.clear();
     }
 
     /// Whether a word of this version is news.
@@ -120,38 +123,65 @@
         true
     }
 
-    pub fn snapshot(&mut self, now: Millis, members: Members, lives: &Lives) -> Touched {
+    pub fn snapshot(&mut self, now: Millis, members: Members, unread: &[String], lives: &Lives) -> Touched {
         let mut touched = Touched::default();
         if !self.news(members.seq) {
             return touched;
         }
         let had = self.listed;
         // A list of many is looked up by name, not walked for each.
-        let named: BTreeSet<&str> = members.hosts.iter().map(|member| member.host.as_str()).collect();
+        let named: BTreeSet<&str> = members
+            .hosts
+            .iter()
+            .map(|member| member.host.as_str())
+            .chain(unread.iter().map(String::as_str))
+            .collect();
         let missing = self.said.iter().filter(|(host, said)| said.listed() && !named.contains(host.as_str()));
         let missing: Vec<String> = missing.map(|(host, _)| host.clone()).collect();
         let doubted = missing.len() as f64 > self.settings.believed_part * had as f64;
-        let (mut gone, mut fresh) = (0, false);
-        for host in &missing {
-            let Some(said) = self.said.get_mut(host) else { continue };
-            fresh |= said.missing.is_none();
-            let since = *said.missing.get_or_insert(now);
-            if !doubted || now - since >= self.settings.doubt {
-                let member = Member { health: Health::Removed, ..said.member.clone() };
-                self.put(member, lives, &mut touched);
-                gone += 1;
+        self.doubts.retain(|host, _| !named.contains(host.as_str()));
+        if doubted {
+            let before = self.doubts.len();
+            for host in &missing {
+                self.doubts.entry(host.clone()).or_insert(now);
+            }
+            if self.doubts.len() > before {
+                let source = self.settings.name.clone();
+                touched.reports.push(Report::Doubted { source, missing: missing.len(), of: had });
             }
-        }
-        if doubted && gone < missing.len() && fresh {
-            let source = self.settings.name.clone();
-            touched.reports.push(Report::Doubted { source, missing: missing.len(), of: had });
         } else {
-            self.report_mass(gone, had, &mut touched);
+            self.report_mass(missing.len(), had, &mut touched);
+            self.remove(&missing, lives, &mut touched);
         }
         self.take_in(members.hosts, lives, &mut touched);
         touched
     }
 
+    /// Nodes that have been missing for the time of doubt while the source was there to tell otherwise.
+    pub fn doubts_over(&self, now: Millis) -> Vec<String> {
+        if self.doubts.is_empty() || !self.heard() {
+            return Vec::new();
+        }
+        let over = self.doubts.iter().filter(|(_, since)| now - **since >= self.settings.doubt);
+        over.map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Takes nodes for removed that were doubted.
+    pub fn believe(&mut self, hosts: &[String], lives: &Lives, touched: &mut Touched) {
+        self.report_mass(hosts.len(), self.listed, touched);
+        self.remove(hosts, lives, touched);
+        self.forget_old_stops(touched);
+    }
+
+    /// What the source lists no more, it has removed.
+    fn remove(&mut self, hosts: &[String], lives: &Lives, touched: &mut Touched) {
+        for host in hosts {
+            let Some(said) = self.said.get(host) else { continue };
+            let member = Member { health: Health::Removed, ..said.member.clone() };
+            self.put(member, lives, touched);
+        }
+    }
+
     pub fn change(&mut self, members: Members, lives: &Lives) -> Touched {
         let mut touched = Touched::default();
         if self.news(members.seq) {
@@ -180,6 +210,13 @@
                 self.put(member, lives, touched);
             }
         }
+        self.forget_old_stops(touched);
+        if left_out > 0 {
+            touched.reports.push(Report::NoRoom { source: self.settings.name.clone(), left_out });
+        }
+    }
+
+    fn forget_old_stops(&mut self, touched: &mut Touched) {
         while self.removed.len() > MOST_STOPS {
             let Some((host, word)) = self.removed.pop_front() else { break };
             // It may have come back, and may have been removed again since.
@@ -188,17 +225,15 @@
                 touched.hosts.insert(host);
             }
         }
-        if left_out > 0 {
-            touched.reports.push(Report::NoRoom { source: self.settings.name.clone(), left_out });
-        }
     }
 
     /// The source's word on one node from now on.
     fn put(&mut self, member: Member, lives: &Lives, touched: &mut Touched) {
         self.words += 1;
         let life = lives.get(&member.host).copied().unwrap_or(0.0).max(member.born_ms);
-        let said = Said { member, stopped_life: life, missing: None, word: self.words };
+        let said = Said { member, stopped_life: life, word: self.words };
         let host = said.member.host.clone();
+        self.doubts.remove(&host);
         touched.hosts.insert(host.clone());
         if said.listed() {
             self.listed += 1;
@@ -221,6 +256,9 @@
     /// When it has something to do by itself.
     pub fn due(&self) -> Option<Millis> {
         let waits = self.listed > 0 && !self.aged;
-        self.lost.map(|since| since + self.settings.keep).filter(|due| waits && due.is_finite())
+        let aging = self.lost.map(|since| since + self.settings.keep).filter(|_| waits);
+        let first = self.doubts.values().copied().min_by(f64::total_cmp).filter(|_| self.heard());
+        let doubt = first.map(|since| since + self.settings.doubt);
+        aging.into_iter().chain(doubt).filter(|due| due.is_finite()).min_by(f64::total_cmp)
     }
 }
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod agent;
 pub mod client;
 pub mod counter;
+pub mod etcd;
 pub mod lateness;
 pub mod node;
 pub mod rude;
