--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -40,6 +40,25 @@
     pub authority: Option<Vec<u8>>,
 }
 
+/// What stands between the follower and the sockets; [`Straight`] changes nothing. A rehearsal's broken builds sit here.
+pub trait Seam {
+    /// A command on its way to the sockets.
+    fn command(&mut self, command: Command) -> Command {
+        command
+    }
+
+    /// An input on its way to the follower.
+    fn input(&mut self, input: Input) -> Input {
+        input
+    }
+}
+
+/// Nothing stands between.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Straight;
+
+impl Seam for Straight {}
+
 /// Follows a prefix for as long as it is polled. Where `place` is told anew, it goes on there from what it has seen.
 /// `clock` gives the time that is handed to the follower; `take` gets what the follower tells and reports, in order.
 pub async fn follow(
@@ -47,6 +66,7 @@
     mut place: watch::Receiver<Place>,
     clock: impl Fn() -> Millis,
     mut take: impl FnMut(Output),
+    mut seam: impl Seam,
 ) {
     let mut at = place.borrow_and_update().clone();
     (settings.endpoints, settings.credentials) = (at.endpoints.len(), at.user.is_some());
@@ -64,7 +84,7 @@
                 Output::Command(Command::Close { .. }) => link = None,
                 Output::Command(command) => {
                     if let Some(link) = &mut link {
-                        link.carry_out(command);
+                        link.carry_out(seam.command(command));
                     }
                 }
                 told => take(told),
@@ -76,10 +96,10 @@
         tokio::select! {
             input = inputs.recv() => {
                 let Some((connection, input)) = input else { return };
-                follower.handle(clock(), connection, input);
+                follower.handle(clock(), connection, seam.input(input));
                 for _ in 1..AT_ONCE {
                     let Ok((connection, input)) = inputs.try_recv() else { break };
-                    follower.handle(clock(), connection, input);
+                    follower.handle(clock(), connection, seam.input(input));
                 }
             }
             () = tokio::time::sleep(pause) => {}
--- a/crates/etcd/tests/sockets.rs
+++ b/crates/etcd/tests/sockets.rs
@@ -1,7 +1,7 @@
 //! The client against the played etcd over real connections that break in every way that is asked of it. Waits are for
 //! events; the limits are generous.
 
-use maplefall_etcd::client::{follow, Place};
+use maplefall_etcd::client::{follow, Place, Straight};
 use maplefall_etcd::{Output, Report, Settings};
 use maplefall_etcd_wire::{DeleteRangeRequest, PutRequest};
 use maplefall_protocol::Health;
@@ -96,7 +96,7 @@
                 Output::Command(_) => {}
             }
         };
-        tokio::task::spawn_local(follow(settings, place.subscribe(), clock, take));
+        tokio::task::spawn_local(follow(settings, place.subscribe(), clock, take, Straight));
         Bed { etcd, members, place, seen }
     }
 
--- /dev/null
+++ b/crates/judge/src/drain_times.rs
@@ -0,0 +1,110 @@
+//! How long drains take: from the moment at which one was committed, and from the moment at which each front door learned
+//! of it, to the last byte of new work that the front door began at the node.
+
+use crate::view::View;
+use maplefall_record::{Health, Millis, Record};
+
+/// One drain at one front door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DrainTime {
+    /// Which front door.
+    pub door: u32,
+    /// Which node.
+    pub node: u32,
+    /// From the commit to the front door's learning of it; `None` where nothing was committed (an agent tells by itself).
+    pub learned: Option<Millis>,
+    /// From the commit to the last byte of new work; 0 if there was none after it, `None` as above.
+    pub from_commit: Option<Millis>,
+    /// From learning to the last byte of new work; 0 if there was none after it.
+    pub from_learning: Millis,
+}
+
+/// Every drain that a front door was told of, in the order of the telling. A front door that was told of a node twice
+/// counts once for each life of the node.
+pub fn drain_times(record: &Record) -> Vec<DrainTime> {
+    let view = View::new(record);
+    let mut found = Vec::new();
+    let mut stopped: std::collections::BTreeMap<(u32, u32, u32), bool> = Default::default();
+    for telling in &view.tellings {
+        let (key, by) = ((telling.door, telling.node), (telling.door, telling.node, telling.source));
+        if telling.health == Health::Up {
+            stopped.insert(by, false);
+            continue;
+        }
+        // Told of as up before, and not stopped since: this is where it stops.
+        if stopped.insert(by, true) != Some(false) {
+            continue;
+        }
+        let of_node = |(_, node, _): &&(Millis, u32, Health)| *node == telling.node;
+        let up_again =
+            view.committed.iter().filter(of_node).find(|(at, _, h)| *at > telling.at && *h == Health::Up);
+        let until = up_again.map_or(f64::INFINITY, |(at, _, _)| *at);
+        let commits = view.committed.iter().filter(of_node).filter(|(at, _, _)| *at <= telling.at);
+        // The first stop since the node was last up.
+        let mut commit = None;
+        for (at, _, health) in commits {
+            match health {
+                Health::Up => commit = None,
+                _ => {
+                    commit.get_or_insert(*at);
+                }
+            }
+        }
+        let last = |from: Millis| {
+            let new = view.attempts.iter().filter(|attempt| {
+                (attempt.door, attempt.node) == key && attempt.first > from && attempt.first < until
+            });
+            new.map(|attempt| attempt.at - from).fold(0.0, f64::max)
+        };
+        found.push(DrainTime {
+            door: telling.door,
+            node: telling.node,
+            learned: commit.map(|commit| telling.at - commit),
+            from_commit: commit.map(last),
+            from_learning: last(telling.at),
+        });
+    }
+    found
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maplefall_record::{Entry, Header, Line, Rules, VERSION};
+
+    fn came(attempt: u64, node: u32, first: Millis) -> Entry {
+        let (id, key) = (format!("r{attempt}"), None);
+        Entry::Came { attempt, node, door: 0, id, key, form: 0, first, whole: true, work: 1.0 }
+    }
+
+    #[test]
+    fn new_work_after_the_commit_counts_and_work_begun_before_does_not() {
+        let told = |health| Entry::Told { door: 0, node: 1, health, born: None, source: 1 };
+        let lines = [
+            (0.0, told(Health::Up)),
+            (100.0, Entry::Committed { node: 1, health: Health::Draining }),
+            // Begun before the commit: its last byte comes after and does not count.
+            (110.0, came(1, 1, 99.0)),
+            (130.0, told(Health::Draining)),
+            (140.0, came(2, 1, 125.0)),
+            (150.0, came(3, 1, 145.0)),
+            (160.0, came(4, 2, 155.0)),
+            // The same drain told again is none.
+            (170.0, told(Health::Removed)),
+        ];
+        let header = Header {
+            version: VERSION,
+            scenario: "x".into(),
+            seed: 1,
+            doors: 1,
+            classes: Vec::new(),
+            plans: Vec::new(),
+            rules: Rules::platform(1.0),
+        };
+        let lines = lines.into_iter().map(|(at, entry)| Line { at, entry }).collect();
+        let found = drain_times(&Record { header, lines });
+        let expected =
+            DrainTime { door: 0, node: 1, learned: Some(30.0), from_commit: Some(50.0), from_learning: 20.0 };
+        assert_eq!(found, [expected]);
+    }
+}
--- a/crates/judge/src/drains.rs
+++ b/crates/judge/src/drains.rs
@@ -9,8 +9,9 @@
 /// How recently a front door must have sent to a node for its drain to be a test.
 const RECENT: Millis = 10_000.0;
 
-/// What a front door knows of a node: since when it is to be left alone, and by which line.
-type Stopped = BTreeMap<(u32, u32), Option<(Millis, usize)>>;
+/// What a front door knows of a node by each source: since when it is to be left alone, and by which line. One source's
+/// drain holds whatever another says, until the one that told it takes it back.
+type Stopped = BTreeMap<(u32, u32), BTreeMap<u32, (Millis, usize)>>;
 
 /// Judges it.
 pub fn judge(view: &View<'_>) -> Ruling {
@@ -42,10 +43,16 @@
                     let Some(telling) = tellings.next() else { break };
                     let key = (telling.door, telling.node);
                     let entry = stopped.entry(key).or_default();
+                    let first = entry.is_empty();
                     if telling.health == Health::Up {
-                        *entry = None;
-                    } else if entry.is_none() {
-                        *entry = Some((telling.at, telling.line));
+                        // Its own stop is taken back; anybody's, by a newer life of the node.
+                        entry.retain(|source, (at, _)| {
+                            *source != telling.source && !telling.born.is_some_and(|born| born > *at)
+                        });
+                    } else {
+                        entry.entry(telling.source).or_insert((telling.at, telling.line));
+                    }
+                    if first && !entry.is_empty() {
                         let recent = sent.get(&key).is_some_and(|at| telling.at - at < RECENT);
                         ruling.tested += u64::from(recent);
                     }
@@ -53,7 +60,8 @@
             }
         }
         let key = (attempt.door, attempt.node);
-        if let Some(Some((since, line))) = stopped.get(&key) {
+        let earliest = stopped.get(&key).and_then(|stops| stops.values().min_by(|a, b| a.0.total_cmp(&b.0)));
+        if let Some((since, line)) = earliest {
             let after = attempt.first - since;
             ruling.margin(attempt.first, grace - after);
             if after > grace {
@@ -69,7 +77,7 @@
     // What was told after the last send was a test too, if there had been sends.
     for telling in tellings.filter(|telling| telling.health != Health::Up) {
         let key = (telling.door, telling.node);
-        let before = stopped.get(&key).is_some_and(Option::is_some);
+        let before = stopped.get(&key).is_some_and(|stops| !stops.is_empty());
         let recent = sent.get(&key).is_some_and(|at| telling.at - at < RECENT);
         ruling.tested += u64::from(recent && !before);
     }
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answers;
 pub mod ceilings;
 pub mod cold;
+pub mod drain_times;
 pub mod drains;
 pub mod figures;
 pub mod repeats;
--- a/crates/judge/src/view.rs
+++ b/crates/judge/src/view.rs
@@ -137,6 +137,8 @@
     pub health: Health,
     /// When it was said to have started.
     pub born: Option<Millis>,
+    /// By which source.
+    pub source: u32,
     /// The line.
     pub line: usize,
 }
@@ -157,6 +159,8 @@
     pub lives: Vec<Life>,
     /// What front doors were told.
     pub tellings: Vec<Telling>,
+    /// When a node's change was committed where front doors watch, and to which state.
+    pub committed: Vec<(Millis, u32, Health)>,
     /// What happened to front doors.
     pub doors: Vec<(Millis, u32, DoorState, usize)>,
     /// Bytes that nobody asked for: when, on which front door's connection, after which request.
@@ -176,6 +180,7 @@
             whole_by_id: BTreeMap::new(),
             lives: Vec::new(),
             tellings: Vec::new(),
+            committed: Vec::new(),
             doors: Vec::new(),
             surplus: Vec::new(),
             rude: Vec::new(),
@@ -279,14 +284,16 @@
                 }
             }
             Entry::Node { node, state } => self.take_node(line, at, *node, *state),
-            Entry::Told { door, node, health, born } => self.tellings.push(Telling {
+            Entry::Told { door, node, health, born, source } => self.tellings.push(Telling {
                 at,
                 door: *door,
                 node: *node,
                 health: *health,
                 born: *born,
+                source: *source,
                 line,
             }),
+            Entry::Committed { node, health } => self.committed.push((at, *node, *health)),
             Entry::Door { door, state } => self.doors.push((at, *door, *state, line)),
             Entry::Rude { kind, status, neglected } => {
                 self.rude.push((at, kind, *status, *neglected, line));
--- a/crates/judge/tests/rules.rs
+++ b/crates/judge/tests/rules.rs
@@ -290,6 +290,18 @@
     assert_eq!(broken_off(1560.0).rule(3).verdict, Broken);
 }
 
+/// Guards the rule on sources that disagree: what one says of a stop another cannot undo, but for a newer life.
+#[test]
+fn a_drain_holds_whatever_another_source_says() {
+    let drained = || tale().served(0.0, 1, "a", SAFE, 3).told_by(1, 1000.0, 0, 3, Health::Draining, None);
+    let other = drained().told_by(0, 1200.0, 0, 3, Health::Up, None).served(2000.0, 2, "b", SAFE, 3);
+    assert_eq!(other.rule(3).verdict, Broken);
+    let undone = drained().told_by(1, 1200.0, 0, 3, Health::Up, None).served(2000.0, 2, "b", SAFE, 3);
+    assert_eq!(undone.rule(3).verdict, Kept);
+    let newer = drained().told_by(0, 1800.0, 0, 3, Health::Up, Some(1700.0)).served(2000.0, 2, "b", SAFE, 3);
+    assert_eq!(newer.rule(3).verdict, Kept);
+}
+
 #[test]
 fn a_drain_of_a_node_that_was_not_used_puts_nothing_to_the_test() {
     assert_eq!(tale().told(1000.0, 0, 3, Health::Draining, None).rule(3).verdict, NotExercised);
--- a/crates/judge/tests/tale/mod.rs
+++ b/crates/judge/tests/tale/mod.rs
@@ -126,7 +126,19 @@
     }
 
     pub fn told(self, at: Millis, door: u32, node: u32, health: Health, born: Option<Millis>) -> Tale {
-        self.line(at, Entry::Told { door, node, health, born })
+        self.told_by(0, at, door, node, health, born)
+    }
+
+    pub fn told_by(
+        self,
+        source: u32,
+        at: Millis,
+        door: u32,
+        node: u32,
+        health: Health,
+        born: Option<Millis>,
+    ) -> Tale {
+        self.line(at, Entry::Told { door, node, health, born, source })
     }
 
     pub fn door(self, at: Millis, state: DoorState) -> Tale {
--- a/crates/maplefall/src/main.rs
+++ b/crates/maplefall/src/main.rs
@@ -12,7 +12,7 @@
 
 Usage:
   maplefall                serves, by the BALANCER_* variables below
-  maplefall check FILE     tells every mistake in a configuration, each with its path; 0 if there is none
+  maplefall check FILE     tells every mistake in a configuration, or in a file of sources (.toml); 0 if there is none
   maplefall --help         this text
   maplefall --version      the version
 
@@ -21,9 +21,11 @@
   BALANCER_NAME            its name in the log, before the file's `name`
   BALANCER_LISTEN          where clients connect, before the file's `listen`
   BALANCER_DISCOVERY       where discovery answers, before the file's `discovery`
+  MAPLEFALL_SOURCES        a file of sources of the list of backends (deploy/sources.toml is one); without it only discovery
 
 Signals:
-  SIGHUP                   reads the file again; `discovery` moves at once, the rest takes a restart
+  SIGHUP                   reads both files again; `discovery`, etcd's endpoints and credentials, and files of nodes move
+                           at once, the rest takes a restart
   SIGTERM                  answers what has come, then ends with 0
 
 To rehearse failures on one machine: maplefall-rehearse --help
@@ -68,12 +70,14 @@
 
 /// Tells every mistake in a configuration on a line of its own.
 fn check(file: &str) -> ExitCode {
+    let named = |mistake: String| format!("{file}: {mistake}");
     let found = match std::fs::read_to_string(file) {
-        Ok(text) => net::check::mistakes(&text),
-        Err(error) => vec![error.to_string()],
+        Ok(_) if file.ends_with(".toml") => net::check::source_mistakes(file.as_ref()),
+        Ok(text) => net::check::mistakes(&text).into_iter().map(named).collect(),
+        Err(error) => vec![named(error.to_string())],
     };
     for mistake in &found {
-        println!("{file}: {mistake}");
+        println!("{mistake}");
     }
     if found.is_empty() {
         println!("{file}: no mistakes");
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -3,8 +3,11 @@
 //! the driver and the decision module or the sockets: the module itself is played unchanged.
 
 use hyper::Uri;
+use maplefall_etcd::client::Seam;
+use maplefall_etcd::{Command, Input};
 use maplefall_policy::{Action, BackendEntry, Effect, Millis, Settings};
 use maplefall_protocol::Order;
+use maplefall_roster::{Event, Update};
 use std::rc::Rc;
 use std::sync::OnceLock;
 
@@ -50,10 +53,16 @@
     CeilingPerDoor,
     /// There is no ceiling.
     NoCeiling,
+    /// A watch of etcd goes on at the current revision instead of the last seen.
+    ResumesAtCurrent,
+    /// A watch of etcd whose history is compacted goes on where history begins, and nothing is read anew.
+    CompactionIgnored,
+    /// The last word on a node holds, whoever says it.
+    LastWordHolds,
 }
 
 /// Their names.
-const NAMES: [(&str, Breakage); 16] = [
+const NAMES: [(&str, Breakage); 19] = [
     ("second-answer", Breakage::SecondAnswer),
     ("drops-on-term", Breakage::DropsOnTerm),
     ("sent-after-answer", Breakage::SentAfterAnswer),
@@ -70,6 +79,9 @@
     ("cold-favoured", Breakage::ColdFavoured),
     ("ceiling-per-door", Breakage::CeilingPerDoor),
     ("no-ceiling", Breakage::NoCeiling),
+    ("resumes-at-current", Breakage::ResumesAtCurrent),
+    ("compaction-ignored", Breakage::CompactionIgnored),
+    ("last-word-holds", Breakage::LastWordHolds),
 ];
 
 /// Whether the program is to be broken in this way.
@@ -138,3 +150,37 @@
     }
     entry
 }
+
+/// What the door is handed where the last word on a node holds, past the roster.
+pub fn last_word(event: &Event) -> Option<Update> {
+    let (Event::Snapshot { members, .. } | Event::Change { members, .. }) = event else { return None };
+    is(Breakage::LastWordHolds).then(|| Update { changes: members.hosts.clone(), reports: Vec::new() })
+}
+
+/// Between etcd's follower and its sockets.
+#[derive(Default)]
+pub struct EtcdSeam {
+    /// The oldest revision that is kept, as a watch was told.
+    kept: i64,
+}
+
+impl Seam for EtcdSeam {
+    fn command(&mut self, mut command: Command) -> Command {
+        if let Command::Watch { request, .. } = &mut command {
+            if is(Breakage::ResumesAtCurrent) {
+                request.start_revision = 0;
+            }
+            request.start_revision = request.start_revision.max(self.kept);
+        }
+        command
+    }
+
+    fn input(&mut self, mut input: Input) -> Input {
+        if let Input::Watched(answer) = &mut input {
+            if is(Breakage::CompactionIgnored) && answer.compact_revision > 0 {
+                self.kept = std::mem::take(&mut answer.compact_revision);
+            }
+        }
+        input
+    }
+}
--- a/crates/maplefall/src/net/check.rs
+++ b/crates/maplefall/src/net/check.rs
@@ -2,10 +2,26 @@
 //! there is one. It also tells what can be read and cannot be meant.
 
 use super::config::{least_memory, LEAST_SOCKETS};
+use super::{membership, sources};
 use maplefall_protocol::Members;
 use maplefall_settings::{self as settings, Told};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
+
+/// All mistakes in a file of sources (one whose name ends in `.toml`) and in the files that it names.
+pub fn source_mistakes(path: &Path) -> Vec<String> {
+    match sources::read(path) {
+        Err(found) => found,
+        Ok(list) => {
+            let files = list.into_iter().filter_map(|source| match source.kind {
+                sources::Kind::File(path) => Some(path),
+                _ => None,
+            });
+            files.flat_map(|path| membership::file_mistakes(&path)).collect()
+        }
+    }
+}
 
 /// All mistakes in a configuration's text; none if it can be used.
 pub fn mistakes(text: &str) -> Vec<String> {
--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -38,11 +38,21 @@
     TooLong,
 }
 
+/// What is heard of discovery.
+#[derive(Clone, Copy, Debug)]
+pub enum Heard<'a> {
+    /// The list, or what changed in it.
+    Members(&'a Members),
+    /// It is there, and nothing has changed.
+    Alive,
+    /// Its watch has ended.
+    Lost,
+}
+
 /// Follows discovery for as long as the front door runs, from the `version` that it last had, and hands on what is
-/// told. When `agent` tells
-/// another address, the old watch is left at once and resumed there.
+/// told. When `agent` tells another address, the old watch is left at once and resumed there.
 pub async fn follow(
-    take: impl Fn(&Members),
+    take: impl Fn(Heard<'_>),
     mut agent: watch::Receiver<SocketAddr>,
     mut version: Option<u64>,
 ) {
@@ -66,6 +76,7 @@
         if whole_list && version.is_some() {
             continue;
         }
+        take(Heard::Lost);
         // One line for an outage, not one for each try.
         if !down || version != before {
             let why = ended.err().map_or("closed".to_owned(), |error| error.to_string());
@@ -81,7 +92,7 @@
 
 /// Asks for `path` and takes in each line of the answer until it ends.
 async fn read(
-    take: &impl Fn(&Members),
+    take: &impl Fn(Heard<'_>),
     agent: SocketAddr,
     path: &str,
     version: &mut Option<u64>,
@@ -116,12 +127,13 @@
 }
 
 /// Hands a line to the front door; an empty one only says that discovery is there.
-fn take_line(take: &impl Fn(&Members), line: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
+fn take_line(take: &impl Fn(Heard<'_>), line: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
     if line.trim_ascii().is_empty() {
+        take(Heard::Alive);
         return Ok(());
     }
     let members: Members = serde_json::from_slice(line)?;
-    take(&members);
+    take(Heard::Members(&members));
     *version = Some(members.seq);
     Ok(())
 }
--- a/crates/maplefall/src/net/membership.rs
+++ b/crates/maplefall/src/net/membership.rs
@@ -1,59 +1,286 @@
 //! Who the backends are: hands what each source learns to the roster, and what comes out of it to the driver.
 //!
-//! What is true where sources disagree, `maplefall-roster` decides; this file only carries.
+//! What is true where sources disagree, `maplefall-roster` decides, and how an etcd is followed `maplefall-etcd`; this file
+//! only carries.
 
+#[cfg(feature = "breakages")]
+use super::breakages;
+use super::discovery::Heard;
 use super::door::Door;
-use maplefall_protocol::Members;
-use maplefall_roster::{Event, Roster, SourceSettings, Update};
+use super::sources::{Kind, Source};
+use maplefall_etcd::client::{self, Place};
+use maplefall_etcd::{value, Output, Report, Told};
+use maplefall_policy::Millis;
+use maplefall_protocol::{Member, Members};
+use maplefall_roster::{Event, Roster, SourceSettings, Update, MOST_NODES};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::path::Path;
 use std::rc::Rc;
+use tokio::sync::{watch, Notify};
 
-/// The platform's agent among the sources.
-const AGENT: usize = 0;
+/// A change that comes later than this after it was written is told of.
+const LATE: Millis = 500.0;
+/// At most once in this time.
+const LATE_AGAIN: Millis = 10_000.0;
+/// Longest file of nodes that is read.
+const LONGEST_FILE: u64 = 16 << 20;
 
 /// The sources of one front door.
 pub struct Membership {
     door: Rc<Door>,
     roster: RefCell<Roster>,
+    /// As they were read at the start.
+    sources: Vec<Source>,
+    /// The agent's place among them.
+    agent: Option<usize>,
     /// The agent's last version.
     agent_version: Cell<u64>,
+    /// Where each etcd is, by its place among the sources.
+    places: BTreeMap<usize, watch::Sender<Place>>,
+    /// Versions of the files of nodes: each reading is one.
+    readings: Cell<u64>,
+    /// When a late change was last told of.
+    late_told: Cell<Millis>,
+    /// Something may have come due earlier.
+    stirred: Notify,
 }
 
 impl Membership {
-    /// With the platform's agent as the only source, believed in everything.
-    pub fn new(door: Rc<Door>) -> Rc<Membership> {
-        let roster = RefCell::new(Roster::new(vec![SourceSettings::trusted("agent")]));
-        Rc::new(Membership { door, roster, agent_version: Cell::new(0) })
+    /// With these sources, the one that goes before the others first.
+    pub fn new(door: Rc<Door>, sources: Vec<Source>) -> Rc<Membership> {
+        let place = |(at, source): (usize, &Source)| match &source.kind {
+            Kind::Etcd { place, .. } => Some((at, watch::Sender::new(place.clone()))),
+            Kind::Agent | Kind::File(_) => None,
+        };
+        let settings: Vec<SourceSettings> = sources.iter().map(|source| source.settings.clone()).collect();
+        Rc::new(Membership {
+            door,
+            roster: RefCell::new(Roster::new(settings)),
+            agent: sources.iter().position(|source| source.kind == Kind::Agent),
+            agent_version: Cell::new(0),
+            places: sources.iter().enumerate().filter_map(place).collect(),
+            sources,
+            readings: Cell::new(0),
+            late_told: Cell::new(f64::NEG_INFINITY),
+            stirred: Notify::new(),
+        })
     }
 
-    /// Begins with the list that the front door was started with.
+    /// Whether the platform's agent is one of the sources.
+    pub fn has_agent(&self) -> bool {
+        self.agent.is_some()
+    }
+
+    /// Begins with the list that the front door was started with: as the first source's word, until it speaks.
     pub fn recall(&self, known: &Members) {
-        let update = self.roster.borrow_mut().recall(self.door.clock.now(), AGENT, known);
+        let first = self.agent.unwrap_or(0);
+        let update = self.roster.borrow_mut().recall(self.door.clock.now(), first, known);
         self.hand_on(update, true);
     }
 
-    /// Takes in a line of the agent's watch.
-    pub fn agent_told(&self, members: &Members) {
+    /// Follows every source but the agent, and carries out what comes due, for as long as the front door runs.
+    pub fn start(self: &Rc<Self>, seed: u64) {
+        tokio::task::spawn_local(self.clone().keep_time());
+        for (at, source) in self.sources.iter().enumerate() {
+            match &source.kind {
+                Kind::Agent => {}
+                Kind::File(path) => self.read_file(at, path),
+                Kind::Etcd { follow, .. } => {
+                    let Some(place) = self.places.get(&at) else { continue };
+                    // The driver's clock counts in Unix time.
+                    let settings = maplefall_etcd::Settings { seed: seed ^ at as u64, ..follow.clone() };
+                    let (clock, told) = (self.door.clone(), self.clone());
+                    let clock = move || clock.clock.now();
+                    let take = move |output| told.etcd_said(at, output);
+                    tokio::task::spawn_local(client::follow(
+                        settings,
+                        place.subscribe(),
+                        clock,
+                        take,
+                        seam(),
+                    ));
+                }
+            }
+        }
+    }
+
+    /// Goes over to sources that were read anew at SIGHUP: endpoints, credentials and files of nodes move at once, what is
+    /// known stays; what else has changed takes a restart.
+    pub fn take_up(&self, sources: &[Source]) {
+        let same = |(old, new): (&Source, &Source)| {
+            old.settings == new.settings
+                && match (&old.kind, &new.kind) {
+                    (Kind::Etcd { follow: old, .. }, Kind::Etcd { follow: new, .. }) => {
+                        maplefall_etcd::Settings { endpoints: 0, ..old.clone() }
+                            == maplefall_etcd::Settings { endpoints: 0, ..new.clone() }
+                    }
+                    (old, new) => old == new,
+                }
+        };
+        let fits = self.sources.len() == sources.len() && self.sources.iter().zip(sources).all(same);
+        if !fits {
+            eprintln!("membership: the sources have changed in more than places and credentials: that takes a restart");
+        }
+        for (at, (old, new)) in self.sources.iter().zip(sources).enumerate() {
+            match (&old.kind, &new.kind) {
+                (Kind::Etcd { .. }, Kind::Etcd { place, .. }) => {
+                    if let Some(told) = self.places.get(&at) {
+                        told.send_if_modified(|old| {
+                            let moved = old != place;
+                            old.clone_from(place);
+                            moved
+                        });
+                    }
+                }
+                (Kind::File(path), Kind::File(_)) => self.read_file(at, path),
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes in what the agent's watch said.
+    pub fn agent_heard(&self, heard: Heard<'_>) {
+        let Some(source) = self.agent else { return };
+        let members = match heard {
+            Heard::Lost => return self.take(Event::Lost { source }),
+            Heard::Alive => return self.take(Event::Resumed { source }),
+            Heard::Members(members) => members,
+        };
         // An agent's stream is read in order, and one that counts anew is another agent: its word holds all the same.
         if members.seq <= self.agent_version.replace(members.seq) {
-            self.take(Event::Reborn { source: AGENT });
+            self.take(Event::Reborn { source });
         }
-        let (source, members, whole) = (AGENT, members.clone(), members.whole);
+        let (members, whole) = (members.clone(), members.whole);
         self.take(match whole {
             true => Event::Snapshot { source, members, unread: Vec::new() },
             false => Event::Change { source, members },
         });
     }
 
+    fn etcd_said(&self, at: usize, output: Output) {
+        let name = &self.sources[at].settings.name;
+        match output {
+            Output::Command(_) => {}
+            // Ordinary comings and goings of nodes are not told of one by one; these are about the source.
+            Output::Report(report @ Report::Unreadable { .. }) => {
+                eprintln!("membership: {name}: passed over: {report}")
+            }
+            Output::Report(report) => eprintln!("membership: {name}: {report}"),
+            Output::Tell(Told { event, behind, late }) => {
+                let now = self.door.clock.now();
+                if late.is_some_and(|late| late > LATE) && now - self.late_told.get() >= LATE_AGAIN {
+                    self.late_told.set(now);
+                    let late = late.unwrap_or(0.0);
+                    eprintln!("membership: {name}: a change came {late:.0} ms after it was written, {behind} revisions behind");
+                }
+                self.take(event);
+            }
+        }
+    }
+
+    fn read_file(&self, source: usize, path: &Path) {
+        match nodes_of(path) {
+            Ok((hosts, unread)) => {
+                let seq = self.readings.get() + 1;
+                self.readings.set(seq);
+                for (id, why) in &unread {
+                    eprintln!("membership: {}: {id}: passed over: {why}", path.display());
+                }
+                let unread = unread.into_iter().map(|(id, _)| id).collect();
+                let members = Members { seq, whole: true, hosts };
+                self.take(Event::Snapshot { source, members, unread });
+            }
+            Err(error) => {
+                eprintln!("membership: {}: {error}", path.display());
+                self.take(Event::Lost { source });
+            }
+        }
+    }
+
+    async fn keep_time(self: Rc<Self>) {
+        loop {
+            let due = self.roster.borrow().next_due();
+            let sleep = async {
+                match due {
+                    Some(due) => tokio::time::sleep_until(self.door.clock.instant(due)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {
+                    let update = self.roster.borrow_mut().tick(self.door.clock.now());
+                    self.hand_on(update, false);
+                }
+                () = self.stirred.notified() => {}
+            }
+        }
+    }
+
     fn take(&self, event: Event) {
+        #[cfg(feature = "breakages")]
+        if let Some(update) = breakages::last_word(&event) {
+            return self.hand_on(update, false);
+        }
         let update = self.roster.borrow_mut().take(self.door.clock.now(), event);
         self.hand_on(update, false);
     }
 
     fn hand_on(&self, update: Update, cached: bool) {
+        for report in &update.reports {
+            eprintln!("membership: {report}");
+        }
         if !update.changes.is_empty() {
             let members = Members { seq: 0, whole: false, hosts: update.changes };
             self.door.list_changed(&members, cached);
         }
+        self.stirred.notify_one();
+    }
+}
+
+#[cfg(feature = "breakages")]
+fn seam() -> breakages::EtcdSeam {
+    breakages::EtcdSeam::default()
+}
+
+#[cfg(not(feature = "breakages"))]
+fn seam() -> client::Straight {
+    client::Straight
+}
+
+/// Ids that could not be used, each with the reason.
+type Unread = Vec<(String, String)>;
+
+/// The nodes of a file: one JSON object, from ids to the documents that etcd's values hold too.
+fn nodes_of(path: &Path) -> Result<(Vec<Member>, Unread), String> {
+    let length = std::fs::metadata(path).map_err(|error| error.to_string())?.len();
+    if length > LONGEST_FILE {
+        return Err(format!("{LONGEST_FILE} bytes at most were expected"));
+    }
+    let text = std::fs::read(path).map_err(|error| error.to_string())?;
+    let told: BTreeMap<String, serde_json::Value> =
+        serde_json::from_slice(&text).map_err(|error| error.to_string())?;
+    if told.len() > MOST_NODES {
+        return Err(format!("{MOST_NODES} nodes at most were expected"));
+    }
+    let (mut nodes, mut unread) = (Vec::new(), Vec::new());
+    for (id, document) in told {
+        let read =
+            value::id(id.as_bytes(), b"").and_then(|id| value::member(id, document.to_string().as_bytes()));
+        match read {
+            Ok((member, _)) => nodes.push(member),
+            Err(why) => unread.push((id, why.to_string())),
+        }
+    }
+    Ok((nodes, unread))
+}
+
+/// Where a file of nodes is, for `check`.
+pub fn file_mistakes(path: &Path) -> Vec<String> {
+    match nodes_of(path) {
+        Ok((_, unread)) => {
+            unread.into_iter().map(|(id, why)| format!("{}: {id}: {why}", path.display())).collect()
+        }
+        Err(error) => vec![format!("{}: {error}", path.display())],
     }
 }
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod pool;
 mod request;
+mod sources;
 
 use clients::Clients;
 use config::Config;
@@ -33,18 +34,22 @@
         .await
         .map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let bound = listener.local_addr().map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+    let sources = sources::from_env()?;
     let door = Door::new(&config);
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
     let version = config.known.as_ref().map(|known| known.seq);
-    let membership = Membership::new(door.clone());
+    let membership = Membership::new(door.clone(), sources);
     if let Some(known) = &config.known {
         membership.recall(known);
     }
-    let told = membership.clone();
-    let take = move |members: &_| told.agent_told(members);
-    tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version));
+    membership.start(config.seed);
+    if membership.has_agent() {
+        let told = membership.clone();
+        let take = move |heard: discovery::Heard<'_>| told.agent_heard(heard);
+        tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version));
+    }
     let clients = Clients::new(door.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
@@ -52,7 +57,7 @@
     loop {
         tokio::select! {
             _ = stop.recv() => break,
-            _ = reload.recv() => take_up(&config.name, &agent),
+            _ = reload.recv() => take_up(&config.name, &agent, &membership),
         }
     }
     eprintln!("{}: stopping", config.name);
@@ -60,9 +65,9 @@
     Ok(())
 }
 
-/// Re-reads the configuration after SIGHUP. Only where discovery answers can change while the program runs; what
-/// cannot be used is told, and the old goes on.
-fn take_up(name: &str, agent: &watch::Sender<SocketAddr>) {
+/// Re-reads the configuration and the file of sources after SIGHUP. Only where discovery and etcd answer, and credentials,
+/// can change while the program runs; what cannot be used is told, and the old goes on.
+fn take_up(name: &str, agent: &watch::Sender<SocketAddr>, membership: &Membership) {
     match Config::told_discovery() {
         Ok(address) => {
             eprintln!("{name}: discovery is at {address}");
@@ -71,4 +76,8 @@
         }
         Err(error) => eprintln!("{name}: the old configuration goes on: {error}"),
     }
+    match sources::from_env() {
+        Ok(sources) => membership.take_up(&sources),
+        Err(error) => eprintln!("{name}: the old sources go on: {error}"),
+    }
 }
--- /dev/null
+++ b/crates/maplefall/src/net/sources.rs
@@ -0,0 +1,295 @@
+//! The file of sources (`MAPLEFALL_SOURCES`, a TOML file; `deploy/sources.toml` is one): who may tell of backends, in which
+//! order of precedence. Without it the platform's agent is the only source.
+
+use maplefall_etcd::client::Place;
+use maplefall_policy::Millis;
+use maplefall_roster::SourceSettings;
+use serde::Deserialize;
+use std::path::{Path, PathBuf};
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "MAPLEFALL_SOURCES";
+/// Most sources.
+const MOST_SOURCES: usize = 8;
+
+/// One source.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// How the roster treats it.
+    pub settings: SourceSettings,
+    /// What it is.
+    pub kind: Kind,
+}
+
+/// What a source is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Kind {
+    /// The platform's agent, by `BALANCER_DISCOVERY`.
+    Agent,
+    /// A prefix of an etcd.
+    Etcd {
+        /// Where.
+        place: Place,
+        /// How.
+        follow: maplefall_etcd::Settings,
+    },
+    /// A file of nodes, read at the start and at SIGHUP.
+    File(PathBuf),
+}
+
+/// What there is without a file.
+pub fn agent_alone() -> Vec<Source> {
+    vec![Source { settings: SourceSettings::trusted("agent"), kind: Kind::Agent }]
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Text {
+    #[serde(default)]
+    source: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Entry {
+    kind: Kinds,
+    name: Option<String>,
+    #[serde(default = "yes")]
+    authoritative: bool,
+    believed_part: Option<f64>,
+    doubt_ms: Option<Millis>,
+    keep_ms: Option<Millis>,
+    // Of an etcd.
+    #[serde(default)]
+    endpoints: Vec<String>,
+    prefix: Option<String>,
+    user: Option<String>,
+    password_file: Option<PathBuf>,
+    authority_file: Option<PathBuf>,
+    page: Option<i64>,
+    silence_ms: Option<Millis>,
+    answer_ms: Option<Millis>,
+    retry_ms: Option<[Millis; 2]>,
+    // Of a file.
+    path: Option<PathBuf>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum Kinds {
+    Agent,
+    Etcd,
+    File,
+}
+
+fn yes() -> bool {
+    true
+}
+
+/// The sources that the variable's file names, or the agent alone.
+///
+/// # Errors
+/// Every mistake, one to a line.
+pub fn from_env() -> Result<Vec<Source>, String> {
+    let Some(path) = std::env::var_os(VARIABLE) else { return Ok(agent_alone()) };
+    read(Path::new(&path)).map_err(|found| found.join("\n"))
+}
+
+/// The sources that a file names.
+///
+/// # Errors
+/// Every mistake, each with the file's name and the field's path.
+pub fn read(path: &Path) -> Result<Vec<Source>, Vec<String>> {
+    let named = |text: String| format!("{}: {text}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
+    parse(&text).map_err(|found| found.into_iter().map(named).collect())
+}
+
+/// The sources in a file's text. Files that it names are read too.
+///
+/// # Errors
+/// Every mistake, each with the field's path.
+fn parse(text: &str) -> Result<Vec<Source>, Vec<String>> {
+    let told: Text = toml::from_str(text).map_err(|error| vec![error.to_string().trim_end().to_owned()])?;
+    let mut found = Vec::new();
+    if told.source.is_empty() || told.source.len() > MOST_SOURCES {
+        found.push(format!("source: 1 to {MOST_SOURCES} tables were expected"));
+    }
+    let mut list: Vec<Source> = Vec::new();
+    for (at, entry) in told.source.iter().enumerate() {
+        let mut wrong = |field: &str, expected: &str| found.push(format!("source.{at}.{field}: {expected}"));
+        let usual = match entry.kind {
+            Kinds::Agent => SourceSettings::trusted("agent"),
+            // Half of the list gone in one reading is rather a mistake than a wish.
+            Kinds::Etcd => SourceSettings {
+                believed_part: 0.5,
+                doubt: 10_000.0,
+                keep: 300_000.0,
+                ..SourceSettings::trusted("etcd")
+            },
+            Kinds::File => SourceSettings { authoritative: false, ..SourceSettings::trusted("file") },
+        };
+        let settings = SourceSettings {
+            name: entry.name.clone().unwrap_or(usual.name),
+            authoritative: entry.authoritative && entry.kind != Kinds::File,
+            believed_part: entry.believed_part.unwrap_or(usual.believed_part),
+            doubt: entry.doubt_ms.unwrap_or(usual.doubt),
+            keep: entry.keep_ms.unwrap_or(usual.keep),
+        };
+        if settings.name.is_empty() || list.iter().any(|other| other.settings.name == settings.name) {
+            wrong("name", "a name that no other source has was expected");
+        }
+        if !(0.0..=1.0).contains(&settings.believed_part) {
+            wrong("believed_part", "a number from 0 to 1 was expected");
+        }
+        for (field, value) in [("doubt_ms", settings.doubt), ("keep_ms", settings.keep)] {
+            if value.is_nan() || value < 0.0 {
+                wrong(field, "a number of 0 or more was expected");
+            }
+        }
+        let of_etcd = [
+            ("endpoints", !entry.endpoints.is_empty()),
+            ("prefix", entry.prefix.is_some()),
+            ("user", entry.user.is_some()),
+            ("password_file", entry.password_file.is_some()),
+            ("authority_file", entry.authority_file.is_some()),
+            ("page", entry.page.is_some()),
+            ("silence_ms", entry.silence_ms.is_some()),
+            ("answer_ms", entry.answer_ms.is_some()),
+            ("retry_ms", entry.retry_ms.is_some()),
+        ];
+        for (field, _) in of_etcd.iter().filter(|(_, told)| *told && entry.kind != Kinds::Etcd) {
+            wrong(field, "this belongs to sources of kind etcd");
+        }
+        if entry.path.is_some() && entry.kind != Kinds::File {
+            wrong("path", "this belongs to sources of kind file");
+        }
+        let kind = match entry.kind {
+            Kinds::Agent => {
+                if list.iter().any(|other| other.kind == Kind::Agent) {
+                    wrong("kind", "one agent at most was expected");
+                }
+                Kind::Agent
+            }
+            Kinds::File => match &entry.path {
+                Some(path) => Kind::File(path.clone()),
+                None => {
+                    wrong("path", "the path of a file of nodes was expected");
+                    continue;
+                }
+            },
+            Kinds::Etcd => etcd(at, entry, &mut wrong),
+        };
+        list.push(Source { settings, kind });
+    }
+    match found.is_empty() {
+        true => Ok(list),
+        false => Err(found),
+    }
+}
+
+fn etcd(at: usize, entry: &Entry, wrong: &mut impl FnMut(&str, &str)) -> Kind {
+    let prefix = entry.prefix.clone().unwrap_or_default();
+    if prefix.is_empty() {
+        wrong("prefix", "the prefix of the keys was expected, as in /maplefall");
+    }
+    if entry.endpoints.is_empty() {
+        wrong("endpoints", "a list of at least one http://HOST:PORT was expected");
+    }
+    for endpoint in &entry.endpoints {
+        let scheme = endpoint.split_once("://").map(|(scheme, rest)| (scheme, !rest.is_empty()));
+        match scheme {
+            Some(("http", true)) => {}
+            Some(("https", true)) if cfg!(feature = "tls") => {}
+            Some(("https", true)) => wrong("endpoints", "https needs a build with the feature tls"),
+            _ => wrong("endpoints", &format!("http://HOST:PORT was expected, not {endpoint:?}")),
+        }
+    }
+    let file = |path: &Option<PathBuf>, field: &str, wrong: &mut dyn FnMut(&str, &str)| {
+        let path = path.as_ref()?;
+        match std::fs::read(path) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                wrong(field, &format!("{}: {error}", path.display()));
+                None
+            }
+        }
+    };
+    let password = file(&entry.password_file, "password_file", wrong);
+    let authority = file(&entry.authority_file, "authority_file", wrong);
+    if entry.user.is_some() != entry.password_file.is_some() {
+        wrong("user", "user and password_file were expected together");
+    }
+    let user = entry.user.clone().zip(password).map(|(user, password)| {
+        (user, String::from_utf8_lossy(&password).trim_end_matches(['\r', '\n']).to_owned())
+    });
+    let usual = maplefall_etcd::Settings::usual(at, entry.endpoints.len(), &prefix);
+    let follow = maplefall_etcd::Settings {
+        page: entry.page.unwrap_or(usual.page),
+        silence: entry.silence_ms.unwrap_or(usual.silence),
+        answer: entry.answer_ms.unwrap_or(usual.answer),
+        retry: entry.retry_ms.unwrap_or(usual.retry),
+        ..usual
+    };
+    if !(1..=10_000).contains(&follow.page) {
+        wrong("page", "a whole number from 1 to 10000 was expected");
+    }
+    for (field, value) in [("silence_ms", follow.silence), ("answer_ms", follow.answer)] {
+        if !(100.0..=600_000.0).contains(&value) {
+            wrong(field, "a number from 100 to 600000 was expected");
+        }
+    }
+    let [least, most] = follow.retry;
+    if !(least >= 1.0 && least <= most && most <= 600_000.0) {
+        wrong("retry_ms", "the shortest pause from 1 and the longest to 600000 were expected");
+    }
+    Kind::Etcd { place: Place { endpoints: entry.endpoints.clone(), user, authority }, follow }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the example that ships: whoever copies it begins with a file that can be used.
+    #[test]
+    fn the_shipped_example_names_an_agent_and_an_etcd() {
+        let list = parse(include_str!("../../../../deploy/sources.toml")).unwrap();
+        assert_eq!(list[0].kind, Kind::Agent);
+        let Kind::Etcd { place, follow } = &list[1].kind else { panic!("{list:?}") };
+        assert_eq!((place.endpoints.len(), follow.prefix.as_str()), (3, "/maplefall"));
+        assert!(list.iter().all(|source| source.settings.authoritative));
+    }
+
+    #[test]
+    fn every_mistake_is_told_with_its_field() {
+        let text = "[[source]]\nkind = \"agent\"\nprefix = \"/x\"\nbelieved_part = 2\n\
+                    [[source]]\nkind = \"etcd\"\nendpoints = [\"ftp://a\"]\nuser = \"u\"\nretry_ms = [5, 1]\n\
+                    [[source]]\nkind = \"agent\"\n[[source]]\nkind = \"file\"\n";
+        let found = parse(text).unwrap_err();
+        let begins = [
+            "source.0.believed_part:",
+            "source.0.prefix: this belongs",
+            "source.1.prefix:",
+            "source.1.endpoints: http://HOST:PORT",
+            "source.1.user:",
+            "source.1.retry_ms:",
+            "source.2.name:",
+            "source.2.kind:",
+            "source.3.path:",
+        ];
+        assert_eq!(found.len(), begins.len(), "{found:#?}");
+        for begin in begins {
+            assert!(found.iter().any(|line| line.starts_with(begin)), "{begin} {found:#?}");
+        }
+        assert!(parse("").unwrap_err()[0].contains("1 to 8"));
+        assert!(parse("[[source]]\nkind = \"zookeeper\"").unwrap_err()[0].contains("line 2"));
+        assert!(parse("[[source]]\nkind = \"agent\"\nendpoint = 3").unwrap_err()[0].contains("endpoint"));
+    }
+
+    #[cfg(not(feature = "tls"))]
+    #[test]
+    fn a_build_without_tls_says_so() {
+        let text = "[[source]]\nkind = \"etcd\"\nprefix = \"/x\"\nendpoints = [\"https://a:1\"]\n";
+        assert!(parse(text).unwrap_err()[0].contains("feature tls"));
+    }
+}
--- /dev/null
+++ b/crates/maplefall/tests/membership.rs
@@ -0,0 +1,257 @@
+//! The front door with an etcd among the sources of its list, against the played etcd.
+
+mod sockets;
+
+use maplefall_etcd_wire::{DeleteRangeRequest, PutRequest};
+use maplefall_stand_ins::etcd::store::Store;
+use maplefall_stand_ins::etcd::{Etcd, Member};
+use serde_json::Value;
+use sockets::*;
+use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A played etcd of two members on a thread of its own.
+struct Cluster {
+    etcd: Etcd,
+    members: Vec<Member>,
+    /// Dropped, its thread ends.
+    _end: tokio::sync::oneshot::Sender<()>,
+}
+
+impl Cluster {
+    fn new() -> Cluster {
+        let (hand_out, handed_out) = std::sync::mpsc::channel();
+        let (end, ended) = tokio::sync::oneshot::channel::<()>();
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async move {
+                let etcd = Etcd::new(Store::new(1), |_| {});
+                let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
+                let members: Vec<Member> = (0..2).map(|n| etcd.member(n, listener()).unwrap()).collect();
+                hand_out.send((etcd, members)).unwrap();
+                let _ = ended.await;
+            });
+        });
+        let (etcd, members) = handed_out.recv().expect("a played etcd");
+        Cluster { etcd, members, _end: end }
+    }
+
+    fn put(&self, id: &str, dial: SocketAddr, state: &str) {
+        let value = serde_json::json!({"address": dial.to_string(), "zone": "uio-1", "state": state});
+        let (key, value) = (format!("/lots/members/{id}").into_bytes(), value.to_string().into_bytes());
+        self.etcd.with(|store| store.put(&PutRequest { key, value, ..Default::default() }).unwrap());
+    }
+
+    fn delete(&self, id: &str) {
+        let key = format!("/lots/members/{id}").into_bytes();
+        self.etcd.with(|store| store.delete(&DeleteRangeRequest { key, ..Default::default() }).unwrap());
+    }
+
+    fn source(&self, members: &[usize]) -> String {
+        let endpoints: Vec<String> =
+            members.iter().map(|member| format!("\"http://{}\"", self.members[*member].address)).collect();
+        format!(
+            "[[source]]\nkind = \"etcd\"\nprefix = \"/lots\"\nendpoints = [{}]\nretry_ms = [5, 100]\n",
+            endpoints.join(", ")
+        )
+    }
+}
+
+fn file(text: &str) -> String {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = format!("{}/sources-{}-{number}.toml", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+/// One client, and the connections that the front door has open to backends.
+struct Asking<'a> {
+    client: Wire,
+    backends: &'a [Place],
+    open: Vec<(usize, Wire)>,
+    asked: u32,
+}
+
+impl<'a> Asking<'a> {
+    fn new(program: &Program, backends: &'a [Place]) -> Asking<'a> {
+        Asking { client: program.client(), backends, open: Vec::new(), asked: 0 }
+    }
+
+    /// Sends one request and answers it; tells which backend had it, or `None` if it was turned away: tests ask faster than
+    /// any quota allows for long.
+    fn who(&mut self) -> Option<usize> {
+        self.asked += 1;
+        self.client.write(request_of(&format!("id-{}", self.asked), "read", "wide", "8"));
+        let at = wait_for("the request at a backend, or an answer", || {
+            // Connections that the front door has closed are no more looked at.
+            self.open.retain(|(_, wire)| {
+                !wire.speaks() || matches!(wire.reader.get_ref().peek(&mut [0]), Ok(1..))
+            });
+            if let Some(at) = self.open.iter().position(|(_, wire)| wire.speaks()) {
+                return Some(Some(at));
+            }
+            for (at, place) in self.backends.iter().enumerate() {
+                place.0.set_nonblocking(true).unwrap();
+                if let Ok((stream, _)) = place.0.accept() {
+                    stream.set_nonblocking(false).unwrap();
+                    self.open.push((at, Wire::new(stream)));
+                }
+            }
+            self.client.speaks().then_some(None)
+        });
+        let Some(at) = at else {
+            assert!(matches!(self.client.read().status(), 429 | 503));
+            return None;
+        };
+        let (backend, wire) = &mut self.open[at];
+        wire.read();
+        wire.answer(200, "", "yes");
+        assert_eq!(self.client.read().status(), 200);
+        Some(*backend)
+    }
+
+    /// Sends requests until this backend has one; tells who else had some.
+    fn until(&mut self, wanted: usize) -> Vec<usize> {
+        let mut others = Vec::new();
+        wait_for("a request at the backend that is due", || match self.who() {
+            Some(at) if at == wanted => Some(()),
+            other => {
+                others.extend(other);
+                None
+            }
+        });
+        others
+    }
+
+    /// Sends requests until this backend has one, and then until five more have been served, all of which must go there.
+    fn only(&mut self, wanted: usize) {
+        self.until(wanted);
+        let mut served = Vec::new();
+        wait_for("five requests served", || {
+            served.extend(self.who());
+            (served.len() == 5).then_some(())
+        });
+        assert_eq!(served, [wanted; 5]);
+    }
+}
+
+fn ready(program: &Program) {
+    wait_for("readiness", || {
+        let mut client = program.client();
+        client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+        (client.read().status() == 200).then_some(())
+    });
+}
+
+#[test]
+fn etcd_alone_feeds_the_list_and_its_endpoints_move_at_sighup() {
+    let cluster = Cluster::new();
+    let backends = [Place::new(), Place::new(), Place::new()];
+    cluster.put("a", backends[0].address(), "up");
+    let sources = file(&cluster.source(&[0]));
+    let nobody = Place::new();
+    let variables = [("MAPLEFALL_SOURCES", sources.as_str())];
+    let program = Program::start_with(&variables, 256, settings(), nobody.address(), Value::Null);
+    ready(&program);
+    assert!(!nobody.called(), "an agent that is no source is not asked");
+    let mut asking = Asking::new(&program, &backends);
+    asking.only(0);
+    cluster.put("b", backends[1].address(), "up");
+    cluster.put("a", backends[0].address(), "draining");
+    asking.only(1);
+    // The member goes away for good; the file names another one.
+    std::fs::write(&sources, cluster.source(&[1])).expect("a file");
+    cluster.members[0].down(true);
+    program.reload(&program.config.to_string());
+    cluster.put("c", backends[2].address(), "up");
+    cluster.delete("b");
+    asking.only(2);
+}
+
+#[test]
+fn a_drain_told_by_etcd_holds_against_the_agent() {
+    let cluster = Cluster::new();
+    let backends = [Place::new(), Place::new(), Place::new()];
+    for (id, backend) in ["a", "b"].iter().zip(&backends) {
+        cluster.put(id, backend.address(), "up");
+    }
+    let sources = file(&format!("[[source]]\nkind = \"agent\"\n{}", cluster.source(&[0, 1])));
+    let discovery = Place::new();
+    let list: Vec<Value> =
+        ["a", "b", "c"].iter().zip(&backends).map(|(id, place)| member(id, place.address(), "up")).collect();
+    let known = members(7, true, &list[..2]);
+    let variables = [("MAPLEFALL_SOURCES", sources.as_str())];
+    let program = Program::start_with(&variables, 256, settings(), discovery.address(), known);
+    let mut wire = discovery.accept();
+    wire.read();
+    let mut watch = Watch::begin(wire);
+    let mut asking = Asking::new(&program, &backends);
+    cluster.put("a", backends[0].address(), "draining");
+    asking.only(1);
+    // The agent says up, in a change and in a whole list; then it drains b, which leaves c alone.
+    let draining = |id: &str, at: usize| member(id, backends[at].address(), "draining");
+    watch.line(&members(8, false, &list[..1]).to_string());
+    watch.line(&members(9, true, &list).to_string());
+    watch.line(&members(10, false, &[draining("b", 1)]).to_string());
+    let others = asking.until(2);
+    assert!(!others.contains(&0), "the agent undid the drain");
+    asking.only(2);
+    // Etcd's word on b cannot undo the agent's; its own drain of a it takes back.
+    cluster.put("b", backends[1].address(), "up");
+    cluster.put("a", backends[0].address(), "up");
+    watch.line(&members(11, false, &[draining("c", 2)]).to_string());
+    asking.only(0);
+}
+
+#[test]
+fn a_file_of_sources_with_mistakes_is_told_field_by_field() {
+    let path = file("[[source]]\nkind = \"etcd\"\nendpoints = [\"127.0.0.1:1\"]\n");
+    let output = Command::new(env!("CARGO_BIN_EXE_maplefall")).args(["check", &path]).output().unwrap();
+    let said = String::from_utf8(output.stdout).unwrap();
+    assert!(!output.status.success());
+    assert!(said.contains(&format!("{path}: source.0.prefix: ")), "{said}");
+    assert!(said.contains("source.0.endpoints: http://HOST:PORT was expected"), "{said}");
+    let (child, _) = spawn(
+        &serde_json::json!({"seed": "1", "limits": {"sockets": 64}, "settings": settings(),
+            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9"})
+        .to_string(),
+        &[("MAPLEFALL_SOURCES", &path)],
+    );
+    let output = child.wait_with_output().unwrap();
+    assert!(!output.status.success());
+    assert!(String::from_utf8(output.stderr).unwrap().contains("source.0.prefix"), "it does not start");
+}
+
+#[test]
+fn a_file_of_nodes_adds_nodes_and_is_read_again_at_sighup() {
+    let backends = [Place::new(), Place::new()];
+    let nodes = file("");
+    let write = |which: usize| {
+        let text = serde_json::json!({"n": {"address": backends[which].address().to_string()}, "bad": 3});
+        std::fs::write(&nodes, text.to_string()).expect("a file");
+    };
+    write(0);
+    let sources = file(&format!("[[source]]\nkind = \"file\"\npath = \"{nodes}\"\n"));
+    let nobody = Place::new();
+    let known = Value::Null;
+    let config = serde_json::json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": nobody.address().to_string(), "seed": "1",
+        "limits": {"sockets": 256}, "known": known, "settings": settings(),
+    });
+    let (mut child, path) = spawn(&config.to_string(), &[("MAPLEFALL_SOURCES", &sources)]);
+    let mut log = std::io::BufReader::new(child.stderr.take().expect("a pipe"));
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).unwrap();
+    assert!(line.contains("bad: passed over"), "{line}");
+    line.clear();
+    std::io::BufRead::read_line(&mut log, &mut line).unwrap();
+    let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok()).expect("an address");
+    let program = Program { child, address, log, config, path };
+    let mut asking = Asking::new(&program, &backends);
+    asking.only(0);
+    write(1);
+    program.reload(&program.config.to_string());
+    asking.only(1);
+}
--- a/crates/maplefall/tests/sockets/mod.rs
+++ b/crates/maplefall/tests/sockets/mod.rs
@@ -253,7 +253,7 @@
     let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("a file");
     let mut command = Command::new(env!("CARGO_BIN_EXE_maplefall"));
-    for name in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY"] {
+    for name in ["BALANCER_NAME", "BALANCER_LISTEN", "BALANCER_DISCOVERY", "MAPLEFALL_SOURCES"] {
         command.env_remove(name);
     }
     command.envs(variables.iter().copied()).env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
@@ -267,13 +267,25 @@
 
     /// Starts with so many descriptors.
     pub fn start_within(sockets: u32, settings: Value, discovery: SocketAddr, known: Value) -> Program {
+        Program::start_with(&[], sockets, settings, discovery, known)
+    }
+
+    /// Starts with these variables too.
+    pub fn start_with(
+        more: &[(&str, &str)],
+        sockets: u32,
+        settings: Value,
+        discovery: SocketAddr,
+        known: Value,
+    ) -> Program {
         let config = json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "known": known, "settings": settings,
         });
         // As in service: the variable tells the same as the file.
-        let variable = [("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())];
-        let (mut child, path) = spawn(&config.to_string(), &variable);
+        let mut variables = vec![("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())];
+        variables.extend_from_slice(more);
+        let (mut child, path) = spawn(&config.to_string(), &variables);
         let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -223,7 +223,7 @@
         #[serde(flatten)]
         state: DoorState,
     },
-    /// The agent wrote to a front door, or a front door started with this in its list.
+    /// A source of the list wrote to a front door, a front door said that it had seen it, or started with it in its list.
     Told {
         /// Which front door.
         door: u32,
@@ -233,6 +233,16 @@
         health: Health,
         /// When the node last started; `None` for long ago.
         born: Option<Millis>,
+        /// By which source of the list: 0 for its agent, and what it was started with.
+        #[serde(default)]
+        source: u32,
+    },
+    /// A change of a node's state was committed to a store that front doors watch, before any was told.
+    Committed {
+        /// Which node.
+        node: u32,
+        /// Its state from then on.
+        health: Health,
     },
     /// The last byte of a client's request was written.
     Asked {
--- a/crates/rehearsal/src/daemon.rs
+++ b/crates/rehearsal/src/daemon.rs
@@ -24,6 +24,8 @@
     pub config: PathBuf,
     /// Its log.
     pub log: PathBuf,
+    /// Its file of sources, where it has one.
+    pub sources: Option<PathBuf>,
 }
 
 impl Files {
@@ -32,6 +34,7 @@
         Files {
             config: folder.join(format!("door-{door}.json")),
             log: folder.join(format!("door-{door}.log")),
+            sources: None,
         }
     }
 
@@ -73,9 +76,13 @@
             .env("BALANCER_DISCOVERY", discovery.to_string())
             .env("BALANCER_CONFIG", &files.config)
             .env_remove(BREAKAGE)
+            .env_remove(SOURCES)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
+        if let Some(sources) = &files.sources {
+            command.env(SOURCES, sources);
+        }
         if let Some(breakage) = breakage {
             command.env(BREAKAGE, breakage);
         }
@@ -137,3 +144,6 @@
 
 /// The variable that names a breakage to a daemon that was built to be broken; the released one knows nothing of it.
 pub const BREAKAGE: &str = "MAPLEFALL_BREAKAGE";
+
+/// The variable that names a file of sources.
+const SOURCES: &str = "MAPLEFALL_SOURCES";
--- /dev/null
+++ b/crates/rehearsal/src/drains.rs
@@ -0,0 +1,53 @@
+//! The table of how long drains take.
+
+use maplefall_judge::drain_times::DrainTime;
+use maplefall_record::Millis;
+
+/// The value below which this part of a list lies.
+fn quantile(sorted: &[Millis], part: f64) -> Millis {
+    let at = (sorted.len() as f64 * part).ceil() as usize;
+    sorted.get(at.saturating_sub(1)).copied().unwrap_or(f64::NAN)
+}
+
+/// Median, 99th percentile and the most of some times.
+fn three(times: impl Iterator<Item = Millis>) -> String {
+    let mut times: Vec<Millis> = times.collect();
+    if times.is_empty() {
+        return format!("{:>22}", "-");
+    }
+    times.sort_by(f64::total_cmp);
+    let most = times.last().copied().unwrap_or(f64::NAN);
+    format!("{:>6.1} {:>7.1} {:>7.1}", quantile(&times, 0.5), quantile(&times, 0.99), most)
+}
+
+/// The head of the table.
+pub const HEAD: &str = "scenario          drains  at doors | commit to learning ms | commit to last new work | learning to last new work\n\
+                        \u{20}                                |   p50     p99    most |    p50     p99    most |    p50     p99    most";
+
+/// One row: a scenario and what came of its drains.
+pub fn row(name: &str, times: &[DrainTime]) -> String {
+    let mut nodes: Vec<u32> = times.iter().map(|time| time.node).collect();
+    nodes.sort_unstable();
+    nodes.dedup();
+    format!(
+        "{name:<18}{:>6} {:>9} | {} | {} | {}",
+        nodes.len(),
+        times.len(),
+        three(times.iter().filter_map(|time| time.learned)),
+        three(times.iter().filter_map(|time| time.from_commit)),
+        three(times.iter().map(|time| time.from_learning)),
+    )
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn quantiles_are_values_that_were_measured() {
+        let times: Vec<Millis> = (1..=200).map(f64::from).collect();
+        assert_eq!((quantile(&times, 0.5), quantile(&times, 0.99)), (100.0, 198.0));
+        assert_eq!(three([5.0].into_iter()).split_whitespace().collect::<Vec<_>>(), ["5.0", "5.0", "5.0"]);
+        assert_eq!(three(std::iter::empty()).trim(), "-");
+    }
+}
--- a/crates/rehearsal/src/library.rs
+++ b/crates/rehearsal/src/library.rs
@@ -28,8 +28,20 @@
     "crash",
     "forgetful",
     "quincena",
+    "etcd-rolling",
+    "etcd-compacted",
+    "disagreement",
 );
 
+/// Long ones that measure, and are no part of `all`.
+const MEASURING: &[(&str, &str)] = &[
+    ("drains-etcd", include_str!("../../../rehearsals/measure/drains-etcd.toml")),
+    ("drains-etcd-cut", include_str!("../../../rehearsals/measure/drains-etcd-cut.toml")),
+    ("drains-agent", include_str!("../../../rehearsals/measure/drains-agent.toml")),
+    ("noise", include_str!("../../../rehearsals/measure/noise.toml")),
+    ("noise-without", include_str!("../../../rehearsals/measure/noise-without.toml")),
+];
+
 /// Why there is no such scenario.
 #[derive(Debug, thiserror::Error)]
 pub enum NoScenario {
@@ -68,7 +80,7 @@
 /// # Errors
 /// Why there is none.
 pub fn find(name: &str) -> Result<Scenario, NoScenario> {
-    let shipped = SHIPPED.iter().find(|(known, _)| *known == name);
+    let shipped = SHIPPED.iter().chain(MEASURING).find(|(known, _)| *known == name);
     let (name, text) = match shipped {
         Some((name, text)) => ((*name).to_owned(), (*text).to_owned()),
         None if name.ends_with(".toml") => {
@@ -91,7 +103,7 @@
 
     #[test]
     fn every_shipped_scenario_can_be_read_and_is_listed() {
-        for (name, _) in SHIPPED {
+        for (name, _) in SHIPPED.iter().chain(MEASURING) {
             let scenario = find(name).unwrap_or_else(|error| panic!("{error}"));
             assert!(!scenario.title.is_empty() && scenario.seconds <= 120.0, "{name}");
         }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -2,6 +2,8 @@
 
 mod carry;
 mod daemon;
+mod drains;
+mod etcd_world;
 mod find;
 mod html;
 mod library;
@@ -104,6 +106,17 @@
         #[arg(long, default_value_t = 5.0)]
         seconds: f64,
     },
+    /// Measures how long drains take, from their commit and from the front door's learning, to the last new work.
+    Drains {
+        /// Scenarios to play, each a row of the table.
+        #[arg(value_name = "SCENARIO", default_values = ["drains-etcd", "drains-etcd-cut", "drains-agent"])]
+        scenarios: Vec<String>,
+        #[command(flatten)]
+        options: Options,
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Judges a record that an earlier run wrote.
     Judge {
         /// The record.
@@ -153,6 +166,7 @@
         Command::Prove { options, broken, only, seed, jobs } => {
             prove(&options, broken.as_deref(), &only, seed, jobs)
         }
+        Command::Drains { scenarios, options, seed } => drained(&scenarios, &options, seed),
         Command::Carry { seconds } => carried(seconds),
         Command::Judge { record, json, html } => judge_again(&record, &Files { json, record: None, html }),
         Command::Script { scenario, seed } => library::find(&scenario).map_err(plainly).map(|scenario| {
@@ -252,6 +266,33 @@
     verdict(&judgement, &scenario.strains)
 }
 
+/// Plays each scenario once and prints how long its drains took.
+fn drained(names: &[String], options: &Options, seed: u64) -> Result<Ended, String> {
+    let daemon = find::daemon(options.daemon.as_deref()).map_err(plainly)?;
+    println!("{}", drains::HEAD);
+    let mut broken = false;
+    for name in names {
+        let scenario = library::find(name).map_err(plainly)?;
+        let record = play(&scenario, seed, &daemon, None, folder(options, name, seed))?;
+        let judgement = maplefall_judge::judge(&record);
+        println!("{}", drains::row(name, &maplefall_judge::drain_times::drain_times(&record)));
+        let times = &judgement.figures.times;
+        println!(
+            "{:18}answers p50 {:.0} p99 {:.0} ms; stand-ins late by {:.1} ms at p99; rules 1-5 {}",
+            "",
+            times.p50_ms,
+            times.p99_ms,
+            judgement.figures.late_p99_ms,
+            letters(&judgement)
+        );
+        broken |= judgement.broken();
+        if let Some(void) = judgement.void {
+            return Err(format!("the run is void: {void}"));
+        }
+    }
+    Ok(if broken { Ended::Broken } else { Ended::Held })
+}
+
 /// Carries out `work` for each of these, `jobs` at once, and hands the results out in order.
 fn side_by_side<T: Sync, R: Send>(jobs: usize, of: &[T], work: impl Fn(&T) -> R + Sync) -> Vec<R> {
     let next = std::sync::atomic::AtomicUsize::new(0);
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -2,7 +2,8 @@
 //! built daemon, driven from here. What all of them see goes into one record.
 
 use crate::daemon::{Door, Files};
-use crate::scenario::{Scenario, Strike};
+use crate::etcd_world::EtcdWorld;
+use crate::scenario::{Scenario, Sources, Strike};
 use crate::script::{DoorAct, Script, WorldAct};
 use crate::settings;
 use maplefall_protocol::{Health, Member, Members};
@@ -113,6 +114,7 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let unix_start = unix.as_secs_f64() * 1000.0 - recorder.now();
         let doors = scenario.doors as usize;
+        let etcd = scenario.sources != Sources::Agent;
         let play = PLAYS.fetch_add(1, Ordering::Relaxed);
         let port = || TcpListener::bind("127.0.0.1:0");
         let mut places = Vec::new();
@@ -122,6 +124,7 @@
         // Agents: one address to begin with, and one to move to.
         let mut agents_at = Vec::new();
         let mut slots = Vec::new();
+        let mut etcd_at = Vec::new();
         for door in 0..doors {
             let two = [port(), port()].map(|listener| {
                 let listener = listener?;
@@ -134,8 +137,18 @@
                 |listener: &TcpListener| listener.local_addr().map_err(io_error("the address of an agent"));
             let member = |node: u32| member(places[node as usize].address(door), node, Health::Up, 0.0);
             let list = List::new((0..scenario.nodes).map(member));
+            let mut files = Files::new(&self.folder, door);
+            if etcd {
+                let listener = port().map_err(io_error("a listener for etcd"))?;
+                if let Some(text) = settings::sources(scenario.sources, local(&listener)?, door) {
+                    let path = self.folder.join(format!("door-{door}-sources.toml"));
+                    std::fs::write(&path, text).map_err(io_error("a file of sources"))?;
+                    files.sources = Some(path);
+                }
+                etcd_at.push(listener);
+            }
             slots.push(Slot {
-                files: Files::new(&self.folder, door),
+                files,
                 listen: own_address(std::process::id(), play, door),
                 discovery: local(&first)?,
                 list: list.clone(),
@@ -166,6 +179,7 @@
                         unix_start,
                         places,
                         agents_at,
+                        etcd_at,
                         world_starts,
                         stop,
                     ))
@@ -282,7 +296,7 @@
             door,
             slot.listen,
             slot.discovery,
-            &known,
+            Some(&known).filter(|_| self.scenario.sources != Sources::Etcd),
             slot.life,
         );
         slot.files.write(&config.to_string()).map_err(io_error("a configuration"))?;
@@ -300,7 +314,9 @@
         slot.life += 1;
         let known = self.configure(slot, door)?;
         recorder.note(Entry::Door { door: door as u32, state: DoorState::Started });
-        agent::told(recorder, door as u32, &known, unix_start);
+        if self.scenario.sources != Sources::Etcd {
+            agent::told(recorder, door as u32, &known, unix_start);
+        }
         let started = Door::start(self.daemon, &slot.files, door, slot.listen, slot.discovery, self.breakage);
         slot.door = Some(started.map_err(io_error(format!("the daemon {}", self.daemon.display())))?);
         (slot.stopping, slot.restart_at) = (None, None);
@@ -448,6 +464,7 @@
     unix_start: Millis,
     places: Vec<Seats>,
     agents_at: Vec<(TcpListener, SocketAddr, TcpListener, List)>,
+    etcd_at: Vec<TcpListener>,
     starts: tokio::sync::oneshot::Receiver<Millis>,
     stop: Arc<AtomicBool>,
 ) -> io::Result<()> {
@@ -488,6 +505,14 @@
     for node in 0..scenario.nodes {
         places[node as usize].house(Some(Node::start(&world, spec(node, 1.0))));
     }
+    let doors = scenario.doors as usize;
+    let mut etcd = match etcd_at.is_empty() {
+        true => None,
+        false => {
+            let address = |door, node: u32| places[node as usize].address(door);
+            Some(EtcdWorld::start(etcd_at, scenario.nodes, address, recorder.clone(), unix_start)?)
+        }
+    };
     let mut agents = Vec::new();
     let mut second = Vec::new();
     for (door, (first, _, later, list)) in agents_at.into_iter().enumerate() {
@@ -560,6 +585,29 @@
                 }
                 WorldAct::Silence { door, silent } => agents[door].silence(silent),
                 WorldAct::BreakOff => agents.iter().for_each(|agent| agent.break_off()),
+                WorldAct::Repeat => agents.iter().for_each(|agent| agent.repeat()),
+                WorldAct::Write { place, node, health } => {
+                    let born =
+                        born.borrow().iter().rev().find(|(known, _)| *known == node).map(|(_, at)| *at);
+                    if let Some(etcd) = &mut etcd {
+                        etcd.write(doors, node, health, born, |door| places[place].address(door));
+                    }
+                }
+                WorldAct::Noise { lot } => {
+                    if let Some(etcd) = &mut etcd {
+                        etcd.noise(lot);
+                    }
+                }
+                WorldAct::Member { door, act } => {
+                    if let Some(etcd) = &etcd {
+                        etcd.act(door, act);
+                    }
+                }
+                WorldAct::Compact => {
+                    if let Some(etcd) = &etcd {
+                        etcd.compact();
+                    }
+                }
             }
         }
     }
--- a/crates/rehearsal/src/prove.rs
+++ b/crates/rehearsal/src/prove.rs
@@ -19,7 +19,7 @@
 }
 
 /// All of them, by rule.
-pub const PROOFS: [Proof; 16] = [
+pub const PROOFS: [Proof; 19] = [
     proof("second-answer", "short", 1, "a served answer is written twice"),
     proof("stale-body", "short", 1, "a request is answered with what was made for the one before"),
     proof("sent-after-answer", "short", 1, "a served request is sent on once more"),
@@ -32,6 +32,9 @@
     proof("key-for-ever", "forgetful", 2, "a key is taken to be remembered for ever"),
     proof("drain-ignored", "rolling", 3, "drains and removals are not heard"),
     proof("drain-late", "rolling", 3, "drains are heard 650 ms late"),
+    proof("resumes-at-current", "etcd-rolling", 3, "etcd's watch goes on at the current revision"),
+    proof("compaction-ignored", "etcd-compacted", 3, "what went with etcd's history is not read anew"),
+    proof("last-word-holds", "disagreement", 3, "whoever speaks last is believed"),
     proof("cold-as-warm", "crash", 4, "a node that has just started is taken for a warm one"),
     proof("cold-favoured", "rolling", 4, "everything goes to the node that started last"),
     proof("ceiling-per-door", "municipal", 5, "each front door gives the whole ceiling"),
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -63,6 +63,28 @@
     pub ceiling_slack: f64,
 }
 
+/// Which sources of the list front doors have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sources {
+    /// Their agents.
+    Agent,
+    /// An etcd.
+    Etcd,
+    /// Both, the agent before the etcd.
+    Both,
+}
+
+/// Which of them tells of a drain; whatever else happens to a node all of them tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// All that front doors have.
+    All,
+    /// The agent alone.
+    Agent,
+    /// The etcd alone.
+    Etcd,
+}
+
 /// What strikes requests at a node.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Strike {
@@ -134,6 +156,10 @@
         replaced: bool,
         /// Whether a draining node turns away what comes; else it goes on serving, and only the list tells.
         turns_away: bool,
+        /// How often each is replaced.
+        rounds: u32,
+        /// Who tells of the drain.
+        told_by: Teller,
     },
     /// Nodes die without a word and start again, cold.
     CrashNodes {
@@ -151,6 +177,48 @@
     },
     /// Agents break off their watches.
     BrokenAgents,
+    /// Agents tell again what they know of every node, now and then.
+    RepeatingAgents {
+        /// Time from one telling to the next.
+        every_ms: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// The watches of etcd are cut, each time at another point.
+    EtcdCut {
+        /// Time from one cut to the next, for each front door.
+        every_ms: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Members of etcd are gone.
+    EtcdDown {
+        /// Part of the front doors whose member it is, rounded up.
+        part: f64,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Members of etcd say nothing; their connections stay open.
+    EtcdSilent {
+        /// Part of the front doors whose member it is, rounded up.
+        part: f64,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// The history of etcd is compacted up to its last revision, now and then.
+    EtcdCompact {
+        /// Time from one compaction to the next.
+        every_ms: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Values of nodes are written anew with nothing changed.
+    EtcdNoise {
+        /// Writes a second.
+        rate: f64,
+        /// For how long.
+        for_ms: Range,
+    },
     /// Customers of a plan ask for a multiple of their quota.
     Flood {
         /// Which plan.
@@ -218,6 +286,8 @@
     pub memory_mb: u32,
     /// How late agents hear of a change.
     pub agent_ms: Range,
+    /// Which sources of the list front doors have.
+    pub sources: Sources,
     /// Factor on all customers' requests.
     pub load: f64,
     /// Most units of a request.
@@ -324,6 +394,11 @@
                 sockets: fleet.whole("sockets", Some(1024.0), 32.0, 65_536.0),
                 memory_mb: fleet.whole("memory_mb", Some(192.0), 32.0, 65_536.0),
                 agent_ms: fleet.range("agent_ms", Some([200.0, 1500.0]), 0.0, 60_000.0),
+                sources: match fleet.choice("sources", "agent", &["agent", "etcd", "both"]).as_str() {
+                    "etcd" => Sources::Etcd,
+                    "both" => Sources::Both,
+                    _ => Sources::Agent,
+                },
                 load: traffic.number("load", Some(1.0), 0.01, 1000.0),
                 most_units: traffic.number("most_units", Some(8.0), 1.0, 8.0),
                 spread: traffic.range("spread", Some([2.0, 3.0]), 1.0, MOST_DOORS),
@@ -348,6 +423,24 @@
                 if event.at_ms[1] >= end {
                     table.wrong("at_ms", &format!("a time before the end of the scenario at {end} ms"));
                 }
+                let of_etcd = matches!(
+                    event.what,
+                    What::EtcdCut { .. }
+                        | What::EtcdDown { .. }
+                        | What::EtcdSilent { .. }
+                        | What::EtcdCompact { .. }
+                        | What::EtcdNoise { .. }
+                        | What::ReplaceNodes { told_by: Teller::Etcd, .. }
+                );
+                let of_agent = matches!(
+                    event.what,
+                    What::RepeatingAgents { .. } | What::ReplaceNodes { told_by: Teller::Agent, .. }
+                );
+                if (of_etcd && scenario.sources == Sources::Agent)
+                    || (of_agent && scenario.sources == Sources::Etcd)
+                {
+                    table.wrong("what", "an event of a source that front doors have (fleet.sources)");
+                }
                 if let What::Flood { plan, .. } = &event.what {
                     if !scenario.plans.iter().any(|known| known.name == *plan) {
                         table.wrong("plan", "the name of a plan of this scenario");
@@ -402,7 +495,7 @@
 }
 
 /// The events that a file may name, and what each is.
-pub const EVENTS: [(&str, &str); 20] = [
+pub const EVENTS: [(&str, &str); 26] = [
     ("kill_doors", "part, down_ms: front doors die outright and come back"),
     ("stop_doors", "part, down_ms: front doors are told to stop, one after the other"),
     ("reload_doors", "front doors get a new configuration, in which their agent has moved"),
@@ -418,11 +511,17 @@
     ("neighbour", "part, share, for_ms: another program takes a part of nodes' machines, on and off"),
     (
         "replace_nodes",
-        "part, every_ms, drain_ms, same_address, replaced, turns_away: drain, gone, cold replacement",
+        "part, every_ms, drain_ms, same_address, replaced, turns_away, rounds, told_by: drain, gone, cold replacement",
     ),
     ("crash_nodes", "part, down_ms: nodes die without a word and start again, cold"),
     ("silent_agents", "part, for_ms: agents say nothing"),
     ("broken_agents", "agents break off their watches"),
+    ("repeating_agents", "every_ms, for_ms: agents tell again what they know of every node"),
+    ("etcd_cut", "every_ms, for_ms: watches are cut between two answers, within one, before they have begun"),
+    ("etcd_down", "part, for_ms: members of etcd are gone"),
+    ("etcd_silent", "part, for_ms: members of etcd say nothing, with their connections open"),
+    ("etcd_compact", "every_ms, for_ms: etcd's history is compacted up to its last revision"),
+    ("etcd_noise", "rate, for_ms: values of nodes are written anew with nothing changed"),
     ("flood", "plan, customers, times, for_ms: customers ask for a multiple of their quota"),
     ("one_shots", "share, for_ms: clients that ask once and are not seen again"),
     ("rude", "rate, for_ms: clients that send what cannot be used"),
@@ -435,6 +534,7 @@
     let part = || table.number("part", Some(0.5), 0.001, 1.0);
     let for_ms = || table.range("for_ms", Some([3000.0, 6000.0]), 1.0, MOST_SECONDS * 1000.0);
     let down_ms = || table.range("down_ms", Some([1700.0, 3500.0]), 0.0, MOST_SECONDS * 1000.0);
+    let every_ms = || table.range("every_ms", Some([1500.0, 2500.0]), 10.0, 60_000.0);
     let strike = |strike| What::Strike {
         strike,
         part: part(),
@@ -458,15 +558,29 @@
         "neighbour" => strike(Strike::Neighbour),
         "replace_nodes" => What::ReplaceNodes {
             part: part(),
-            every_ms: table.range("every_ms", Some([1500.0, 2500.0]), 0.0, 60_000.0),
+            every_ms: every_ms(),
             drain_ms: table.range("drain_ms", Some([2500.0, 4000.0]), 0.0, 60_000.0),
             same_address: table.yes("same_address", false),
             replaced: table.yes("replaced", true),
             turns_away: table.yes("turns_away", true),
+            rounds: table.whole("rounds", Some(1.0), 1.0, 1000.0),
+            told_by: match table.choice("told_by", "all", &["all", "agent", "etcd"]).as_str() {
+                "agent" => Teller::Agent,
+                "etcd" => Teller::Etcd,
+                _ => Teller::All,
+            },
         },
         "crash_nodes" => What::CrashNodes { part: part(), down_ms: down_ms() },
         "silent_agents" => What::SilentAgents { part: part(), for_ms: for_ms() },
         "broken_agents" => What::BrokenAgents,
+        "repeating_agents" => What::RepeatingAgents { every_ms: every_ms(), for_ms: for_ms() },
+        "etcd_cut" => What::EtcdCut { every_ms: every_ms(), for_ms: for_ms() },
+        "etcd_down" => What::EtcdDown { part: part(), for_ms: for_ms() },
+        "etcd_silent" => What::EtcdSilent { part: part(), for_ms: for_ms() },
+        "etcd_compact" => What::EtcdCompact { every_ms: every_ms(), for_ms: for_ms() },
+        "etcd_noise" => {
+            What::EtcdNoise { rate: table.number("rate", Some(100.0), 0.1, 20_000.0), for_ms: for_ms() }
+        }
         "flood" => What::Flood {
             plan: table.text("plan", None),
             customers: table.whole("customers", Some(1.0), 1.0, 1e6),
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -1,10 +1,11 @@
 //! What will be played, drawn ahead from a scenario and a seed: the same seed gives the same script byte for byte.
 //! Nothing here does I/O.
 
-use crate::scenario::{Range, Scenario, Strike, What};
+use crate::scenario::{Range, Scenario, Sources, Strike, Teller, What};
 use maplefall_record as record;
 use maplefall_record::{Ceiling, Header, Millis, Rules};
 use maplefall_stand_ins::client::Ask;
+use maplefall_stand_ins::etcd::Cut;
 use maplefall_stand_ins::node::USUAL_UNITS;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -85,6 +86,42 @@
     },
     /// All agents break off their watches.
     BreakOff,
+    /// All agents tell again what they know of every node.
+    Repeat,
+    /// A node's state is committed to etcd.
+    Write {
+        /// Where the node is.
+        place: usize,
+        /// Which node.
+        node: u32,
+        /// Its state.
+        health: record::Health,
+    },
+    /// A node's value is written to etcd anew, with nothing changed; which, the lot decides.
+    Noise {
+        /// The lot.
+        lot: u32,
+    },
+    /// Something happens to a front door's member of etcd.
+    Member {
+        /// Which front door's.
+        door: usize,
+        /// What.
+        act: MemberAct,
+    },
+    /// Etcd's history is compacted up to its last revision.
+    Compact,
+}
+
+/// Something that happens to a member of etcd.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberAct {
+    /// The watch is cut the next time it comes to this point.
+    Cut(Cut),
+    /// It is gone, or back.
+    Down(bool),
+    /// It says nothing, or speaks again.
+    Silent(bool),
 }
 
 /// A whole script. Times count from the moment at which the first request may come.
@@ -155,6 +192,17 @@
         all
     }
 
+    /// Times from `from` to `to`, so far apart.
+    fn times(&mut self, from: Millis, to: Millis, every: Range) -> Vec<Millis> {
+        let mut times = Vec::new();
+        let mut when = from;
+        while when < to {
+            times.push(when);
+            when += self.within(every).max(1.0);
+        }
+        times
+    }
+
     fn part(&mut self, count: usize, part: f64) -> Vec<usize> {
         self.pick(count, ((count as f64 * part).ceil() as usize).clamp(1, count))
     }
@@ -181,8 +229,16 @@
         arrivals(&mut script, scenario, seed, customer, 1.0, [0.0, length], 0);
     }
     let usual_rate = script.asks.len() as f64 / length;
-    let mut list = Told { seed, agent_ms: scenario.agent_ms, told: Vec::new(), last: Vec::new() };
+    let mut list = Told {
+        seed,
+        sources: scenario.sources,
+        agent_ms: scenario.agent_ms,
+        told: Vec::new(),
+        last: Vec::new(),
+    };
     let mut next_node = scenario.nodes;
+    // Where the nodes live that the scenario began with or that came in their stead, and which they are.
+    let mut homes: Vec<(usize, u32)> = (0..scenario.nodes).map(|node| (node as usize, node)).collect();
     for (number, event) in scenario.events.iter().enumerate() {
         let mut dice = Dice::new(seed, 100 + number as u64);
         let at = dice.within(event.at_ms);
@@ -226,15 +282,29 @@
                 }
                 (strike_name(*strike).to_owned(), at + length)
             }
-            What::ReplaceNodes { part, every_ms, drain_ms, same_address, replaced, turns_away } => {
+            What::ReplaceNodes {
+                part,
+                every_ms,
+                drain_ms,
+                same_address,
+                replaced,
+                turns_away,
+                rounds,
+                told_by,
+            } => {
                 let (mut when, mut end) = (at, at);
-                for place in dice.part(scenario.nodes as usize, *part) {
+                let chosen = dice.part(scenario.nodes as usize, *part);
+                // One after the other, round after round; one that is still on its way out is waited for.
+                let mut free = vec![at; scenario.nodes as usize];
+                for home in (0..*rounds).flat_map(|_| chosen.iter().copied()) {
+                    let (place, node) = homes[home];
+                    when = when.max(free[home]);
                     let gone = when + dice.within(*drain_ms);
-                    let node = place as u32;
                     script.world.push((when, WorldAct::Drain { place, turns_away: *turns_away }));
-                    list.tell(when, doors, place, node, record::Health::Draining);
+                    list.tell(when, *told_by, doors, place, node, record::Health::Draining);
                     script.world.push((gone, WorldAct::End(place)));
-                    list.tell(gone, doors, place, node, record::Health::Removed);
+                    list.tell(gone, Teller::All, doors, place, node, record::Health::Removed);
+                    free[home] = f64::INFINITY;
                     if *replaced {
                         let fresh = if *same_address {
                             place
@@ -244,22 +314,27 @@
                         };
                         let start = gone + 50.0;
                         script.world.push((start, WorldAct::Start { place: fresh, node: next_node }));
-                        list.tell(start, doors, fresh, next_node, record::Health::Up);
+                        list.tell(start, Teller::All, doors, fresh, next_node, record::Health::Up);
+                        homes[home] = (fresh, next_node);
+                        free[home] = start + scenario.agent_ms[1];
                         next_node += 1;
                     }
                     end = gone;
                     when += dice.within(*every_ms);
+                    if when >= length || !when.is_finite() {
+                        break;
+                    }
                 }
                 ("nodes replaced".to_owned(), end)
             }
             What::CrashNodes { part, down_ms } => {
                 let mut end = at;
-                for place in dice.part(scenario.nodes as usize, *part) {
-                    let (node, start) = (place as u32, at + dice.within(*down_ms));
+                for home in dice.part(scenario.nodes as usize, *part) {
+                    let ((place, node), start) = (homes[home], at + dice.within(*down_ms));
                     script.world.push((at, WorldAct::End(place)));
-                    list.tell(at, doors, place, node, record::Health::Removed);
+                    list.tell(at, Teller::All, doors, place, node, record::Health::Removed);
                     script.world.push((start, WorldAct::Start { place, node }));
-                    list.tell(start, doors, place, node, record::Health::Up);
+                    list.tell(start, Teller::All, doors, place, node, record::Health::Up);
                     end = end.max(start);
                 }
                 ("nodes crash".to_owned(), end)
@@ -276,6 +351,61 @@
                 script.world.push((at, WorldAct::BreakOff));
                 ("watches broken off".to_owned(), at)
             }
+            What::RepeatingAgents { every_ms, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                for when in dice.times(at, end, *every_ms) {
+                    script.world.push((when, WorldAct::Repeat));
+                }
+                ("agents repeat themselves".to_owned(), end)
+            }
+            What::EtcdCut { every_ms, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                for door in 0..doors {
+                    for when in dice.times(at, end, *every_ms) {
+                        let cut = match (dice.one() * 4.0) as u32 {
+                            0 => Cut::Between(0),
+                            1 => Cut::Between(1),
+                            2 => Cut::Within,
+                            _ => Cut::BeforeCreated,
+                        };
+                        script.world.push((when, WorldAct::Member { door, act: MemberAct::Cut(cut) }));
+                    }
+                }
+                ("etcd's watches cut".to_owned(), end)
+            }
+            What::EtcdDown { part, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                for door in dice.part(doors, *part) {
+                    script.world.push((at, WorldAct::Member { door, act: MemberAct::Down(true) }));
+                    script.world.push((end, WorldAct::Member { door, act: MemberAct::Down(false) }));
+                }
+                ("members of etcd gone".to_owned(), end)
+            }
+            What::EtcdSilent { part, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                for door in dice.part(doors, *part) {
+                    script.world.push((at, WorldAct::Member { door, act: MemberAct::Silent(true) }));
+                    script.world.push((end, WorldAct::Member { door, act: MemberAct::Silent(false) }));
+                }
+                ("members of etcd silent".to_owned(), end)
+            }
+            What::EtcdCompact { every_ms, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                for when in dice.times(at, end, *every_ms) {
+                    script.world.push((when, WorldAct::Compact));
+                }
+                ("etcd compacted".to_owned(), end)
+            }
+            What::EtcdNoise { rate, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                let mut when = at;
+                while when < end && script.world.len() < MOST_ASKS {
+                    let lot = (dice.one() * 4_294_967_295.0) as u32;
+                    script.world.push((when, WorldAct::Noise { lot }));
+                    when += dice.wait(rate / 1000.0);
+                }
+                ("noise in etcd".to_owned(), end)
+            }
             What::Flood { plan, customers: count, times, for_ms } => {
                 let end = at + dice.within(*for_ms);
                 let of_plan: Vec<&Customer> =
@@ -350,17 +480,33 @@
     }
 }
 
-/// What agents are told of nodes: each change a drawn time late, and for one node in the order in which it happened.
+/// What agents are told of nodes: each change a drawn time late, and for one node in the order in which it happened; and
+/// what is written to etcd, at once.
 struct Told {
     seed: u64,
+    sources: Sources,
     agent_ms: Range,
     told: Vec<(Millis, WorldAct)>,
     last: Vec<(usize, u32, Millis)>,
 }
 
 impl Told {
-    fn tell(&mut self, at: Millis, doors: usize, place: usize, node: u32, health: record::Health) {
+    fn tell(
+        &mut self,
+        at: Millis,
+        by: Teller,
+        doors: usize,
+        place: usize,
+        node: u32,
+        health: record::Health,
+    ) {
         let mut dice = Dice::new(self.seed, 50_000 + self.told.len() as u64);
+        if self.sources != Sources::Agent && by != Teller::Agent {
+            self.told.push((at, WorldAct::Write { place, node, health }));
+        }
+        if self.sources == Sources::Etcd || by == Teller::Etcd {
+            return;
+        }
         for door in 0..doors {
             let mut when = at + dice.within(self.agent_ms);
             match self.last.iter_mut().find(|(d, n, _)| (*d, *n) == (door, node)) {
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a front door of a rehearsal is told: the platform's configuration (deployment page), made from a scenario.
 
-use crate::scenario::{Plan, Scenario};
+use crate::scenario::{Plan, Scenario, Sources};
 use crate::script::Script;
 use maplefall_protocol::Members;
 use maplefall_record::Effect;
@@ -49,6 +49,25 @@
     })
 }
 
+/// What a front door's file of sources says, where it has an etcd.
+pub fn sources(sources: Sources, etcd: SocketAddr, door: usize) -> Option<String> {
+    let agent = "[[source]]\nkind = \"agent\"\n";
+    let etcd = format!(
+        "[[source]]\nkind = \"etcd\"\nendpoints = [\"http://{etcd}\"]\nprefix = \"{}\"\nsilence_ms = 1500\n",
+        prefix(door)
+    );
+    match sources {
+        Sources::Agent => None,
+        Sources::Etcd => Some(etcd),
+        Sources::Both => Some(format!("{agent}{etcd}")),
+    }
+}
+
+/// Where etcd holds what a front door is to know: nodes have another address for each.
+pub fn prefix(door: usize) -> String {
+    format!("/door-{door}")
+}
+
 /// The whole configuration of one front door.
 pub fn config(
     scenario: &Scenario,
@@ -56,7 +75,7 @@
     me: usize,
     listen: SocketAddr,
     discovery: SocketAddr,
-    known: &Members,
+    known: Option<&Members>,
     life: u64,
 ) -> Value {
     let seed = maplefall_stand_ins::hash(&format!("{}/{me}/{life}", script.header.seed));
--- a/crates/stand-ins/src/agent.rs
+++ b/crates/stand-ins/src/agent.rs
@@ -131,6 +131,11 @@
         self.state.send_modify(|state| state.version += 1);
     }
 
+    /// Tells again what it knows of every node.
+    pub fn repeat(&self) {
+        self.list.whole().hosts.iter().for_each(|member| self.tell(member));
+    }
+
     /// Says nothing from now on, or speaks again.
     pub fn silence(&self, silent: bool) {
         self.state.send_modify(|state| state.silent = silent);
@@ -241,7 +246,7 @@
             Wire::Removed => Health::Removed,
         };
         let born = (member.born_ms > 0.0).then_some(member.born_ms - unix_start);
-        recorder.note(Entry::Told { door, node, health, born });
+        recorder.note(Entry::Told { door, node, health, born, source: 0 });
     }
 }
 
--- a/crates/stand-ins/src/etcd/mod.rs
+++ b/crates/stand-ins/src/etcd/mod.rs
@@ -3,4 +3,4 @@
 mod server;
 pub mod store;
 
-pub use server::{Cut, Etcd, Member, Sent};
+pub use server::{Cut, Etcd, Known, Member};
--- a/crates/stand-ins/src/etcd/server.rs
+++ b/crates/stand-ins/src/etcd/server.rs
@@ -48,13 +48,23 @@
     Within,
 }
 
-/// Changes that were written to a client of a member.
+/// What a client of a member knows.
 #[derive(Clone, Debug)]
-pub struct Sent {
-    /// Which member.
-    pub member: u64,
-    /// The changes.
-    pub events: Vec<Event>,
+pub enum Known {
+    /// These changes have been written to its connection.
+    Written {
+        /// Which member.
+        member: u64,
+        /// The changes.
+        events: Vec<Event>,
+    },
+    /// It asked to watch from the next revision on: so it says that it has seen all up to this one.
+    Claimed {
+        /// Which member.
+        member: u64,
+        /// The revision.
+        revision: i64,
+    },
 }
 
 /// How a member is.
@@ -79,7 +89,7 @@
     generation: u64,
 }
 
-type Listener = Box<dyn Fn(&Sent) + Send + Sync>;
+type Listener = Box<dyn Fn(&Known) + Send + Sync>;
 
 struct Inner {
     store: Mutex<Store>,
@@ -87,7 +97,7 @@
     changed: watch::Sender<u64>,
     users: Mutex<Users>,
     begun: Instant,
-    /// Told of what has been written to clients.
+    /// Told of what clients know.
     told: Listener,
 }
 
@@ -100,8 +110,8 @@
 }
 
 impl Etcd {
-    /// A cluster with this store; `told` hears of every change as it is written to a client.
-    pub fn new(store: Store, told: impl Fn(&Sent) + Send + Sync + 'static) -> Etcd {
+    /// A cluster with this store; `told` hears of what clients know, in the order in which they come to know it.
+    pub fn new(store: Store, told: impl Fn(&Known) + Send + Sync + 'static) -> Etcd {
         Etcd(Arc::new(Inner {
             store: Mutex::new(store),
             changed: watch::Sender::new(0),
@@ -605,6 +615,7 @@
                     return Err(Over);
                 }
                 let from = if create.start_revision > 0 { create.start_revision } else { self.seat.at() + 1 };
+                (self.seat.etcd.0.told)(&Known::Claimed { member: self.seat.number, revision: from - 1 });
                 self.watches.insert(id, (create, from));
                 self.say(WatchResponse { created: true, ..self.answer(id) }).await
             }
@@ -671,7 +682,8 @@
     async fn send(&self, id: i64, events: Vec<Event>, piece: usize) -> Result<(), Over> {
         let mut sent = self.wire.sent.subscribe();
         sent.borrow_and_update();
-        if self.take(|cut| *cut == Cut::Within).is_some() {
+        let within = self.take(|cut| *cut == Cut::Within).is_some();
+        if within {
             // The head of the frame and a little of what is in it.
             self.wire.cut(15);
         }
@@ -694,7 +706,15 @@
                 false
             });
         }
-        (self.seat.etcd.0.told)(&Sent { member: self.seat.number, events });
+        // Written is what has left: not what a silence holds back, nor what went down with its connection.
+        let left = tokio::select! {
+            left = sent.changed() => left.is_ok(),
+            () = self.say.closed() => false,
+        };
+        if within || !left {
+            return Err(Over);
+        }
+        (self.seat.etcd.0.told)(&Known::Written { member: self.seat.number, events });
         Ok(())
     }
 }
