--- /dev/null
+++ b/crates/etcd/examples/cost.rs
@@ -0,0 +1,116 @@
+//! What a change costs from the bytes of a watch's message to the list for the decision module, with no socket between:
+//! time, allocations and bytes. `cargo run --release -p maplefall-etcd --example cost [NODES [CHANGES]]`
+
+use maplefall_etcd::{Command, Follower, Input, Output, Settings};
+use maplefall_etcd_wire::{Event, KeyValue, RangeResponse, ResponseHeader, WatchResponse};
+use maplefall_roster::{Roster, SourceSettings};
+use prost::Message;
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::time::Instant;
+
+#[global_allocator]
+static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+fn kv(node: i64, revision: i64, state: &str) -> KeyValue {
+    let address = format!("127.{}.{}.{}:8080", 1 + node / 65536, node / 256 % 256, node % 256);
+    let value =
+        format!(r#"{{"address":"{address}","zone":"z-1","state":"{state}","started_ms":1700000000000}}"#);
+    KeyValue {
+        key: format!("/p/members/node-{node}").into_bytes(),
+        value: value.into_bytes(),
+        mod_revision: revision,
+        ..Default::default()
+    }
+}
+
+/// Hands in an input and all that comes of it; tells how many changes came out for the decision module.
+fn hand(
+    follower: &mut Follower,
+    roster: &mut Roster,
+    input: Option<Input>,
+    commands: &mut Vec<Command>,
+) -> usize {
+    if let Some(input) = input {
+        follower.handle(0.0, 1, input);
+    }
+    let mut changes = 0;
+    while let Some(output) = follower.output() {
+        match output {
+            Output::Command(command) => commands.push(command),
+            Output::Tell(told) => changes += roster.take(0.0, told.event).changes.len(),
+            Output::Report(_) => {}
+        }
+    }
+    changes
+}
+
+fn main() {
+    let mut told = std::env::args().skip(1).filter_map(|text| text.parse::<i64>().ok());
+    let (nodes, count) = (told.next().unwrap_or(5000).max(1), told.next().unwrap_or(100_000));
+    let header = |revision| Some(ResponseHeader { cluster_id: 1, member_id: 1, revision, raft_term: 2 });
+    let mut follower = Follower::new(Settings { page: nodes, ..Settings::usual(0, 1, "/p") });
+    let mut roster = Roster::new(vec![SourceSettings::trusted("etcd")]);
+    let mut commands = Vec::new();
+
+    let page = RangeResponse {
+        header: header(nodes),
+        kvs: (0..nodes).map(|node| kv(node, node + 1, "up")).collect(),
+        more: false,
+        count: nodes,
+    };
+    let bytes = page.encode_to_vec();
+    drop(page);
+    let (region, begun) = (Region::new(COUNTED), Instant::now());
+    follower.pass_time(0.0);
+    hand(&mut follower, &mut roster, None, &mut commands);
+    hand(&mut follower, &mut roster, Some(Input::Opened), &mut commands);
+    let page = RangeResponse::decode(bytes.as_slice()).expect("what was written here");
+    let listed = hand(&mut follower, &mut roster, Some(Input::Page(page)), &mut commands);
+    let (took, stats) = (begun.elapsed(), region.change());
+    let kept = stats.bytes_allocated as i64 - stats.bytes_deallocated as i64 + stats.bytes_reallocated as i64;
+    println!(
+        "reading of {nodes} nodes, {} bytes: {took:.1?}, {listed} listed, {} KiB kept",
+        bytes.len(),
+        kept / 1024
+    );
+
+    let created = WatchResponse { header: header(nodes), created: true, ..Default::default() };
+    hand(&mut follower, &mut roster, Some(Input::Watched(created)), &mut commands);
+    for each in [1, 100] {
+        let from = follower.seen().unwrap_or(0);
+        let messages: Vec<Vec<u8>> = (0..count / each)
+            .map(|message| {
+                let event = |n: i64| {
+                    let number = message * each + n;
+                    // Every node in turn, draining and up by turns.
+                    let state = if number / nodes % 2 == 0 { "draining" } else { "up" };
+                    Event {
+                        kind: Event::PUT,
+                        kv: Some(kv(number % nodes, from + 1 + number, state)),
+                        prev_kv: None,
+                    }
+                };
+                let events = (0..each).map(event).collect();
+                let header = header(from + count);
+                WatchResponse { header, events, ..Default::default() }.encode_to_vec()
+            })
+            .collect();
+        let length: usize = messages.iter().map(Vec::len).sum();
+        let (region, begun) = (Region::new(COUNTED), Instant::now());
+        let mut out = 0;
+        for bytes in &messages {
+            let answer = WatchResponse::decode(bytes.as_slice()).expect("what was written here");
+            out += hand(&mut follower, &mut roster, Some(Input::Watched(answer)), &mut commands);
+        }
+        let (took, stats) = (begun.elapsed(), region.change());
+        let per = |total: f64| total / out.max(1) as f64;
+        println!(
+            "{each} changes a message: {out} changes, {:.2} us, {:.1} allocations of {:.0} bytes in all, {:.0} bytes of message each",
+            per(took.as_secs_f64() * 1e6),
+            per(stats.allocations as f64),
+            per(stats.bytes_allocated as f64),
+            per(length as f64)
+        );
+    }
+}
--- /dev/null
+++ b/crates/etcd/tests/tls.rs
@@ -0,0 +1,100 @@
+//! The client over TLS, against the played etcd behind an end of TLS that this test holds.
+//! `cargo test -p maplefall-etcd --features tls --test tls`
+
+use maplefall_etcd::client::{follow, Place, Straight};
+use maplefall_etcd::{Output, Settings};
+use maplefall_etcd_wire::PutRequest;
+use maplefall_roster::Event;
+use maplefall_stand_ins::etcd::store::Store;
+use maplefall_stand_ins::etcd::Etcd;
+use rcgen::{generate_simple_self_signed, CertifiedKey};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio_rustls::rustls::pki_types::PrivateKeyDer;
+use tokio_rustls::rustls::ServerConfig;
+use tokio_rustls::TlsAcceptor;
+
+/// A certificate for 127.0.0.1 that signs itself.
+fn certificate() -> CertifiedKey<rcgen::KeyPair> {
+    generate_simple_self_signed(vec!["127.0.0.1".to_owned()]).unwrap()
+}
+
+/// Ends TLS and hands on to the member.
+async fn end_tls(listener: TcpListener, own: &CertifiedKey<rcgen::KeyPair>, member: SocketAddr) {
+    let key = PrivateKeyDer::Pkcs8(own.signing_key.serialize_der().into());
+    let provider = Arc::new(tokio_rustls::rustls::crypto::ring::default_provider());
+    let config = ServerConfig::builder_with_provider(provider).with_safe_default_protocol_versions().unwrap();
+    let mut config =
+        config.with_no_client_auth().with_single_cert(vec![own.cert.der().clone()], key).unwrap();
+    config.alpn_protocols = vec![b"h2".to_vec()];
+    let acceptor = TlsAcceptor::from(Arc::new(config));
+    while let Ok((stream, _)) = listener.accept().await {
+        let acceptor = acceptor.clone();
+        tokio::spawn(async move {
+            // A client that does not trust the certificate breaks off here.
+            let Ok(mut outer) = acceptor.accept(stream).await else { return };
+            let mut inner = TcpStream::connect(member).await.unwrap();
+            let _ = tokio::io::copy_bidirectional(&mut outer, &mut inner).await;
+        });
+    }
+}
+
+/// Follows through TLS with this authority; what was told within the limit, and what was reported.
+fn tried(authority: impl Fn(&CertifiedKey<rcgen::KeyPair>) -> String) -> (Option<usize>, Vec<String>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let etcd = Etcd::new(Store::new(1), |_| {});
+        let value = br#"{"address":"127.0.0.1:80"}"#.to_vec();
+        let put = PutRequest { key: b"/p/members/a".to_vec(), value, ..Default::default() };
+        etcd.with(|store| store.put(&put).unwrap());
+        let member = etcd.member(1, std::net::TcpListener::bind("127.0.0.1:0").unwrap()).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let endpoints = vec![format!("https://{}", listener.local_addr().unwrap())];
+        let own = certificate();
+        let authority = Some(authority(&own).into_bytes());
+        let address = member.address;
+        tokio::task::spawn_local(async move { end_tls(listener, &own, address).await });
+        let place = watch::Sender::new(Place { endpoints, user: None, authority });
+        let seen: Rc<RefCell<(Option<usize>, Vec<String>)>> = Rc::default();
+        let (to, begun) = (seen.clone(), Instant::now());
+        let take = move |output| match output {
+            Output::Tell(told) => {
+                if let Event::Snapshot { members, .. } = told.event {
+                    to.borrow_mut().0 = Some(members.hosts.len());
+                }
+            }
+            Output::Report(report) => to.borrow_mut().1.push(report.to_string()),
+            Output::Command(_) => {}
+        };
+        let clock = move || begun.elapsed().as_secs_f64() * 1000.0;
+        tokio::task::spawn_local(follow(
+            Settings::usual(0, 1, "/p"),
+            place.subscribe(),
+            clock,
+            take,
+            Straight,
+        ));
+        while seen.borrow().0.is_none() && seen.borrow().1.is_empty() {
+            assert!(begun.elapsed() < Duration::from_secs(30), "nothing was told");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        seen.take()
+    })
+}
+
+#[test]
+fn a_member_whose_authority_is_named_is_followed() {
+    assert_eq!(tried(|own| own.cert.pem()).0, Some(1));
+}
+
+#[test]
+fn a_member_of_another_authority_is_refused_with_a_clear_line() {
+    let (told, reports) = tried(|_| certificate().cert.pem());
+    assert_eq!(told, None);
+    assert!(reports[0].starts_with("endpoint 0: invalid peer certificate"), "{reports:?}");
+}
--- a/crates/rehearsal/src/library.rs
+++ b/crates/rehearsal/src/library.rs
@@ -31,6 +31,7 @@
     "etcd-rolling",
     "etcd-compacted",
     "disagreement",
+    "sources-lost",
 );
 
 /// Long ones that measure, and are no part of `all`.
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -7,6 +7,7 @@
 mod find;
 mod html;
 mod library;
+mod members;
 mod play;
 mod prove;
 mod reading;
@@ -117,6 +118,26 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Measures what a large list, told by a played etcd, costs one front door: memory, and processor time for each change.
+    Members {
+        /// Nodes under the prefix.
+        #[arg(long, default_value_t = 5000, value_parser = clap::value_parser!(u32).range(1..=i64::from(members::MOST)))]
+        nodes: u32,
+        /// Changes of their state a second.
+        #[arg(long, default_value_t = 1000, value_parser = clap::value_parser!(u32).range(0..=i64::from(members::MOST)))]
+        rate: u32,
+        /// For how long.
+        #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(1..=300))]
+        seconds: u32,
+        #[command(flatten)]
+        options: Options,
+    },
+    /// Plays an etcd by itself, for any client of etcd to try; ends when its input does.
+    Etcd {
+        /// Where it listens.
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: std::net::SocketAddr,
+    },
     /// Judges a record that an earlier run wrote.
     Judge {
         /// The record.
@@ -166,6 +187,10 @@
         Command::Prove { options, broken, only, seed, jobs } => {
             prove(&options, broken.as_deref(), &only, seed, jobs)
         }
+        Command::Members { nodes, rate, seconds, options } => {
+            membered(members::Load { nodes, rate, seconds }, &options)
+        }
+        Command::Etcd { listen } => played_etcd(listen),
         Command::Drains { scenarios, options, seed } => drained(&scenarios, &options, seed),
         Command::Carry { seconds } => carried(seconds),
         Command::Judge { record, json, html } => judge_again(&record, &Files { json, record: None, html }),
@@ -266,6 +291,48 @@
     verdict(&judgement, &scenario.strains)
 }
 
+/// Prints what a large list costs.
+fn membered(load: members::Load, options: &Options) -> Result<Ended, String> {
+    let daemon = find::daemon(options.daemon.as_deref()).map_err(plainly)?;
+    let cost = members::play(&daemon, &folder(options, "members", 1), load).map_err(plainly)?;
+    let members::Cost { ready_ms, ready_cpu_ms, ready_kib, cpu_ms, changes, end_kib } = cost;
+    println!(
+        "{} nodes: ready after {ready_ms:.0} ms, {ready_cpu_ms:.0} ms of CPU, {ready_kib} KiB",
+        load.nodes
+    );
+    println!(
+        "{changes} changes in {} s: {cpu_ms:.0} ms of CPU, {:.0} us a change, {end_kib} KiB at most",
+        load.seconds,
+        cpu_ms * 1000.0 / changes.max(1) as f64
+    );
+    Ok(Ended::Held)
+}
+
+/// Serves a played etcd until the input ends.
+fn played_etcd(listen: std::net::SocketAddr) -> Result<Ended, String> {
+    use maplefall_stand_ins::etcd::{store::Store, Etcd};
+    if !listen.ip().is_loopback() {
+        return Err(format!(
+            "{listen}: a loopback address was expected; what is played here keeps nothing safe"
+        ));
+    }
+    let listener = std::net::TcpListener::bind(listen).map_err(plainly)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build().map_err(plainly)?;
+    runtime.block_on(async move {
+        let member = Etcd::new(Store::new(1), |_| {}).member(1, listener).map_err(plainly)?;
+        println!("http://{}", member.address);
+        let (end, ended) = tokio::sync::oneshot::channel();
+        std::thread::spawn(move || {
+            // Whatever comes is passed over; an error ends it as the end does.
+            let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+            let _ = end.send(());
+        });
+        let _ = ended.await;
+        Ok(Ended::Held)
+    })
+}
+
 /// Plays each scenario once and prints how long its drains took.
 fn drained(names: &[String], options: &Options, seed: u64) -> Result<Ended, String> {
     let daemon = find::daemon(options.daemon.as_deref()).map_err(plainly)?;
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -425,7 +425,7 @@
 /// connection takes its port at (those come from 127.0.0.1) and a port that the system hands to nobody. It is worked out
 /// and never tried: a socket opened to find a free port lives on in whatever process is being begun just then, and the
 /// daemon would find the port in use.
-fn own_address(process: u32, play: u32, door: usize) -> SocketAddr {
+pub fn own_address(process: u32, play: u32, door: usize) -> SocketAddr {
     let host = Ipv4Addr::new(127, 64 + (play % 128) as u8, (process % 250) as u8 + 1, door as u8 + 1);
     // Up to 4 million processes differ here; the system's own choice begins at 32768.
     let port = 10_000 + (process / 250) % 20_000;
@@ -433,7 +433,7 @@
 }
 
 /// Whether a front door answers its readiness check with 200.
-fn healthy(door: SocketAddr) -> bool {
+pub fn healthy(door: SocketAddr) -> bool {
     let ask = || -> io::Result<bool> {
         let mut stream = TcpStream::connect_timeout(&door, Duration::from_millis(200))?;
         stream.set_read_timeout(Some(Duration::from_millis(500)))?;
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -37,8 +37,8 @@
     sources: Vec<Source>,
     /// What the sources come to for each node that is not gone, before addresses are looked at.
     merged: BTreeMap<String, Member>,
-    /// The same nodes by their addresses.
-    at: HashMap<SocketAddr, BTreeSet<String>>,
+    /// The same nodes by their addresses: nearly always one to an address, so that a list costs least.
+    at: HashMap<SocketAddr, Vec<String>>,
     /// What has been handed out of each node that is not gone.
     told: BTreeMap<String, Member>,
     /// Nodes that give way at their address, and to whom, as reported.
@@ -188,7 +188,7 @@
         if let Some(before) = before {
             addresses.insert(before.dial);
             if let Some(there) = self.at.get_mut(&before.dial) {
-                there.remove(host);
+                there.retain(|other| other != host);
                 if there.is_empty() {
                     self.at.remove(&before.dial);
                 }
@@ -197,7 +197,8 @@
         match now_is {
             Some(member) => {
                 addresses.insert(member.dial);
-                self.at.entry(member.dial).or_default().insert(host.to_owned());
+                let there = self.at.entry(member.dial).or_insert_with(|| Vec::with_capacity(1));
+                there.push(host.to_owned());
                 self.merged.insert(host.to_owned(), member);
             }
             None => {
--- a/crates/roster/tests/rules.rs
+++ b/crates/roster/tests/rules.rs
@@ -153,6 +153,32 @@
     assert_eq!(update.reports, [Report::MassRemoval { source: "etcd".into(), removed: 3, of: 4 }]);
 }
 
+#[test]
+fn all_sources_lost_for_a_minute_and_back_with_half_the_nodes_empties_nothing_at_once() {
+    let etcd = SourceSettings {
+        believed_part: 0.3,
+        doubt: 10_000.0,
+        keep: 5000.0,
+        ..SourceSettings::trusted("etcd")
+    };
+    let mut roster = Roster::new(vec![SourceSettings { name: "agent".into(), ..etcd.clone() }, etcd]);
+    let all: Vec<Member> = ["a", "b", "c", "d"].map(|host| node(host, Up, 0.0)).into();
+    for source in [AGENT, ETCD] {
+        roster.take(0.0, snapshot(source, 1, &all));
+    }
+    for source in [AGENT, ETCD] {
+        roster.take(1.0, Event::Lost { source });
+    }
+    assert_eq!(roster.next_due(), Some(5001.0));
+    assert_eq!(changes(&roster.tick(60_000.0)), [], "with nobody there nothing ages");
+    // The first one back knows half of them; so does the second.
+    assert_eq!(changes(&roster.take(61_000.0, snapshot(AGENT, 2, &all[..2]))), []);
+    assert_eq!(changes(&roster.take(62_000.0, snapshot(ETCD, 2, &all[..2]))), []);
+    assert_eq!(roster.members().count(), 4);
+    assert_eq!(changes(&roster.tick(70_999.0)), []);
+    assert_eq!(changes(&roster.tick(71_000.0)), [("c", Removed), ("d", Removed)]);
+}
+
 #[test]
 fn an_entry_that_cannot_be_read_is_not_missing() {
     let mut roster = two();
