--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -26,6 +26,8 @@
 const WAITING: usize = 64;
 /// Inputs that are taken in one go, before the runtime's other work has its turn.
 const AT_ONCE: usize = 64;
+/// What etcd says to a user where it has authentication off.
+const NOT_ENABLED: &str = "authentication is not enabled";
 /// Longest text of a failure that is kept.
 const LONGEST_REASON: usize = 200;
 
@@ -185,6 +187,8 @@
                         Input::SignedIn
                     }
                     Ok(Err(_)) => Input::Failed(Failure::Broken("a token that is no text".to_owned())),
+                    // A user that etcd does not ask for is no mistake: it may be asked for tomorrow.
+                    Err(status) if status.message().contains(NOT_ENABLED) => Input::SignedIn,
                     Err(status) => Input::Failed(failure(&status)),
                 }
             }),
--- a/crates/etcd/tests/sockets.rs
+++ b/crates/etcd/tests/sockets.rs
@@ -296,6 +296,21 @@
     });
 }
 
+#[test]
+fn a_user_that_etcd_does_not_ask_for_is_no_mistake() {
+    run(async {
+        let user = Some(("front".to_owned(), "secret".to_owned()));
+        let bed = Bed::with(1, settings(), Store::new(1), user);
+        put(&bed.etcd, "a", "up");
+        bed.until_is(&[("a", Up)]).await;
+        // Asked for from now on, the user signs in.
+        bed.etcd.only("front", "secret");
+        bed.members[0].break_off();
+        put(&bed.etcd, "a", "draining");
+        bed.until_is(&[("a", Draining)]).await;
+    });
+}
+
 #[test]
 fn a_wrong_password_is_one_clear_line() {
     run(async {
--- a/crates/maplefall/src/net/check.rs
+++ b/crates/maplefall/src/net/check.rs
@@ -13,8 +13,8 @@
 pub fn source_mistakes(path: &Path) -> Vec<String> {
     match sources::read(path) {
         Err(found) => found,
-        Ok(list) => {
-            let files = list.into_iter().filter_map(|source| match source.kind {
+        Ok(sources) => {
+            let files = sources.list.into_iter().filter_map(|source| match source.kind {
                 sources::Kind::File(path) => Some(path),
                 _ => None,
             });
--- a/crates/maplefall/src/net/membership.rs
+++ b/crates/maplefall/src/net/membership.rs
@@ -7,7 +7,7 @@
 use super::breakages;
 use super::discovery::Heard;
 use super::door::Door;
-use super::sources::{Kind, Source};
+use super::sources::{Kind, Source, Sources};
 use maplefall_etcd::client::{self, Place};
 use maplefall_etcd::{value, Output, Report, Told};
 use maplefall_policy::Millis;
@@ -15,14 +15,17 @@
 use maplefall_roster::{Event, Roster, SourceSettings, Update, MOST_NODES};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{watch, Notify};
 
 /// A change that comes later than this after it was written is told of.
 const LATE: Millis = 500.0;
 /// At most once in this time.
 const LATE_AGAIN: Millis = 10_000.0;
+/// Shortest time from one writing down to the next.
+const WRITTEN_EVERY: Duration = Duration::from_secs(1);
 /// Longest file of nodes that is read.
 const LONGEST_FILE: u64 = 16 << 20;
 
@@ -32,6 +35,8 @@
     roster: RefCell<Roster>,
     /// As they were read at the start.
     sources: Vec<Source>,
+    /// Where what they said is written down for a later life.
+    remember: Option<PathBuf>,
     /// The agent's place among them.
     agent: Option<usize>,
     /// The agent's last version.
@@ -44,11 +49,14 @@
     late_told: Cell<Millis>,
     /// Something may have come due earlier.
     stirred: Notify,
+    /// Something was said that is not written down yet.
+    unwritten: Notify,
 }
 
 impl Membership {
     /// With these sources, the one that goes before the others first.
-    pub fn new(door: Rc<Door>, sources: Vec<Source>) -> Rc<Membership> {
+    pub fn new(door: Rc<Door>, sources: Sources) -> Rc<Membership> {
+        let Sources { list: sources, remember } = sources;
         let place = |(at, source): (usize, &Source)| match &source.kind {
             Kind::Etcd { place, .. } => Some((at, watch::Sender::new(place.clone()))),
             Kind::Agent | Kind::File(_) => None,
@@ -61,9 +69,11 @@
             agent_version: Cell::new(0),
             places: sources.iter().enumerate().filter_map(place).collect(),
             sources,
+            remember,
             readings: Cell::new(0),
             late_told: Cell::new(f64::NEG_INFINITY),
             stirred: Notify::new(),
+            unwritten: Notify::new(),
         })
     }
 
@@ -79,9 +89,61 @@
         self.hand_on(update, true);
     }
 
+    /// Begins with what each source had said in the last life, where that is written down and this one was given no list.
+    pub fn recall_last_life(&self) {
+        let Some(path) = &self.remember else { return };
+        let read = match std::fs::read(path) {
+            Ok(text) => {
+                serde_json::from_slice::<BTreeMap<String, Members>>(&text).map_err(|error| error.to_string())
+            }
+            // The first life has nothing to recall.
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => return,
+            Err(error) => Err(error.to_string()),
+        };
+        let words = match read {
+            Ok(words) => words,
+            Err(error) => return eprintln!("membership: {}: not recalled: {error}", path.display()),
+        };
+        for (at, source) in self.sources.iter().enumerate() {
+            if let Some(members) = words.get(&source.settings.name) {
+                let update = self.roster.borrow_mut().recall(self.door.clock.now(), at, members);
+                self.hand_on(update, false);
+            }
+        }
+    }
+
+    /// Writes down what the sources say whenever it has changed, at most once in [`WRITTEN_EVERY`].
+    async fn write_down(self: Rc<Self>, path: PathBuf) {
+        let mut failing = false;
+        loop {
+            self.unwritten.notified().await;
+            let words: BTreeMap<String, Members> = {
+                let roster = self.roster.borrow();
+                roster.words().map(|(settings, members)| (settings.name.clone(), members)).collect()
+            };
+            let (to, fresh) = (path.clone(), path.with_extension("new"));
+            // Off the one thread: a slow disk holds up no request. A file that is there is whole at any moment.
+            let written = tokio::task::spawn_blocking(move || {
+                std::fs::write(&fresh, serde_json::to_vec(&words)?)?;
+                std::fs::rename(&fresh, &to)
+            });
+            let written = written.await.unwrap_or_else(|error| Err(std::io::Error::other(error)));
+            if let Err(error) = &written {
+                if !failing {
+                    eprintln!("membership: {}: not written: {error}", path.display());
+                }
+            }
+            failing = written.is_err();
+            tokio::time::sleep(WRITTEN_EVERY).await;
+        }
+    }
+
     /// Follows every source but the agent, and carries out what comes due, for as long as the front door runs.
     pub fn start(self: &Rc<Self>, seed: u64) {
         tokio::task::spawn_local(self.clone().keep_time());
+        if let Some(path) = &self.remember {
+            tokio::task::spawn_local(self.clone().write_down(path.clone()));
+        }
         for (at, source) in self.sources.iter().enumerate() {
             match &source.kind {
                 Kind::Agent => {}
@@ -107,7 +169,9 @@
 
     /// Goes over to sources that were read anew at SIGHUP: endpoints, credentials and files of nodes move at once, what is
     /// known stays; what else has changed takes a restart.
-    pub fn take_up(&self, sources: &[Source]) {
+    pub fn take_up(&self, sources: &Sources) {
+        let remember = &sources.remember;
+        let sources = &sources.list;
         let same = |(old, new): (&Source, &Source)| {
             old.settings == new.settings
                 && match (&old.kind, &new.kind) {
@@ -118,7 +182,9 @@
                     (old, new) => old == new,
                 }
         };
-        let fits = self.sources.len() == sources.len() && self.sources.iter().zip(sources).all(same);
+        let fits = self.remember == *remember
+            && self.sources.len() == sources.len()
+            && self.sources.iter().zip(sources).all(same);
         if !fits {
             eprintln!("membership: the sources have changed in more than places and credentials: that takes a restart");
         }
@@ -222,8 +288,12 @@
         if let Some(update) = breakages::last_word(&event) {
             return self.hand_on(update, false);
         }
+        let said = matches!(event, Event::Snapshot { .. } | Event::Change { .. });
         let update = self.roster.borrow_mut().take(self.door.clock.now(), event);
         self.hand_on(update, false);
+        if said {
+            self.unwritten.notify_one();
+        }
     }
 
     fn hand_on(&self, update: Update, cached: bool) {
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -44,6 +44,7 @@
     if let Some(known) = &config.known {
         membership.recall(known);
     }
+    membership.recall_last_life();
     membership.start(config.seed);
     if membership.has_agent() {
         let told = membership.clone();
--- a/crates/maplefall/src/net/sources.rs
+++ b/crates/maplefall/src/net/sources.rs
@@ -37,14 +37,25 @@
     File(PathBuf),
 }
 
+/// All that a file of sources says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sources {
+    /// The sources, the one that goes before the others first.
+    pub list: Vec<Source>,
+    /// Where what they said is written down for a later life.
+    pub remember: Option<PathBuf>,
+}
+
 /// What there is without a file.
-pub fn agent_alone() -> Vec<Source> {
-    vec![Source { settings: SourceSettings::trusted("agent"), kind: Kind::Agent }]
+pub fn agent_alone() -> Sources {
+    let agent = Source { settings: SourceSettings::trusted("agent"), kind: Kind::Agent };
+    Sources { list: vec![agent], remember: None }
 }
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Text {
+    remember: Option<PathBuf>,
     #[serde(default)]
     source: Vec<Entry>,
 }
@@ -90,7 +101,7 @@
 ///
 /// # Errors
 /// Every mistake, one to a line.
-pub fn from_env() -> Result<Vec<Source>, String> {
+pub fn from_env() -> Result<Sources, String> {
     let Some(path) = std::env::var_os(VARIABLE) else { return Ok(agent_alone()) };
     read(Path::new(&path)).map_err(|found| found.join("\n"))
 }
@@ -99,7 +110,7 @@
 ///
 /// # Errors
 /// Every mistake, each with the file's name and the field's path.
-pub fn read(path: &Path) -> Result<Vec<Source>, Vec<String>> {
+pub fn read(path: &Path) -> Result<Sources, Vec<String>> {
     let named = |text: String| format!("{}: {text}", path.display());
     let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
     parse(&text).map_err(|found| found.into_iter().map(named).collect())
@@ -109,7 +120,7 @@
 ///
 /// # Errors
 /// Every mistake, each with the field's path.
-fn parse(text: &str) -> Result<Vec<Source>, Vec<String>> {
+fn parse(text: &str) -> Result<Sources, Vec<String>> {
     let told: Text = toml::from_str(text).map_err(|error| vec![error.to_string().trim_end().to_owned()])?;
     let mut found = Vec::new();
     if told.source.is_empty() || told.source.len() > MOST_SOURCES {
@@ -183,7 +194,7 @@
         list.push(Source { settings, kind });
     }
     match found.is_empty() {
-        true => Ok(list),
+        true => Ok(Sources { list, remember: told.remember }),
         false => Err(found),
     }
 }
@@ -253,7 +264,7 @@
     /// Guards the example that ships: whoever copies it begins with a file that can be used.
     #[test]
     fn the_shipped_example_names_an_agent_and_an_etcd() {
-        let list = parse(include_str!("../../../../deploy/sources.toml")).unwrap();
+        let list = parse(include_str!("../../../../deploy/sources.toml")).unwrap().list;
         assert_eq!(list[0].kind, Kind::Agent);
         let Kind::Etcd { place, follow } = &list[1].kind else { panic!("{list:?}") };
         assert_eq!((place.endpoints.len(), follow.prefix.as_str()), (3, "/maplefall"));
--- a/crates/maplefall/tests/membership.rs
+++ b/crates/maplefall/tests/membership.rs
@@ -255,3 +255,53 @@
     program.reload(&program.config.to_string());
     asking.only(1);
 }
+
+/// Guards a restart while etcd is away: the list, and who stopped what, outlive the process where there is a disk.
+#[test]
+fn a_later_life_begins_with_what_the_last_one_wrote_down() {
+    let cluster = Cluster::new();
+    let backends = [Place::new(), Place::new()];
+    cluster.put("a", backends[0].address(), "draining");
+    cluster.put("b", backends[1].address(), "up");
+    let path = file("");
+    std::fs::remove_file(&path).expect("a file");
+    let path = path.replace(".toml", ".json");
+    let sources =
+        file(&format!("remember = \"{path}\"\n[[source]]\nkind = \"agent\"\n{}", cluster.source(&[0])));
+    let variables = [("MAPLEFALL_SOURCES", sources.as_str())];
+    let discovery = Place::new();
+    let list: Vec<Value> =
+        ["a", "b"].iter().zip(&backends).map(|(id, place)| member(id, place.address(), "up")).collect();
+    let start = || Program::start_with(&variables, 256, settings(), discovery.address(), Value::Null);
+    let program = start();
+    ready(&program);
+    wait_for("the list on disk", || {
+        std::fs::read_to_string(&path).ok().filter(|text| text.contains("draining"))
+    });
+    drop(program);
+    while discovery.called() {}
+    cluster.members[0].down(true);
+    let program = start();
+    ready(&program);
+    // The agent says up of both; etcd's drain of a holds, though etcd is away.
+    let mut wire = discovery.accept();
+    wire.read();
+    let mut watch = Watch::begin(wire);
+    watch.line(&members(1, true, &list).to_string());
+    Asking::new(&program, &backends).only(1);
+    // What cannot be read is told, and all begins with nothing.
+    drop(program);
+    std::fs::write(&path, "{").expect("a file");
+    let (mut child, _) = spawn(
+        &serde_json::json!({"seed": "1", "limits": {"sockets": 64}, "settings": settings(), "name": "n0",
+            "listen": "127.0.0.1:0", "discovery": discovery.address().to_string()})
+        .to_string(),
+        &variables,
+    );
+    let mut log = std::io::BufReader::new(child.stderr.take().expect("a pipe"));
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut log, &mut line).unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(line.contains("not recalled"), "{line}");
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -65,6 +65,13 @@
         self.settle(now, touched)
     }
 
+    /// All that each source says, stops too: what a later life may [`Roster::recall`], source by source.
+    pub fn words(&self) -> impl Iterator<Item = (&SourceSettings, Members)> {
+        self.sources
+            .iter()
+            .map(|source| (&source.settings, Members { seq: 0, whole: true, hosts: source.words() }))
+    }
+
     /// Takes what a source learned at `now`. The cost is that of the nodes that the event names, and of those that share
     /// their addresses; only a whole list, and a source that is lost for long or comes back, touch all nodes of a source.
     pub fn take(&mut self, now: Millis, event: Event) -> Update {
--- a/crates/roster/src/source.rs
+++ b/crates/roster/src/source.rs
@@ -88,6 +88,15 @@
         self.said.keys().map(String::as_str)
     }
 
+    /// All that it says, stops too, as [`Source::recall`] takes it: a removal has the start of the latest life that it is for.
+    pub fn words(&self) -> Vec<Member> {
+        let word = |said: &Said| match said.member.health {
+            Health::Removed => Member { born_ms: said.stopped_life, ..said.member.clone() },
+            Health::Up | Health::Draining => said.member.clone(),
+        };
+        self.said.values().map(word).collect()
+    }
+
     pub fn aged(&self) -> bool {
         self.aged
     }
--- a/crates/roster/tests/rules.rs
+++ b/crates/roster/tests/rules.rs
@@ -153,6 +153,26 @@
     assert_eq!(update.reports, [Report::MassRemoval { source: "etcd".into(), removed: 3, of: 4 }]);
 }
 
+#[test]
+fn a_later_life_recalls_each_sources_words_and_its_stops() {
+    let mut first = two();
+    first.take(0.0, snapshot(AGENT, 1, &[node("a", Up, 7.0), node("b", Up, 0.0), node("c", Up, 3.0)]));
+    first.take(0.0, snapshot(ETCD, 1, &[node("a", Draining, 7.0), node("c", Up, 3.0)]));
+    first.take(1.0, change(ETCD, 2, &[node("c", Removed, 0.0)]));
+    let mut later = two();
+    let words: Vec<Members> = first.words().map(|(_, members)| members).collect();
+    for (source, members) in words.iter().enumerate() {
+        later.recall(2.0, source, members);
+    }
+    assert_eq!(state(&later), [("a", Draining), ("b", Up)]);
+    assert_eq!(state(&later), state(&first));
+    // The agent speaks first: what etcd stopped stays stopped; a newer life is free of it.
+    let update =
+        later.take(3.0, snapshot(AGENT, 1, &[node("a", Up, 7.0), node("b", Up, 0.0), node("c", Up, 3.0)]));
+    assert_eq!(changes(&update), []);
+    assert_eq!(changes(&later.take(4.0, change(AGENT, 2, &[node("c", Up, 4.0)]))), [("c", Up)]);
+}
+
 #[test]
 fn all_sources_lost_for_a_minute_and_back_with_half_the_nodes_empties_nothing_at_once() {
     let etcd = SourceSettings {
