Forward authentication begun: the gate without I/O, headers in and out, a played service

Change: crates/forward-auth: Gate (budget, one question for all that share it, asking again elsewhere, a breaker for each server, bounded waiting with the earliest deadline first, verdicts kept by keyed hash within bytes and time, fail open by class only and never for one that must not run twice), headers (stripped, sent, copied, max-age). stand-ins: a played service with eleven faults and a log. Found by the schedules: whoever joined a question that had been begun with little time inherited that little time.

--- /dev/null
+++ b/crates/forward-auth/src/gate.rs
@@ -0,0 +1,402 @@
+//! The gate: requests that ask to pass, questions that are out, and what becomes of both.
+
+use crate::cache::Cache;
+use crate::interface::{CheckId, Counts, Decision, Failure, Output, Refusal, RequestId, Settings, Verdict};
+use crate::key::Key;
+use crate::server::Server;
+use maplefall_policy::Millis;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// How much a new time counts in the usual one.
+const NEW_TIME: f64 = 0.1;
+/// How long a question that nobody waits for any more may still be answered, for the cache.
+const LATE: Millis = 2000.0;
+
+/// A request that waits.
+#[derive(Debug)]
+struct Waiting {
+    key: Key,
+    class: usize,
+    /// When it is decided at the latest.
+    until: Millis,
+}
+
+/// A question that is out, or waits to be.
+#[derive(Debug)]
+struct Check {
+    key: Key,
+    waiting: BTreeSet<RequestId>,
+    /// Whom it is put to, since when and until when; `None` while it waits for its turn.
+    out: Option<Out>,
+    /// Tries that were put to a server.
+    tries: u32,
+    /// Servers that it was put to.
+    tried: BTreeSet<usize>,
+    /// Whether a kept connection has died under it: once is nobody's fault.
+    spared: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Out {
+    server: usize,
+    since: Millis,
+    until: Millis,
+}
+
+/// Decides who is checked and what becomes of it. `T` is what goes with a verdict.
+#[derive(Debug)]
+pub struct Gate<T> {
+    settings: Settings,
+    requests: HashMap<RequestId, Waiting>,
+    /// Requests by the time at which they are decided at the latest (whole microseconds, then their number).
+    ends: BTreeSet<(u64, RequestId)>,
+    checks: BTreeMap<CheckId, Check>,
+    by_key: HashMap<Key, CheckId>,
+    /// Questions that wait for their turn, the earliest end of those that wait for them first.
+    turns: BTreeSet<(u64, CheckId)>,
+    last_check: CheckId,
+    servers: Vec<Server>,
+    cache: Cache<T>,
+    /// How long an answer usually takes.
+    usual: Option<Millis>,
+    rng: Pcg32,
+    out: VecDeque<Output<T>>,
+    counts: Counts,
+}
+
+fn place(at: Millis) -> u64 {
+    (at.max(0.0) * 1000.0) as u64
+}
+
+impl<T> Gate<T> {
+    /// A gate with nothing kept.
+    pub fn new(settings: Settings) -> Gate<T> {
+        Gate {
+            requests: HashMap::new(),
+            ends: BTreeSet::new(),
+            checks: BTreeMap::new(),
+            by_key: HashMap::new(),
+            turns: BTreeSet::new(),
+            last_check: 0,
+            servers: vec![Server::default(); settings.servers],
+            cache: Cache::new(settings.cache_bytes),
+            usual: None,
+            rng: Pcg32::seed_from_u64(settings.seed),
+            out: VecDeque::new(),
+            counts: Counts::default(),
+            settings,
+        }
+    }
+
+    /// What is to be done or told next.
+    pub fn output(&mut self) -> Option<Output<T>> {
+        self.out.pop_front()
+    }
+
+    /// What has happened so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Questions that are out.
+    pub fn checks_out(&self) -> usize {
+        self.checks.values().filter(|check| check.out.is_some()).count()
+    }
+
+    /// Bytes of kept verdicts.
+    pub fn cached_bytes(&self) -> usize {
+        self.cache.bytes()
+    }
+
+    /// Forgets all verdicts.
+    pub fn forget(&mut self) {
+        self.cache.clear();
+    }
+
+    // ---- Requests -----------------------------------------------------------------------------------
+
+    /// A request asks to pass. Its decision comes out at once or later, once.
+    pub fn ask(&mut self, now: Millis, request: RequestId, key: Key, class: usize, deadline: Millis) {
+        if let Some(verdict) = self.cache.get(now, key) {
+            let decision = decision(verdict);
+            self.counts.kept += 1;
+            return self.out.push_back(Output::Decided { request, decision });
+        }
+        let left = deadline - now;
+        let until = (now + left * self.settings.share).min(deadline - self.settings.room);
+        // What is out already may be answered before long; a new question takes what it usually takes.
+        let asked = self.by_key.get(&key).copied();
+        let least = if asked.is_some() { 0.0 } else { self.usual.unwrap_or(0.0) };
+        if until - now <= least {
+            return self.turn_away(request, class, Refusal::NoTime);
+        }
+        if self.requests.len() >= self.settings.most_waiting {
+            return self.turn_away(request, class, Refusal::Full);
+        }
+        if asked.is_none() && self.choose(now, &BTreeSet::new()).is_none() {
+            return self.turn_away(request, class, Refusal::NoServer);
+        }
+        self.requests.insert(request, Waiting { key, class, until });
+        self.ends.insert((place(until), request));
+        match asked {
+            Some(check) => {
+                self.counts.shared += 1;
+                self.join(check, request, until);
+            }
+            None => {
+                self.last_check += 1;
+                let check = self.last_check;
+                let waiting = BTreeSet::from([request]);
+                let (tries, tried, spared) = (0, BTreeSet::new(), false);
+                self.checks.insert(check, Check { key, waiting, out: None, tries, tried, spared });
+                self.by_key.insert(key, check);
+                self.turns.insert((place(until), check));
+                self.begin(now);
+            }
+        }
+    }
+
+    fn join(&mut self, check: CheckId, request: RequestId, until: Millis) {
+        let earliest = self.earliest(check);
+        let Some(of) = self.checks.get_mut(&check) else { return };
+        of.waiting.insert(request);
+        // Whoever began it may have had less time: it is given what it may have at most.
+        if let Some(out) = &mut of.out {
+            out.until = out.until.max(until.min(out.since + self.settings.limit));
+        }
+        // Somebody with less time puts it forward.
+        if of.out.is_none() && earliest.is_none_or(|earliest| place(until) < earliest) {
+            if let Some(earliest) = earliest {
+                self.turns.remove(&(earliest, check));
+            }
+            self.turns.insert((place(until), check));
+        }
+    }
+
+    /// The earliest end of those that wait for a question.
+    fn earliest(&self, check: CheckId) -> Option<u64> {
+        let waiting = &self.checks.get(&check)?.waiting;
+        waiting.iter().filter_map(|request| Some(place(self.requests.get(request)?.until))).min()
+    }
+
+    /// A request's client has gone, or it was refused elsewhere: it gets no decision. Others lose nothing by it.
+    pub fn leave(&mut self, now: Millis, request: RequestId) {
+        if self.take_out(request).is_some() {
+            self.begin(now);
+        }
+    }
+
+    /// Ends a request's wait; tells its class.
+    fn take_out(&mut self, request: RequestId) -> Option<usize> {
+        let Waiting { key, class, until } = self.requests.remove(&request)?;
+        self.ends.remove(&(place(until), request));
+        if let Some(check) = self.by_key.get(&key).copied() {
+            let before = self.earliest(check).map_or(place(until), |others| others.min(place(until)));
+            if let Some(of) = self.checks.get_mut(&check) {
+                of.waiting.remove(&request);
+                if of.out.is_none() {
+                    self.turns.remove(&(before, check));
+                    match self.earliest(check) {
+                        Some(earliest) => {
+                            self.turns.insert((earliest, check));
+                        }
+                        // Nobody waits and nobody was asked.
+                        None => self.drop_check(check),
+                    }
+                }
+            }
+        }
+        Some(class)
+    }
+
+    fn turn_away(&mut self, request: RequestId, class: usize, refusal: Refusal) {
+        let open = self.settings.fail_open.get(class).copied().unwrap_or(false);
+        let decision = if open {
+            self.counts.unchecked += 1;
+            Decision::PassUnchecked(refusal)
+        } else {
+            self.counts.refused += 1;
+            Decision::Refuse(refusal)
+        };
+        self.out.push_back(Output::Decided { request, decision });
+    }
+
+    fn drop_check(&mut self, check: CheckId) {
+        if let Some(of) = self.checks.remove(&check) {
+            self.by_key.remove(&of.key);
+            if let Some(out) = of.out {
+                self.servers[out.server].dropped(check);
+            }
+        }
+    }
+
+    // ---- Questions ----------------------------------------------------------------------------------
+
+    /// The server to ask: one that it was not put to yet, with the fewest questions out.
+    fn choose(&self, now: Millis, tried: &BTreeSet<usize>) -> Option<usize> {
+        let open = self.servers.iter().enumerate().filter(|(_, server)| server.open(now));
+        open.min_by_key(|(at, server)| (tried.contains(at), server.out, *at)).map(|(at, _)| at)
+    }
+
+    /// Puts questions out, as many as may be.
+    fn begin(&mut self, now: Millis) {
+        while self.checks_out() < self.settings.most_out {
+            let Some((turn, check)) = self.turns.first().copied() else { return };
+            let tried = self.checks.get(&check).map(|of| of.tried.clone()).unwrap_or_default();
+            let Some(server) = self.choose(now, &tried) else {
+                self.turns.remove(&(turn, check));
+                self.give_up(check, Refusal::NoServer);
+                continue;
+            };
+            self.turns.remove(&(turn, check));
+            let latest = self.checks.get(&check).into_iter().flat_map(|of| &of.waiting);
+            let latest = latest.filter_map(|request| self.requests.get(request)).map(|of| of.until);
+            let until = latest.fold(now, f64::max).min(now + self.settings.limit);
+            let Some(of) = self.checks.get_mut(&check) else { continue };
+            let (attempt, key) = (of.tries, of.key);
+            of.tries += 1;
+            of.tried.insert(server);
+            of.out = Some(Out { server, since: now, until });
+            self.servers[server].ask(check);
+            self.counts.asked += 1;
+            self.out.push_back(Output::Check { check, attempt, key, server, until });
+        }
+    }
+
+    /// All that wait for a question are turned away.
+    fn give_up(&mut self, check: CheckId, refusal: Refusal) {
+        let waiting = self.checks.get(&check).map(|of| of.waiting.clone()).unwrap_or_default();
+        self.drop_check(check);
+        for request in waiting {
+            if let Some(class) = self.take_out(request) {
+                self.turn_away(request, class, refusal);
+            }
+        }
+    }
+
+    /// Takes the try of a question that is out, if it is this one.
+    fn settled(&mut self, check: CheckId, attempt: u32) -> Option<Out> {
+        let of = self.checks.get_mut(&check).filter(|of| of.tries == attempt + 1)?;
+        of.out.take()
+    }
+
+    /// The service has said what it says; late or not, it may be kept.
+    pub fn answered(&mut self, now: Millis, check: CheckId, attempt: u32, verdict: Verdict<T>) {
+        let Some(out) = self.settled(check, attempt) else { return };
+        self.servers[out.server].answered();
+        let took = now - out.since;
+        self.usual = Some(self.usual.map_or(took, |usual| usual + NEW_TIME * (took - usual)));
+        let Some(of) = self.checks.remove(&check) else { return };
+        self.by_key.remove(&of.key);
+        let most = self.settings.keep[usize::from(!verdict.passes)];
+        let keep = verdict.keep.unwrap_or(0.0).min(most);
+        for request in of.waiting {
+            if self.take_out(request).is_some() {
+                let decision = decision(&verdict);
+                self.out.push_back(Output::Decided { request, decision });
+            }
+        }
+        if keep > 0.0 {
+            self.cache.put(of.key, verdict, now + keep);
+        }
+        self.begin(now);
+    }
+
+    /// A try failed. It is asked again elsewhere while somebody's budget lasts.
+    pub fn failed(&mut self, now: Millis, check: CheckId, attempt: u32, failure: Failure) {
+        let Some(out) = self.settled(check, attempt) else { return };
+        self.counts.failed += 1;
+        let spare = failure == Failure::KeptConnection;
+        match spare {
+            true => self.servers[out.server].dropped(check),
+            false => self.server_failed(now, check, out.server),
+        }
+        let Some(of) = self.checks.get_mut(&check) else { return };
+        let free = spare && !std::mem::replace(&mut of.spared, true);
+        if free {
+            of.tried.remove(&out.server);
+        }
+        let more = of.tries < self.settings.tries + u32::from(of.spared);
+        match self.earliest(check) {
+            Some(earliest) if more => {
+                self.turns.insert((earliest, check));
+            }
+            Some(_) => self.give_up(check, Refusal::GivenUp),
+            None => self.drop_check(check),
+        }
+        self.begin(now);
+    }
+
+    fn server_failed(&mut self, now: Millis, check: CheckId, server: usize) {
+        let [least, most] = self.settings.pause;
+        let jitter = 0.5 + 0.5 * f64::from(self.rng.next_u32()) / 4_294_967_296.0;
+        let pause = |pauses: u32| (least * f64::from(1u32 << pauses.min(16))).min(most) * jitter;
+        self.servers[server].failed(now, check, self.settings.failures, pause);
+    }
+
+    // ---- Time ---------------------------------------------------------------------------------------
+
+    /// When [`Gate::pass_time`] has something to do next.
+    pub fn due(&self) -> Option<Millis> {
+        let request =
+            self.ends.first().and_then(|(_, request)| self.requests.get(request)).map(|of| of.until);
+        let checks = self.checks.values().filter_map(|of| {
+            let out = of.out?;
+            // One that nobody waits for may still be answered for a while.
+            Some(if of.waiting.is_empty() { out.until + LATE } else { out.until })
+        });
+        request.into_iter().chain(checks).min_by(f64::total_cmp)
+    }
+
+    /// Lets time pass.
+    pub fn pass_time(&mut self, now: Millis) {
+        while let Some((_, request)) = self.ends.first().copied() {
+            if self.requests.get(&request).is_some_and(|of| of.until > now) {
+                break;
+            }
+            match self.take_out(request) {
+                Some(class) => self.turn_away(request, class, Refusal::GivenUp),
+                None => {
+                    self.ends.pop_first();
+                }
+            }
+        }
+        let over: Vec<(CheckId, u32, bool)> = self
+            .checks
+            .iter()
+            .filter_map(|(check, of)| {
+                let out = of.out?;
+                let late = of.waiting.is_empty();
+                let until = if late { out.until + LATE } else { out.until };
+                (until <= now).then_some((*check, of.tries - 1, late))
+            })
+            .collect();
+        for (check, attempt, late) in over {
+            if late {
+                if let Some(out) = self.settled(check, attempt) {
+                    self.server_failed(now, check, out.server);
+                }
+                self.drop_check(check);
+                self.out.push_back(Output::CallOff { check });
+            } else {
+                self.out.push_back(Output::CallOff { check });
+                self.failed(now, check, attempt, Failure::Server);
+            }
+        }
+        self.begin(now);
+    }
+}
+
+fn decision<T>(verdict: &Verdict<T>) -> Decision<T> {
+    match verdict.passes {
+        true => Decision::Pass(verdict.answer.clone()),
+        false => Decision::Deny(verdict.answer.clone()),
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -6,6 +6,7 @@
 //! break off within a message, write what is none, and tell the first byte of a request from its last.
 
 pub mod agent;
+pub mod auth;
 pub mod client;
 pub mod counter;
 pub mod etcd;
