Forward authentication in the daemon: held requests, sub-requests, one answer each

Change: the module holds a request whose caller is unchecked (Arrival with checked: false, Action::Check, Event::Checked): it is admitted or refused as any other, takes its units, and chooses its backend when the verdict is there; a denial, a check that fails or a client that leaves gives them back. net/auth.rs carries sub-requests on kept connections that have settled; net/auth_settings.rs reads MAPLEFALL_FORWARD_AUTH (deploy/forward-auth.toml), checked by `maplefall check`; SIGHUP forgets verdicts. Open: rehearsals and breakages, cost with and without, a black hole of 10 s, TLS to the service.

--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -129,6 +129,8 @@
             class: ClassId(usize::from(class)),
             units: f64::from(units),
             deadline,
+            // The simulator plays no authentication service.
+            checked: true,
             spread: f64::from(doors),
         }),
         Record::FirstByte { id } => Event::StreamStarted(RequestId(id)),
@@ -191,6 +193,7 @@
         }
         Action::Refuse { request, retry_after } => reply.refuse(door, request.0, retry_after.unwrap_or(0.0)),
         Action::Fail(request) => reply.fail(door, request.0),
+        Action::Check(_) => {}
         Action::CallOff { request, attempt } => {
             reply.call_off(door, request.0, attempt.min(u32::from(u16::MAX)) as u16);
         }
--- a/crates/forward-auth/src/headers.rs
+++ b/crates/forward-auth/src/headers.rs
@@ -24,7 +24,7 @@
 ];
 
 /// Which headers go where.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Headers {
     /// Headers that say who the caller is: what a question's key is made of.
     pub credentials: Vec<HeaderName>,
--- a/crates/maplefall/src/main.rs
+++ b/crates/maplefall/src/main.rs
@@ -12,7 +12,8 @@
 
 Usage:
   maplefall                serves, by the BALANCER_* variables below
-  maplefall check FILE     tells every mistake in a configuration, or in a file of sources (.toml); 0 if there is none
+  maplefall check FILE     tells every mistake in a configuration, a file of sources or one of forward authentication
+                           (.toml); 0 if there is none
   maplefall --help         this text
   maplefall --version      the version
 
@@ -22,9 +23,10 @@
   BALANCER_LISTEN          where clients connect, before the file's `listen`
   BALANCER_DISCOVERY       where discovery answers, before the file's `discovery`
   MAPLEFALL_SOURCES        a file of sources of the list of backends (deploy/sources.toml is one); without it only discovery
+  MAPLEFALL_FORWARD_AUTH   a file of who checks callers (deploy/forward-auth.toml is one); without it nobody is checked
 
 Signals:
-  SIGHUP                   reads both files again; `discovery`, etcd's endpoints and credentials, and files of nodes move
+  SIGHUP                   forgets kept verdicts, and reads the first two files again; `discovery`, etcd's endpoints and credentials, and files of nodes move
                            at once, the rest takes a restart
   SIGTERM                  answers what has come, then ends with 0
 
@@ -72,7 +74,7 @@
 fn check(file: &str) -> ExitCode {
     let named = |mistake: String| format!("{file}: {mistake}");
     let found = match std::fs::read_to_string(file) {
-        Ok(_) if file.ends_with(".toml") => net::check::source_mistakes(file.as_ref()),
+        Ok(text) if file.ends_with(".toml") => net::check::source_mistakes(file.as_ref(), &text),
         Ok(text) => net::check::mistakes(&text).into_iter().map(named).collect(),
         Err(error) => vec![named(error.to_string())],
     };
--- /dev/null
+++ b/crates/maplefall/src/net/auth.rs
@@ -0,0 +1,314 @@
+//! Forward authentication: sub-requests to the service, on kept connections, and what its answers mean. Who is asked, for
+//! how long and what becomes of the verdict, `maplefall-forward-auth` decides; this file only carries.
+
+use super::auth_settings::{AuthSettings, Part};
+use super::clock::Clock;
+use super::pool::{NoConnection, Pools};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming as IncomingBody};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use maplefall_forward_auth::headers::{keep, About};
+use maplefall_forward_auth::{CheckId, Decision, Failure, Gate, Key, Keyring, Output, Refusal, Verdict};
+use maplefall_policy::{BackendId, ClassId, Millis};
+use maplefall_settings::Links;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::rc::Rc;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
+
+/// How long a connection to the service may take to come up.
+const DIAL: Millis = 250.0;
+/// Most questions out where descriptors are few: one for so many of them.
+const SOCKETS_EACH: usize = 16;
+
+/// What goes with a verdict.
+#[derive(Debug)]
+pub enum Carried {
+    /// Headers that go on to the backend.
+    Onward(Vec<(HeaderName, HeaderValue)>),
+    /// The service's own answer.
+    Denial {
+        /// Its status.
+        status: StatusCode,
+        /// Its headers, but for those of its connection.
+        headers: Vec<(HeaderName, HeaderValue)>,
+        /// Its body.
+        body: Bytes,
+    },
+}
+
+/// What is known of a caller before it is asked for.
+pub struct Caller {
+    key: Key,
+    sent: Rc<HeaderMap>,
+    class: ClassId,
+}
+
+/// Headers of a question that requests wait for.
+struct Asked {
+    sent: Rc<HeaderMap>,
+    waiting: usize,
+}
+
+struct Waiter {
+    key: Key,
+    tell: oneshot::Sender<Decision<Carried>>,
+}
+
+/// The checks of one front door.
+pub struct Auth {
+    settings: AuthSettings,
+    clock: Clock,
+    ring: Keyring,
+    gate: RefCell<Gate<Carried>>,
+    waiting: RefCell<HashMap<u64, Waiter>>,
+    last: Cell<u64>,
+    /// By question; as many as there are waiting requests at most.
+    asked: RefCell<HashMap<Key, Asked>>,
+    /// Tasks of the questions that are out.
+    out: RefCell<HashMap<CheckId, AbortHandle>>,
+    pools: Pools,
+    stirred: Notify,
+}
+
+/// Descriptors that checks may take, out of those for backends.
+pub fn sockets(settings: Option<&AuthSettings>, descriptors: usize) -> usize {
+    settings.map_or(0, |settings| settings.gate.most_out.min((descriptors / SOCKETS_EACH).max(1)))
+}
+
+fn server_id(server: usize) -> BackendId {
+    BackendId(server as u32)
+}
+
+impl Auth {
+    /// Checks by these settings, with so many descriptors.
+    pub fn new(mut settings: AuthSettings, clock: Clock, seed: u64, sockets: usize) -> Rc<Auth> {
+        settings.gate.most_out = settings.gate.most_out.min(sockets);
+        settings.gate.seed = seed;
+        let links = Links { dial_timeout: DIAL, idle_close: settings.idle_close };
+        let pools = Pools::new(links, sockets);
+        for (at, server) in settings.servers.iter().enumerate() {
+            pools.open(server_id(at), server.dial, 0.0);
+        }
+        // Of this process and of nobody else: keys of one life say nothing in another.
+        let secret = [seed.to_be_bytes(), process_secret()].concat().try_into().unwrap_or([0; 16]);
+        Rc::new(Auth {
+            gate: RefCell::new(Gate::new(settings.gate.clone())),
+            settings,
+            clock,
+            ring: Keyring::new(secret),
+            waiting: RefCell::default(),
+            last: Cell::new(0),
+            asked: RefCell::default(),
+            out: RefCell::default(),
+            pools,
+            stirred: Notify::new(),
+        })
+    }
+
+    /// Whether callers of a class are checked.
+    pub fn checks(&self, class: ClassId) -> bool {
+        self.settings.checked.get(class.0).copied().unwrap_or(false)
+    }
+
+    /// Forgets all kept verdicts.
+    pub fn forget(&self) {
+        self.gate.borrow_mut().forget();
+    }
+
+    /// What is known of the caller of a request that came from `peer`.
+    pub fn caller(&self, head: &Parts, class: ClassId, plan: usize, peer: IpAddr) -> Caller {
+        let mut headers = head.headers.clone();
+        self.settings.headers.strip(&mut headers);
+        let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default().to_owned();
+        let credentials: Vec<Option<Vec<u8>>> = self.settings.headers.credentials(&headers).collect();
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let part = |part: &Part| match part {
+            Part::Class => class.0.to_be_bytes().to_vec(),
+            Part::Plan => plan.to_be_bytes().to_vec(),
+            Part::Method => head.method.as_str().as_bytes().to_vec(),
+            Part::Host => host.as_bytes().to_vec(),
+            Part::Uri => target.as_bytes().to_vec(),
+        };
+        let more: Vec<Vec<u8>> = self.settings.key.iter().map(part).collect();
+        let parts =
+            credentials.iter().map(Option::as_deref).chain(more.iter().map(|part| Some(part.as_slice())));
+        let key = self.ring.key(parts);
+        let about =
+            About { method: &head.method, uri: &head.uri, host: &host, proto: self.settings.proto, peer };
+        Caller { key, sent: Rc::new(self.settings.headers.sub_request(&headers, &about)), class }
+    }
+
+    /// Has a caller checked; the decision is there by the budget's end, which lies before the deadline.
+    pub async fn check(self: &Rc<Self>, caller: Caller, deadline: Millis) -> Decision<Carried> {
+        let id = self.last.get() + 1;
+        self.last.set(id);
+        let (tell, told) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, Waiter { key: caller.key, tell });
+        self.asked
+            .borrow_mut()
+            .entry(caller.key)
+            .or_insert_with(|| Asked { sent: caller.sent.clone(), waiting: 0 })
+            .waiting += 1;
+        // Whatever ends this wait ends its place.
+        let _leaving = Leaving { auth: self, id };
+        self.gate.borrow_mut().ask(self.clock.now(), id, caller.key, caller.class.0, deadline);
+        self.carry_out();
+        told.await.unwrap_or(Decision::Refuse(Refusal::GivenUp))
+    }
+
+    /// Lets time pass for the gate, and closes idle connections, for as long as the front door runs.
+    pub async fn keep_time(self: Rc<Self>) {
+        let tidy = self.clone();
+        tokio::task::spawn_local(async move { tidy.pools.tidy().await });
+        loop {
+            let due = self.gate.borrow().due();
+            let sleep = async {
+                match due {
+                    Some(due) => tokio::time::sleep_until(self.clock.instant(due)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = sleep => {
+                    self.gate.borrow_mut().pass_time(self.clock.now());
+                    self.carry_out();
+                }
+                () = self.stirred.notified() => {}
+            }
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>) {
+        loop {
+            let Some(output) = self.gate.borrow_mut().output() else { break };
+            match output {
+                Output::Decided { request, decision } => {
+                    if let Some(waiter) = self.take(request) {
+                        // One whose client has gone is told to nobody.
+                        let _ = waiter.tell.send(decision);
+                    }
+                }
+                Output::CallOff { check } => {
+                    if let Some(task) = self.out.borrow_mut().remove(&check) {
+                        task.abort();
+                    }
+                }
+                Output::Check { check, attempt, key, server, .. } => {
+                    let Some(sent) = self.asked.borrow().get(&key).map(|asked| asked.sent.clone()) else {
+                        continue;
+                    };
+                    let auth = self.clone();
+                    let task = tokio::task::spawn_local(async move {
+                        let answer = auth.put(server, &sent).await;
+                        auth.out.borrow_mut().remove(&check);
+                        let now = auth.clock.now();
+                        match answer {
+                            Ok(verdict) => auth.gate.borrow_mut().answered(now, check, attempt, verdict),
+                            Err(failure) => auth.gate.borrow_mut().failed(now, check, attempt, failure),
+                        }
+                        auth.carry_out();
+                    });
+                    self.out.borrow_mut().insert(check, task.abort_handle());
+                }
+            }
+        }
+        self.stirred.notify_one();
+    }
+
+    /// Ends a request's wait.
+    fn take(&self, id: u64) -> Option<Waiter> {
+        let waiter = self.waiting.borrow_mut().remove(&id)?;
+        let mut asked = self.asked.borrow_mut();
+        if let Some(of) = asked.get_mut(&waiter.key) {
+            of.waiting -= 1;
+            if of.waiting == 0 {
+                asked.remove(&waiter.key);
+            }
+        }
+        Some(waiter)
+    }
+
+    /// Puts a question to a server once.
+    async fn put(&self, server: usize, sent: &HeaderMap) -> Result<Verdict<Carried>, Failure> {
+        let at = self.settings.servers.get(server).ok_or(Failure::Server)?;
+        let id = server_id(server);
+        let pooled = self.pools.take_settled(id);
+        let kept = pooled.is_some();
+        let mut connection = match pooled {
+            Some(connection) => connection,
+            None => self.pools.fresh(at.dial).await.map_err(|error| match error {
+                // No fault of the server; a moment later there may be room.
+                NoConnection::Own => Failure::KeptConnection,
+                NoConnection::Theirs => Failure::Server,
+            })?,
+        };
+        let mut request = Request::new(Full::<Bytes>::default());
+        *request.method_mut() = Method::GET;
+        *request.uri_mut() = at.target.clone();
+        *request.headers_mut() = sent.clone();
+        if let Ok(host) = HeaderValue::try_from(at.dial.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        connection.wire.begin(0, false);
+        let died = if kept { Failure::KeptConnection } else { Failure::Server };
+        connection.sender.ready().await.map_err(|_| died)?;
+        let answer = connection.sender.send_request(request).await.map_err(|_| died)?;
+        let verdict = self.read(answer).await.ok_or(Failure::Server)?;
+        self.pools.put_back(id, at.dial, connection);
+        Ok(verdict)
+    }
+
+    /// What an answer means; `None` if it is none: an error of the service itself, broken off, or too long.
+    async fn read(&self, answer: Response<IncomingBody>) -> Option<Verdict<Carried>> {
+        let (head, body) = answer.into_parts();
+        if head.status.is_server_error() || head.status.is_informational() {
+            return None;
+        }
+        let most = self.settings.headers.most_bytes;
+        let body = Limited::new(body, most).collect().await.ok()?.to_bytes();
+        let passes = head.status.is_success();
+        let carried = if passes {
+            Carried::Onward(self.settings.headers.onward(&head.headers).ok()?)
+        } else {
+            let headers = self.settings.headers.back(&head.headers).ok()?;
+            Carried::Denial { status: head.status, headers, body }
+        };
+        let bytes = size(&carried);
+        Some(Verdict { passes, answer: Rc::new(carried), bytes, keep: keep(&head.headers) })
+    }
+}
+
+/// Bytes that a verdict takes while it is kept.
+fn size(carried: &Carried) -> usize {
+    let (headers, body) = match carried {
+        Carried::Onward(headers) => (headers, 0),
+        Carried::Denial { headers, body, .. } => (headers, body.len()),
+    };
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 64).sum::<usize>() + body
+}
+
+/// Bits that nobody outside this process knows: the standard library's own, from the system's source of chance.
+fn process_secret() -> [u8; 8] {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish().to_be_bytes()
+}
+
+/// Ends a wait when its request is decided or its client goes.
+struct Leaving<'a> {
+    auth: &'a Rc<Auth>,
+    id: u64,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if self.auth.take(self.id).is_some() {
+            self.auth.gate.borrow_mut().leave(self.auth.clock.now(), self.id);
+            self.auth.carry_out();
+        }
+    }
+}
--- /dev/null
+++ b/crates/maplefall/src/net/auth_settings.rs
@@ -0,0 +1,287 @@
+//! The file of forward authentication (`MAPLEFALL_FORWARD_AUTH`, a TOML file; `deploy/forward-auth.toml` is one): which
+//! callers are checked, by whom, and what goes there and back. Without it nobody is checked.
+
+use hyper::header::HeaderName;
+use hyper::Uri;
+use maplefall_forward_auth::headers::Headers;
+use maplefall_forward_auth::Settings as GateSettings;
+use maplefall_policy::{Effect, Millis};
+use maplefall_settings::plain;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "MAPLEFALL_FORWARD_AUTH";
+/// Most servers, and most headers of a list.
+const MOST_SERVERS: usize = 16;
+const MOST_HEADERS: usize = 32;
+
+/// What a request is besides its credentials, for the key of a kept verdict.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Part {
+    /// Its class.
+    Class,
+    /// Its plan.
+    Plan,
+    /// Its method.
+    Method,
+    /// The host that it names.
+    Host,
+    /// Its path and query.
+    Uri,
+}
+
+/// One server of the service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// The target of a sub-request.
+    pub target: Uri,
+}
+
+/// How callers are checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AuthSettings {
+    /// The service.
+    pub servers: Vec<Server>,
+    /// For each class, whether its callers are checked.
+    pub checked: Vec<bool>,
+    /// What the gate goes by.
+    pub gate: GateSettings,
+    /// Which headers go where.
+    pub headers: Headers,
+    /// What makes two questions the same, besides the credentials.
+    pub key: Vec<Part>,
+    /// What the service is told of the way that requests come by.
+    pub proto: &'static str,
+    /// After how long the service closes an idle connection.
+    pub idle_close: Millis,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Text {
+    servers: Vec<String>,
+    classes: BTreeMap<String, Mode>,
+    credentials: Vec<String>,
+    #[serde(default)]
+    onward: Vec<String>,
+    key: Option<Vec<Part>>,
+    proto: Option<Proto>,
+    share: Option<f64>,
+    room_ms: Option<Millis>,
+    limit_ms: Option<Millis>,
+    tries: Option<u32>,
+    most_out: Option<usize>,
+    most_waiting: Option<usize>,
+    failures: Option<u32>,
+    pause_ms: Option<[Millis; 2]>,
+    keep_ms: Option<[Millis; 2]>,
+    cache_bytes: Option<usize>,
+    answer_bytes: Option<usize>,
+    idle_close_ms: Option<Millis>,
+}
+
+#[derive(Clone, Copy, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+enum Mode {
+    /// Not checked.
+    Off,
+    /// Checked; refused where the service cannot be asked.
+    Closed,
+    /// Checked; passes where the service cannot be asked.
+    Open,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Proto {
+    Http,
+    Https,
+}
+
+/// What the variable's file says, for classes of these names and effects; `None` without one.
+///
+/// # Errors
+/// Every mistake, one to a line.
+pub fn from_env(classes: &[String], effects: &[Effect]) -> Result<Option<AuthSettings>, String> {
+    let Some(path) = std::env::var_os(VARIABLE) else { return Ok(None) };
+    read(Path::new(&path), Some((classes, effects))).map(Some).map_err(|found| found.join("\n"))
+}
+
+/// What a file says. Without the classes, what it says of them is taken as it stands.
+///
+/// # Errors
+/// Every mistake, each with the file's name and the field.
+pub fn read(path: &Path, classes: Option<(&[String], &[Effect])>) -> Result<AuthSettings, Vec<String>> {
+    let named = |text: String| format!("{}: {text}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
+    parse(&text, classes).map_err(|found| found.into_iter().map(named).collect())
+}
+
+/// Whether a text is a file of this kind rather than one of sources.
+pub fn is_one(text: &str) -> bool {
+    text.parse::<toml::Table>().is_ok_and(|table| table.contains_key("servers"))
+}
+
+fn parse(text: &str, classes: Option<(&[String], &[Effect])>) -> Result<AuthSettings, Vec<String>> {
+    let told: Text = toml::from_str(text).map_err(|error| vec![error.to_string().trim_end().to_owned()])?;
+    let mut found = Vec::new();
+    let mut servers = Vec::new();
+    if !(1..=MOST_SERVERS).contains(&told.servers.len()) {
+        found.push(format!("servers: a list of 1 to {MOST_SERVERS} of http://IP:PORT/PATH was expected"));
+    }
+    for (at, server) in told.servers.iter().enumerate() {
+        match server_of(server) {
+            Some(server) => servers.push(server),
+            None => found.push(format!("servers.{at}: http://IP:PORT/PATH was expected, not {server:?}")),
+        }
+    }
+    let mut names = |list: &[String], field: &str, least: usize| {
+        if !(least..=MOST_HEADERS).contains(&list.len()) {
+            found.push(format!("{field}: a list of {least} to {MOST_HEADERS} names of headers was expected"));
+        }
+        let mut names = Vec::new();
+        for (at, name) in list.iter().enumerate() {
+            match name.parse::<HeaderName>() {
+                Ok(name) => names.push(name),
+                Err(_) => {
+                    found.push(format!("{field}.{at}: the name of a header was expected, not {name:?}"))
+                }
+            }
+        }
+        names
+    };
+    let credentials = names(&told.credentials, "credentials", 1);
+    let onward = names(&told.onward, "onward", 0);
+    if let Some(both) = onward.iter().find(|name| credentials.contains(name)) {
+        found
+            .push(format!("onward: {both} is a credential; what the service sets is stripped from requests"));
+    }
+    let own = ["host", "request-id", "request-timeout", "idempotency-key", "content-type", "content-length"];
+    let hops = ["connection", "transfer-encoding", "te", "trailer", "upgrade", "keep-alive"];
+    for name in onward.iter().filter(|name| own.iter().chain(&hops).any(|own| own == &name.as_str())) {
+        found.push(format!("onward: {name} belongs to the request itself and cannot be set by the service"));
+    }
+    let count = classes.map_or(told.classes.len(), |(names, _)| names.len());
+    let mut modes = vec![Mode::Off; count];
+    for (at, (name, mode)) in told.classes.iter().enumerate() {
+        match classes {
+            Some((known, _)) => match known.iter().position(|known| *known == plain(name)) {
+                Some(class) => modes[class] = *mode,
+                None => found.push(format!("classes.{name}: one of {} was expected", known.join(", "))),
+            },
+            None => modes[at] = *mode,
+        }
+    }
+    let usual = GateSettings::usual(servers.len().max(1), count);
+    let gate = GateSettings {
+        share: told.share.unwrap_or(usual.share),
+        room: told.room_ms.unwrap_or(usual.room),
+        limit: told.limit_ms.unwrap_or(usual.limit),
+        tries: told.tries.unwrap_or(usual.tries),
+        most_out: told.most_out.unwrap_or(usual.most_out),
+        most_waiting: told.most_waiting.unwrap_or(usual.most_waiting),
+        failures: told.failures.unwrap_or(usual.failures),
+        pause: told.pause_ms.unwrap_or(usual.pause),
+        keep: told.keep_ms.unwrap_or(usual.keep),
+        cache_bytes: told.cache_bytes.unwrap_or(usual.cache_bytes),
+        fail_open: modes.iter().map(|mode| *mode == Mode::Open).collect(),
+        ..usual
+    };
+    let effects = classes.map_or(&[][..], |(_, effects)| effects);
+    for wrong in gate.mistakes(effects) {
+        found.push(format!("{}: {} was expected", wrong.field, wrong.expected));
+    }
+    let answer_bytes = told.answer_bytes.unwrap_or(16 * 1024);
+    if !(256..=64 * 1024).contains(&answer_bytes) {
+        found.push("answer_bytes: a whole number from 256 to 65536 was expected".to_owned());
+    }
+    let idle_close = told.idle_close_ms.unwrap_or(5000.0);
+    if !(100.0..=600_000.0).contains(&idle_close) {
+        found.push("idle_close_ms: a number from 100 to 600000 was expected".to_owned());
+    }
+    let settings = AuthSettings {
+        servers,
+        checked: modes.iter().map(|mode| *mode != Mode::Off).collect(),
+        gate,
+        headers: Headers { credentials, onward, most_bytes: answer_bytes },
+        key: told.key.unwrap_or(vec![Part::Class, Part::Plan]),
+        proto: match told.proto {
+            Some(Proto::Https) => "https",
+            Some(Proto::Http) | None => "http",
+        },
+        idle_close,
+    };
+    match found.is_empty() {
+        true => Ok(settings),
+        false => Err(found),
+    }
+}
+
+/// A server by its address; names are not looked up.
+fn server_of(text: &str) -> Option<Server> {
+    let uri: Uri = text.parse().ok()?;
+    let dial = uri.authority()?.as_str().parse().ok()?;
+    let target = uri.path_and_query()?.clone();
+    (uri.scheme_str() == Some("http")).then(|| Server { dial, target: Uri::from(target) })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn classes() -> (Vec<String>, Vec<Effect>) {
+        (vec!["consulta".to_owned(), "cobro".to_owned()], vec![Effect::Safe, Effect::Unsafe])
+    }
+
+    /// Guards the example that ships: whoever copies it begins with a file that can be used.
+    #[test]
+    fn the_shipped_example_can_be_used() {
+        let text = include_str!("../../../../deploy/forward-auth.toml");
+        assert!(is_one(text) && !is_one(include_str!("../../../../deploy/sources.toml")));
+        let settings = parse(text, None).unwrap();
+        assert_eq!((settings.servers.len(), settings.servers[0].target.path()), (2, "/oauth2/auth"));
+    }
+
+    #[test]
+    fn classes_are_off_closed_or_open_and_what_must_not_run_twice_is_never_open() {
+        let (names, effects) = classes();
+        let text = |modes: &str| {
+            format!("servers = [\"http://127.0.0.1:1/a\"]\ncredentials = [\"authorization\"]\nclasses = {modes}\n")
+        };
+        let settings = parse(&text("{ consulta = \"open\" }"), Some((&names, &effects))).unwrap();
+        assert_eq!((settings.checked, settings.gate.fail_open), (vec![true, false], vec![true, false]));
+        let wrong = parse(&text("{ cobro = \"open\" }"), Some((&names, &effects))).unwrap_err();
+        assert!(wrong[0].contains("never fails open"), "{wrong:?}");
+        let wrong = parse(&text("{ pago = \"closed\" }"), Some((&names, &effects))).unwrap_err();
+        assert!(wrong[0].contains("classes.pago: one of consulta, cobro"), "{wrong:?}");
+    }
+
+    #[test]
+    fn every_mistake_is_told_with_its_field() {
+        let text = "servers = [\"https://a/b\", \"127.0.0.1:3\"]\nclasses = {}\ncredentials = []\n\
+                    onward = [\"host\", \"a b\"]\nshare = 2.0\npause_ms = [5, 1]\nanswer_bytes = 1\nidle_close_ms = 1\n";
+        let found = parse(text, None).unwrap_err();
+        let begins = [
+            "servers.0:",
+            "servers.1:",
+            "credentials:",
+            "onward.1:",
+            "onward: host",
+            "share:",
+            "pause:",
+            "answer_bytes:",
+            "idle_close_ms:",
+        ];
+        for begin in begins {
+            assert!(found.iter().any(|line| line.starts_with(begin)), "{begin} {found:#?}");
+        }
+        assert_eq!(found.len(), begins.len(), "{found:#?}");
+        assert!(parse("server = 3", None).unwrap_err()[0].contains("unknown field"));
+    }
+}
--- a/crates/maplefall/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -108,6 +108,9 @@
     if let Some(kind) = &order.content_type {
         headers.insert(hyper::header::CONTENT_TYPE, kind.clone());
     }
+    for (name, value) in &order.onward {
+        headers.append(name.clone(), value.clone());
+    }
     request
 }
 
@@ -288,6 +291,7 @@
             uri: Uri::from_static("/charge"),
             key: None,
             content_type: None,
+            onward: Vec::new(),
             body: Bytes::from_static(b"hello"),
         }
     }
--- a/crates/maplefall/src/net/check.rs
+++ b/crates/maplefall/src/net/check.rs
@@ -2,15 +2,19 @@
 //! there is one. It also tells what can be read and cannot be meant.
 
 use super::config::{least_memory, LEAST_SOCKETS};
-use super::{membership, sources};
+use super::{auth_settings, membership, sources};
 use maplefall_protocol::Members;
 use maplefall_settings::{self as settings, Told};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 
-/// All mistakes in a file of sources (one whose name ends in `.toml`) and in the files that it names.
-pub fn source_mistakes(path: &Path) -> Vec<String> {
+/// All mistakes in a file of sources and in the files that it names, or in one of forward authentication: their names
+/// end in `.toml`.
+pub fn source_mistakes(path: &Path, text: &str) -> Vec<String> {
+    if auth_settings::is_one(text) {
+        return auth_settings::read(path, None).err().unwrap_or_default();
+    }
     match sources::read(path) {
         Err(found) => found,
         Ok(sources) => {
--- a/crates/maplefall/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -1,5 +1,6 @@
 //! Clients: the listener, how long a connection may take, and the one final answer of each request.
 
+use super::auth::{Auth, Caller, Carried};
 #[cfg(feature = "breakages")]
 use super::breakages;
 use super::door::Door;
@@ -11,19 +12,21 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use maplefall_forward_auth::Decision;
 use maplefall_policy::{Millis, RequestId};
 use maplefall_protocol::Answer;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 
 /// The readiness check of the front before the front doors.
 const HEALTH: &str = "/_health";
@@ -45,6 +48,8 @@
 const UNHURRIED: Millis = 250.0;
 /// How often connections are looked through.
 const SWEEP: Duration = Duration::from_millis(100);
+/// When a client whose caller could not be checked is told to come again: a breaker's first pause is over by then.
+const UNCHECKED_WAIT: Millis = 1000.0;
 /// How long a full house waits for one that is asked to leave.
 const MAKE_ROOM: Duration = Duration::from_millis(20);
 
@@ -61,6 +66,8 @@
 /// The clients' side of a front door.
 pub struct Clients {
     door: Rc<Door>,
+    /// Who checks callers, if anybody does.
+    auth: Option<Rc<Auth>>,
     most: usize,
     /// The open connections, at most `most`.
     peers: RefCell<HashMap<u64, Rc<Peer>>>,
@@ -73,9 +80,10 @@
 
 impl Clients {
     /// The clients' side of `door` within `sockets` descriptors for all.
-    pub fn new(door: Rc<Door>, sockets: usize) -> Rc<Clients> {
+    pub fn new(door: Rc<Door>, auth: Option<Rc<Auth>>, sockets: usize) -> Rc<Clients> {
         Rc::new(Clients {
             door,
+            auth,
             most: client_budget(sockets),
             peers: RefCell::default(),
             accepted: Cell::new(0),
@@ -89,9 +97,9 @@
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
+                Ok((stream, address)) => {
                     self.make_room().await;
-                    let peer = Rc::new(Peer::new(self.door.clock.now()));
+                    let peer = Rc::new(Peer::new(self.door.clock.now(), address.ip()));
                     self.accepted.set(self.accepted.get() + 1);
                     self.peers.borrow_mut().insert(self.accepted.get(), peer.clone());
                     tokio::task::spawn_local(self.clone().serve(stream, self.accepted.get(), peer));
@@ -227,11 +235,27 @@
         incoming.order.body = read_body(body, &head.method, end).await?;
         incoming.at = peer.last.get();
         peer.whole();
+        let (class, plan, deadline) = (incoming.class, incoming.plan.0, incoming.deadline);
+        let auth = self.auth.as_ref().filter(|auth| auth.checks(class));
+        incoming.checked = auth.is_none();
         #[cfg(feature = "breakages")]
         let incoming_deadline = incoming.deadline;
         let (id, answer) = self.door.arrive(incoming).ok_or(Bad::Twice)?;
         let mut waiting = Waiting { door: &self.door, id: Some(id) };
-        let answer = answer.await.unwrap_or(Answer::Failed);
+        let answer = match auth.filter(|_| self.door.held(id)) {
+            None => answer.await,
+            Some(auth) => {
+                let caller = auth.caller(&head, class, plan, peer.address);
+                match self.checked(auth, caller, id, deadline, answer).await {
+                    Ok(answer) => answer,
+                    Err(response) => {
+                        waiting.id = None;
+                        return Ok(response);
+                    }
+                }
+            }
+        };
+        let answer = answer.unwrap_or(Answer::Failed);
         waiting.id = None;
         #[cfg(feature = "breakages")]
         if matches!(answer, Answer::Refused(_)) && breakages::is(breakages::Breakage::HeldBack) {
@@ -242,6 +266,72 @@
     }
 }
 
+impl Clients {
+    /// Has a held request's caller checked. The request's answer, or the response that the check came to.
+    async fn checked(
+        &self,
+        auth: &Rc<Auth>,
+        caller: Caller,
+        id: RequestId,
+        deadline: Millis,
+        mut answer: oneshot::Receiver<Answer>,
+    ) -> Result<Result<Answer, oneshot::error::RecvError>, Response<Full<Bytes>>> {
+        let decision = tokio::select! {
+            // The decisions may end it first: its time is up, or its backends are gone.
+            answer = &mut answer => return Ok(answer),
+            decision = auth.check(caller, deadline) => decision,
+        };
+        let response = match decision {
+            Decision::Pass(carried) => {
+                let none = Vec::new();
+                let onward = if let Carried::Onward(headers) = &*carried { headers } else { &none };
+                self.door.passed(id, onward);
+                return Ok(answer.await);
+            }
+            Decision::PassUnchecked(_) => {
+                self.door.passed(id, &[]);
+                return Ok(answer.await);
+            }
+            Decision::Deny(carried) => denial(&carried),
+            Decision::Refuse(_) => self.unchecked(),
+        };
+        match self.door.turned_down(id) {
+            true => Err(response),
+            false => Ok(answer.await),
+        }
+    }
+
+    /// The answer to a request whose caller could not be checked: nothing has run.
+    fn unchecked(&self) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        let settings = &self.door.settings;
+        if settings.retry_after {
+            let wait = UNCHECKED_WAIT.min(settings.max_retry_after);
+            if let Ok(wait) = HeaderValue::try_from(format!("{:.3}", wait / 1000.0)) {
+                response.headers_mut().insert(RETRY_AFTER, wait);
+            }
+        }
+        response
+    }
+}
+
+/// The service's own answer, whole.
+fn denial(carried: &Carried) -> Response<Full<Bytes>> {
+    let Carried::Denial { status, headers, body } = carried else {
+        // A denial that is none cannot be: the gate hands out what was handed in.
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::FORBIDDEN;
+        return response;
+    };
+    let mut response = Response::new(Full::new(body.clone()));
+    *response.status_mut() = *status;
+    for (name, value) in headers {
+        response.headers_mut().append(name.clone(), value.clone());
+    }
+    response
+}
+
 /// Counts a connection of a client while it is open.
 struct Open<'a> {
     clients: &'a Clients,
@@ -290,9 +380,10 @@
 }
 
 /// A client's connection: what it is at, and since when.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Peer {
     opened: Millis,
+    address: IpAddr,
     /// When the first and the last bytes came of the request that is being read.
     first: Cell<Option<Millis>>,
     last: Cell<Millis>,
@@ -305,8 +396,17 @@
 }
 
 impl Peer {
-    fn new(now: Millis) -> Peer {
-        Peer { opened: now, last: Cell::new(now), ..Peer::default() }
+    fn new(now: Millis, address: IpAddr) -> Peer {
+        Peer {
+            opened: now,
+            address,
+            first: Cell::default(),
+            last: Cell::new(now),
+            owed: Cell::default(),
+            idle_since: Cell::default(),
+            left: Cell::default(),
+            asked: Notify::new(),
+        }
     }
 
     fn heard(&self, now: Millis) {
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -10,6 +10,7 @@
 use super::clock::Clock;
 use super::config::Config;
 use super::pool::{self, Line, Pools};
+use hyper::header::{HeaderName, HeaderValue};
 use maplefall_policy::*;
 use maplefall_protocol::{Answer, Ended, Health, Incoming, Member, Order};
 use maplefall_settings::{self as settings, Names};
@@ -72,6 +73,8 @@
     answer: Option<oneshot::Sender<Answer>>,
     attempts: u32,
     out: Option<Attempt>,
+    /// Whether the module waits for its caller's check.
+    held: bool,
 }
 
 /// An attempt that is out.
@@ -136,11 +139,11 @@
 }
 
 impl Door {
-    /// A front door with an empty list of backends.
-    pub fn new(config: &Config) -> Rc<Door> {
+    /// A front door with an empty list of backends; so many of the descriptors for backends are needed elsewhere.
+    pub fn new(config: &Config, elsewhere: usize) -> Rc<Door> {
         let told = &config.told;
         let reading = Reading::new(told, config.limits.memory_mb << 20);
-        let pools = Pools::new(told.links, pool::budget(config.limits.sockets));
+        let pools = Pools::new(told.links, pool::budget(config.limits.sockets).saturating_sub(elsewhere));
         Rc::new(Door {
             clock: Clock::new(),
             settings: told.settings.clone(),
@@ -204,6 +207,11 @@
         let action = breakages::action(action);
         match action {
             Action::Send { request, backend, limit, care } => self.send(request, backend, limit, care),
+            Action::Check(request) => {
+                if let Some(entry) = self.state.borrow_mut().requests.get_mut(&request) {
+                    entry.held = true;
+                }
+            }
             Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CallOff { request, attempt } => {
@@ -235,6 +243,7 @@
                 answer: Some(sender),
                 attempts: 0,
                 out: None,
+                held: false,
             };
             state.requests.insert(id, entry);
             id
@@ -247,12 +256,43 @@
             class: incoming.class,
             units: incoming.units,
             deadline: incoming.deadline,
+            checked: incoming.checked,
             spread: incoming.spread,
         };
         self.post(incoming.at, Event::Arrival(request));
         Some((id, receiver))
     }
 
+    /// Whether a request waits for its caller's check.
+    pub fn held(&self, id: RequestId) -> bool {
+        self.state.borrow().requests.get(&id).is_some_and(|entry| entry.held)
+    }
+
+    /// A held request's caller passes, with these headers for the backend. One that has its answer by now stays as it is.
+    pub fn passed(self: &Rc<Self>, id: RequestId, onward: &[(HeaderName, HeaderValue)]) {
+        if let Some(entry) = self.state.borrow_mut().requests.get_mut(&id).filter(|entry| entry.held) {
+            entry.held = false;
+            if !onward.is_empty() {
+                let order = Order { onward: onward.to_vec(), ..(*entry.order).clone() };
+                entry.order = Rc::new(order);
+            }
+        }
+        self.post(self.clock.now(), Event::Checked { request: id, passes: true });
+    }
+
+    /// A held request's caller does not pass, and whoever says so answers it; `false` if it has its answer by now.
+    pub fn turned_down(self: &Rc<Self>, id: RequestId) -> bool {
+        let waited = {
+            let mut state = self.state.borrow_mut();
+            state.requests.get_mut(&id).is_some_and(|entry| entry.answer.take().is_some())
+        };
+        if waited {
+            self.post(self.clock.now(), Event::Checked { request: id, passes: false });
+            self.state.borrow_mut().forget_if_over(id);
+        }
+        waited
+    }
+
     /// Notes that a client has gone away; nothing happens if its request has been answered.
     pub fn client_gone(self: &Rc<Self>, id: RequestId) {
         let waited = {
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -1,5 +1,7 @@
 //! The front door on real sockets: the parts round the decision module and how they start and stop.
 
+mod auth;
+mod auth_settings;
 mod backends;
 #[cfg(feature = "breakages")]
 mod breakages;
@@ -14,6 +16,7 @@
 mod request;
 mod sources;
 
+use auth::Auth;
 use clients::Clients;
 use config::Config;
 use door::Door;
@@ -35,7 +38,15 @@
         .map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let bound = listener.local_addr().map_err(|error| format!("cannot listen on {listen}: {error}"))?;
     let sources = sources::from_env()?;
-    let door = Door::new(&config);
+    let classes = &config.told.settings.classes;
+    let effects: Vec<_> = classes.iter().map(|class| class.effect).collect();
+    let auth_settings = auth_settings::from_env(&config.told.names.classes, &effects)?;
+    let auth_sockets = auth::sockets(auth_settings.as_ref(), config.limits.sockets);
+    let door = Door::new(&config, auth_sockets);
+    let auth = auth_settings.map(|settings| Auth::new(settings, door.clock, config.seed, auth_sockets));
+    if let Some(auth) = &auth {
+        tokio::task::spawn_local(auth.clone().keep_time());
+    }
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
@@ -51,14 +62,19 @@
         let take = move |heard: discovery::Heard<'_>| told.agent_heard(heard);
         tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version));
     }
-    let clients = Clients::new(door.clone(), config.limits.sockets);
+    let clients = Clients::new(door.clone(), auth.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
     eprintln!("{}: serving on {bound}", config.name);
     loop {
         tokio::select! {
             _ = stop.recv() => break,
-            _ = reload.recv() => take_up(&config.name, &agent, &membership),
+            _ = reload.recv() => {
+                take_up(&config.name, &agent, &membership);
+                if let Some(auth) = &auth {
+                    auth.forget();
+                }
+            }
         }
     }
     eprintln!("{}: stopping", config.name);
--- a/crates/maplefall/src/net/pool.rs
+++ b/crates/maplefall/src/net/pool.rs
@@ -380,12 +380,23 @@
     /// The most recently used connection that is still good, rather one whose last answer is not just over. For what
     /// must not run twice, none of an age at which connections have broken of late.
     pub fn take_idle(&self, id: BackendId, care: Care) -> Option<Connection> {
+        self.take(id, care, false)
+    }
+
+    /// The same, but never one whose last answer is just over: what was sent behind that answer has come by now and shows,
+    /// and cannot be taken for the answer to somebody else's question.
+    pub fn take_settled(&self, id: BackendId) -> Option<Connection> {
+        self.take(id, Care::Usual, true)
+    }
+
+    fn take(&self, id: BackendId, care: Care, only_settled: bool) -> Option<Connection> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&id)?;
         let now = Instant::now();
         loop {
             let settled = pool.idle.iter().rposition(|c| c.idle(now) >= SETTLED);
-            let next = settled.or(pool.idle.len().checked_sub(1))?;
+            let any = pool.idle.len().checked_sub(1).filter(|_| !only_settled);
+            let next = settled.or(any)?;
             let idle = pool.idle[next].idle(now);
             if care == Care::Once && !self.ages.borrow().hold(now, idle) {
                 return None;
--- a/crates/maplefall/src/net/request.rs
+++ b/crates/maplefall/src/net/request.rs
@@ -93,6 +93,7 @@
     Ok(Incoming {
         at: first,
         deadline: first + timeout,
+        checked: true,
         customer: customer(headers).ok_or(Bad::Header(COOKIE))?,
         plan: PlanId(plan),
         class: ClassId(class),
@@ -107,6 +108,7 @@
             key: headers.get(IDEMPOTENCY_KEY).cloned(),
             // One that is odd says nothing about the body: it is left out.
             content_type: text(headers, &CONTENT_TYPE).ok().and_then(|_| headers.get(CONTENT_TYPE).cloned()),
+            onward: Vec::new(),
             body: Bytes::new(),
         },
     })
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -238,6 +238,9 @@
     pub units: f64,
     /// When the client stops waiting for this try.
     pub deadline: Millis,
+    /// Whether its caller needs no check any more. One that does is admitted or refused like any other, and if it is
+    /// admitted, held until [`Event::Checked`].
+    pub checked: bool,
     /// Through how many gateways this customer's requests come.
     pub spread: f64,
 }
@@ -323,6 +326,14 @@
     Backends(ListKind, Vec<BackendEntry>),
     /// A request came in.
     Arrival(Request),
+    /// The caller of a held request was checked. One that does not pass takes nothing from its quota, and whoever told
+    /// this answers it; one that does is sent on or refused.
+    Checked {
+        /// Which request.
+        request: RequestId,
+        /// Whether its caller passes.
+        passes: bool,
+    },
     /// A streamed answer has begun.
     StreamStarted(RequestId),
     /// An attempt ended.
@@ -358,6 +369,8 @@
         /// What is done lest a broken connection takes the request along.
         care: Care,
     },
+    /// Have the caller of a request checked, and tell by [`Event::Checked`]. Nothing is sent on until then.
+    Check(RequestId),
     /// Final answer: turned away, trying again is harmless.
     Refuse {
         /// Which request.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 //!     class: ClassId(0),
 //!     units: 1.0,
 //!     deadline: 2000.0,
+//!     checked: true,
 //!     spread: 1.0,
 //! };
 //! gateway.handle(5.0, Event::Arrival(request), &mut actions);
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -194,6 +194,10 @@
 struct Live {
     request: Request,
     arrived: Millis,
+    /// When it could be sent on: later than it arrived, if its caller was checked first.
+    begun: Millis,
+    /// Whether it waits for its caller's check.
+    held: bool,
     sends: u32,
     out: Option<BackendId>,
     /// Send time, zone and cell of the first attempt that may have run.
@@ -274,6 +278,7 @@
         match event {
             Event::Backends(kind, entries) => self.list_changed(now, kind, &entries, actions),
             Event::Arrival(request) => self.arrived(now, request, actions),
+            Event::Checked { request, passes } => self.checked(now, request, passes, actions),
             Event::StreamStarted(id) => {
                 if let Some(live) = self.requests.get_mut(&id) {
                     live.started = true;
@@ -308,6 +313,8 @@
         let live = Live {
             request,
             arrived: now,
+            begun: now,
+            held: !request.checked,
             sends: 0,
             out: None,
             may_have_run: None,
@@ -316,17 +323,59 @@
             slow: false,
         };
         match self.admit(now, &live) {
-            Ok(backend) => {
-                self.retries = (self.retries + RETRY_SHARE).min(RETRY_DEPTH);
+            Ok(_) if live.held => {
                 let alarm = AlarmId(u64::from(request.id.0));
-                actions.push(Action::SetAlarm { at: self.slow_mark(&live).min(self.cut(&live)), alarm });
+                actions.push(Action::SetAlarm { at: self.cut(&live), alarm });
+                actions.push(Action::Check(request.id));
                 self.requests.insert(request.id, live);
-                self.send(now, request.id, backend, actions);
             }
+            Ok(backend) => self.begin(now, live, backend, actions),
             Err(wait) => actions.push(self.refusal(request.id, wait)),
         }
     }
 
+    /// Sends a request on for the first time.
+    fn begin(&mut self, now: Millis, live: Live, backend: BackendId, actions: &mut Vec<Action>) {
+        self.retries = (self.retries + RETRY_SHARE).min(RETRY_DEPTH);
+        let id = live.request.id;
+        let alarm = AlarmId(u64::from(id.0));
+        actions.push(Action::SetAlarm { at: self.slow_mark(&live).min(self.cut(&live)), alarm });
+        self.requests.insert(id, live);
+        self.send(now, id, backend, actions);
+    }
+
+    /// A held request goes on as if it came now, but for its quota, which it has, and its deadline, which has
+    /// not moved.
+    fn checked(&mut self, now: Millis, id: RequestId, passes: bool, actions: &mut Vec<Action>) {
+        if !self.requests.get(&id).is_some_and(|live| live.held) {
+            return;
+        }
+        let Some(mut live) = self.requests.remove(&id) else { return };
+        (live.held, live.begun) = (false, now);
+        let request = live.request;
+        let open = self.part(&request).open;
+        let backend =
+            if passes && self.open_room(now, &request, open) { self.room(now, &live) } else { None };
+        match backend {
+            Some(backend) => self.begin(now, live, backend, actions),
+            None => {
+                self.give_back(&request);
+                if passes {
+                    actions.push(self.refusal(id, None));
+                }
+            }
+        }
+    }
+
+    /// What was never sent on takes nothing from its quota.
+    fn give_back(&mut self, request: &Request) {
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            // More than they hold is taken off again before anybody uses it.
+            customer.slice += request.units;
+            customer.ceiling += request.units;
+        }
+    }
+
     /// Lets a request in and names its backend, or tells how long the reason to refuse it will last.
     fn admit(&mut self, now: Millis, live: &Live) -> Result<BackendId, Option<Millis>> {
         let request = &live.request;
@@ -388,23 +437,12 @@
                 return Err(Some(1000.0 * short / part.even));
             }
         }
-        // An open cap is held in parts; what a part has beyond whole attempts is a share of the time.
-        customer.pass_time(now, part.open, self.aim);
-        let open = f64::from(customer.open + 1);
-        let most = if part.open < 1.0 { f64::from(plan.max_open) } else { part.open };
-        if open > most.ceil() || (open > most.floor() && customer.spare <= 0.0) {
-            return Err(None);
-        }
-        if plan.ceiling.is_some() && customer.ceiling < request.units {
+        let short_of_ceiling = plan.ceiling.is_some() && customer.ceiling < request.units;
+        if !self.open_room(now, request, part.open) || short_of_ceiling {
             return Err(None);
         }
         self.demand.feed(now, request.units, self.demand_lambda());
-        let (backend, wait) = self.choose(now, live, Reach::Anywhere).ok_or(None)?;
-        // A client that leaves before an answer can be expected would come again after work done for nothing.
-        let expected = wait + self.backends.get(&backend).map_or(0.0, |b| self.pace(b)) * request.units;
-        if wait > WAIT_LIMIT * self.aim || PATIENCE * expected > request.deadline - now {
-            return Err(None);
-        }
+        let backend = self.room(now, live).ok_or(None)?;
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             customer.slice -= request.units;
             customer.ceiling -= request.units;
@@ -412,6 +450,28 @@
         Ok(backend)
     }
 
+    /// Whether a customer may have one more attempt out: an open cap is held in parts, and what a part has
+    /// beyond whole attempts is a share of the time.
+    fn open_room(&mut self, now: Millis, request: &Request, part: f64) -> bool {
+        let (aim, most) = (self.aim, f64::from(self.set.plans[request.plan.0].max_open));
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return false };
+        customer.pass_time(now, part, aim);
+        let open = f64::from(customer.open + 1);
+        let most = if part < 1.0 { most } else { part };
+        open <= most.ceil() && (open <= most.floor() || customer.spare > 0.0)
+    }
+
+    /// The backend for a request, if it has room: a client that leaves before an answer can be expected would
+    /// come again after work done for nothing.
+    fn room(&mut self, now: Millis, live: &Live) -> Option<BackendId> {
+        let (backend, wait) = self.choose(now, live, Reach::Anywhere)?;
+        let pace = self.backends.get(&backend).map_or(0.0, |b| self.pace(b));
+        let expected = wait + pace * live.request.units;
+        let slow = wait > WAIT_LIMIT * self.aim;
+        let late = PATIENCE * expected > live.request.deadline - now;
+        (!slow && !late).then_some(backend)
+    }
+
     /// Halflife of the recent average of a plan that has a rate.
     fn halflife(plan: &Plan) -> Millis {
         HALFLIFE_BURSTS * 1000.0 * plan.burst / plan.rate
@@ -641,7 +701,7 @@
     /// When an answer is slow. It is felt at once: a time-out is news when queues have long filled.
     fn slow_mark(&self, live: &Live) -> Millis {
         let size = (live.request.units / self.usual.max(0.01)).max(1.0);
-        live.arrived + (SLOW_AIMS * size).min(1.0) * self.set.classes[live.request.class.0].aim
+        live.begun + (SLOW_AIMS * size).min(1.0) * self.set.classes[live.request.class.0].aim
     }
 
     fn send(&mut self, now: Millis, id: RequestId, to: BackendId, actions: &mut Vec<Action>) {
@@ -703,8 +763,8 @@
         }
         live.out = None;
         if settled.outcome == Outcome::Ok && !live.slow {
-            let mark = self.slow_mark(&live) - live.arrived;
-            self.feel_answer(now, (SLOW_AIMS * (now - live.arrived) / mark).min(1.0));
+            let mark = self.slow_mark(&live) - live.begun;
+            self.feel_answer(now, (SLOW_AIMS * (now - live.begun) / mark).min(1.0));
         }
         self.learn(now, &live.request, settled, actions);
         self.settle_quota(now, &live.request, settled);
@@ -767,6 +827,9 @@
             return;
         }
         let cut = self.cut(live);
+        if live.held && now < cut {
+            return;
+        }
         if now < cut && !live.slow {
             actions.push(Action::SetAlarm { at: cut, alarm: AlarmId(name) });
             // What hangs is no sign of queues: a fallen opening would refuse what the backends have room for.
@@ -787,7 +850,10 @@
         let Some(live) = self.requests.get_mut(&id) else { return };
         live.answered = true;
         if live.out.is_none() {
-            self.requests.remove(&id);
+            let held = live.held;
+            if let Some(live) = self.requests.remove(&id).filter(|_| held) {
+                self.give_back(&live.request);
+            }
         } else if self.set.cancel && !live.started {
             actions.push(Action::CallOff { request: id, attempt: live.sends - 1 });
         }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -42,6 +42,7 @@
         class: ClassId(class),
         units: 1.0,
         deadline: now + 3000.0,
+        checked: true,
         spread: 1.0,
     }
 }
--- a/crates/protocol/src/request.rs
+++ b/crates/protocol/src/request.rs
@@ -1,7 +1,7 @@
 //! A client's request: as the decisions see it, and as it goes on to a backend.
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Uri};
+use http::{HeaderName, HeaderValue, Method, Uri};
 use maplefall_policy::{ClassId, CustomerId, Millis, PlanId};
 use std::rc::Rc;
 
@@ -12,6 +12,8 @@
     pub at: Millis,
     /// When its client stops waiting.
     pub deadline: Millis,
+    /// Whether its caller needs no check.
+    pub checked: bool,
     /// Its owner.
     pub customer: CustomerId,
     /// Its owner's plan.
@@ -43,6 +45,8 @@
     pub key: Option<HeaderValue>,
     /// The content type, if the client named one.
     pub content_type: Option<HeaderValue>,
+    /// Headers that the caller's check brought.
+    pub onward: Vec<(HeaderName, HeaderValue)>,
     /// The body.
     pub body: Bytes,
 }
