gRPC pass-through: unary and streaming calls by the same decisions, one status each

Partner lots speak gRPC; trailers go through, time-outs hold, statuses become served, refused or failed; a stream that breaks halfway through a cobro is not sent again, whatever status, transport or deadline say. Change: crates/grpc decides without I/O: routes (a trie), grpc-timeout, statuses, what an attempt's end means where status, transport and time contradict, what of it may be seen, what may be replayed. net/grpc carries it over h2: the front, connections shared by many calls, bounded queues, PING before what must not run twice. A call is an Arrival like any request; the module is unchanged. A failure carries no status that clients answer by calling again, and grpc-retry-pushback-ms: -1 (gRFC A6). MAPLEFALL_GRPC names the file (deploy/grpc.toml); without it no port. The check of callers is one function for both fronts. stand-ins::grpc plays a service with fourteen faults, and a client. Open: no TLS, no rehearsal over gRPC.

--- /dev/null
+++ b/crates/maplefall/benches/fronts.rs
@@ -0,0 +1,253 @@
+//! What a request costs the daemon by each front, turn about on one machine: `cargo bench -p maplefall --bench fronts`.
+//!
+//! One front door process at a time, played backends and clients in this one: CPU of the front door for each request, its
+//! writes, its memory, and what clients wait. `ROUNDS` and `REQUESTS` (environment) tell how many.
+
+#[path = "../tests/sockets/mod.rs"]
+mod sockets;
+
+use hdrhistogram::Histogram;
+use maplefall_stand_ins::auth::Auth;
+use maplefall_stand_ins::grpc::{Call, Client, Service};
+use maplefall_stand_ins::wire::Link;
+use sockets::{member, members, settings, Program};
+use std::cell::Cell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const CLIENTS: usize = 8;
+/// Requests of each client before anything is counted.
+const WARM_UP: usize = 50;
+
+/// How requests come and what is done with them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Profile {
+    Http,
+    /// With callers checked, one credential for all: its pass is kept.
+    AuthWarm,
+    /// With callers checked, a new credential each time.
+    AuthMiss,
+    Grpc,
+    GrpcStream,
+    /// Past the front door, for what the played client and service take themselves.
+    GrpcDirect,
+}
+
+const PROFILES: [Profile; 6] = [
+    Profile::Http,
+    Profile::AuthWarm,
+    Profile::AuthMiss,
+    Profile::Grpc,
+    Profile::GrpcStream,
+    Profile::GrpcDirect,
+];
+
+struct Measured {
+    cpu_us: f64,
+    writes: f64,
+    rss_kib: f64,
+    p50_us: u64,
+    p99_us: u64,
+    other: usize,
+}
+
+fn number(name: &str, usual: usize) -> usize {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+/// Time on the processor in microseconds (proc(5), `stat`: in ticks of 10 ms).
+fn cpu(pid: u32) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).expect("a process");
+    let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |at: usize| fields[at].parse::<f64>().expect("ticks");
+    (ticks(11) + ticks(12)) * 10_000.0
+}
+
+/// A figure of a file of `/proc/PID` with a name and a number to a line.
+fn figure(pid: u32, file: &str, name: &str) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/{file}")).expect("a process");
+    let line = text.lines().find_map(|line| line.strip_prefix(name)).expect("the figure");
+    line.trim_start_matches(':')
+        .split_whitespace()
+        .next()
+        .and_then(|text| text.parse().ok())
+        .expect("a number")
+}
+
+async fn http_backend(listener: TcpListener) {
+    listener.set_nonblocking(true).expect("a listener");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::task::spawn_local(async move {
+            let mut link = Link::over(stream);
+            while link.message().await.is_ok() {
+                if link.write(b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok").await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn write_file(name: &str, text: &str) -> String {
+    let path = format!("{}/{name}-{}.toml", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+async fn measure(profile: Profile, each: usize, round: usize) -> Measured {
+    let grpc = matches!(profile, Profile::Grpc | Profile::GrpcStream | Profile::GrpcDirect);
+    let mut hosts = Vec::new();
+    for n in 0..2 {
+        let listener = listener();
+        hosts.push(member(&format!("s-{n}"), listener.local_addr().expect("an address"), "up"));
+        if grpc {
+            tokio::task::spawn_local(Service::new(n).serve(listener));
+        } else {
+            tokio::task::spawn_local(http_backend(listener));
+        }
+    }
+    let mut variables = Vec::new();
+    let auth = Auth::new(1);
+    if matches!(profile, Profile::AuthWarm | Profile::AuthMiss) {
+        let listener = listener();
+        let address = listener.local_addr().expect("an address");
+        tokio::task::spawn_local(auth.clone().serve(listener));
+        auth.grant("ana", &["Remote-User: ana"]);
+        // Whoever it does not know passes here too: only the way there is measured.
+        auth.deny_with(204, &[]);
+        let text = format!(
+            "servers = [\"http://{address}/auth\"]\ncredentials = [\"authorization\"]\n[classes]\nread = \"closed\"\n"
+        );
+        variables.push(("MAPLEFALL_FORWARD_AUTH", write_file("auth", &text)));
+    }
+    if grpc {
+        let text = "listen = \"127.0.0.1:0\"\n[[route]]\nmethod = \"/lots.v1.Sessions/Balance\"\nclass = \"read\"\n\
+                    [[route]]\nmethod = \"/lots.v1.Sessions/Watch\"\nclass = \"read\"\nshape = \"server-stream\"\n";
+        variables.push(("MAPLEFALL_GRPC", write_file("grpc", text)));
+    }
+    let variables: Vec<(&str, &str)> = variables.iter().map(|(name, path)| (*name, path.as_str())).collect();
+    let mut settings = settings();
+    settings["plans"][0]["per_second"] = serde_json::json!(1e6);
+    settings["plans"][0]["peak_units"] = serde_json::json!(1e6);
+    let nobody: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let mut program = Program::start_with(&variables, 1024, settings, nobody, members(7, true, &hosts));
+    let address = match grpc {
+        true => program
+            .log_line()
+            .trim()
+            .rsplit(' ')
+            .next()
+            .and_then(|text| text.parse().ok())
+            .expect("an address"),
+        false => program.address,
+    };
+    let address = match profile {
+        Profile::GrpcDirect => {
+            hosts[0]["dial"].as_str().and_then(|text| text.parse().ok()).expect("an address")
+        }
+        _ => address,
+    };
+    let pid = program.child.id();
+    let other = Rc::new(Cell::new(0));
+    let mut spent = [0.0; 2];
+    let mut waits = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("bounds");
+    for (part, count) in [WARM_UP, each].into_iter().enumerate() {
+        let before = [cpu(pid), figure(pid, "io", "syscw")];
+        let mut clients = tokio::task::JoinSet::new();
+        for client in 0..CLIENTS {
+            let other = other.clone();
+            clients.spawn_local(async move {
+                let mut waits = Vec::with_capacity(count);
+                let open = if grpc { Some(Client::open(address).await.expect("a connection")) } else { None };
+                let mut link = Link::open(address).await.expect("a connection");
+                for n in 0..count {
+                    let id = format!("{round}-{part}-{client}-{n}");
+                    let began = Instant::now();
+                    let good = match (&open, profile) {
+                        (Some(open), _) => {
+                            let path = match profile {
+                                Profile::GrpcStream => "/lots.v1.Sessions/Watch",
+                                _ => "/lots.v1.Sessions/Balance",
+                            };
+                            open.call(&Call::new(&id, path, "wide", "8S")).await.code() == Some(0)
+                        }
+                        (None, profile) => {
+                            let who = if profile == Profile::AuthMiss { id.as_str() } else { "ana" };
+                            let text = sockets::request_of(&id, "read", "wide", "8");
+                            let text = text.replacen("\r\n", &format!("\r\nAuthorization: {who}\r\n"), 1);
+                            link.write(text.as_bytes()).await.expect("a connection");
+                            link.message().await.expect("an answer").status == 200
+                        }
+                    };
+                    waits.push(began.elapsed());
+                    other.set(other.get() + usize::from(!good));
+                }
+                waits
+            });
+        }
+        while let Some(client) = clients.join_next().await {
+            for wait in client.expect("a client") {
+                waits.saturating_record(wait.as_micros() as u64);
+            }
+        }
+        let after = [cpu(pid), figure(pid, "io", "syscw")];
+        if part == 0 {
+            waits.reset();
+            other.set(0);
+        } else {
+            for (spent, (after, before)) in spent.iter_mut().zip(after.iter().zip(before)) {
+                *spent = (after - before) / (CLIENTS * each) as f64;
+            }
+        }
+    }
+    Measured {
+        cpu_us: spent[0],
+        writes: spent[1],
+        rss_kib: figure(pid, "status", "VmRSS"),
+        p50_us: waits.value_at_quantile(0.5),
+        p99_us: waits.value_at_quantile(0.99),
+        other: other.get(),
+    }
+}
+
+fn main() {
+    let (rounds, each) = (number("ROUNDS", 5), number("REQUESTS", 1500));
+    println!("{CLIENTS} clients, {each} requests each, {rounds} rounds turn about; medians (least to most)");
+    let mut all: Vec<Vec<Measured>> = PROFILES.iter().map(|_| Vec::new()).collect();
+    for round in 0..rounds {
+        for (at, profile) in PROFILES.iter().enumerate() {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            let local = tokio::task::LocalSet::new();
+            let measured = local.block_on(&runtime, async {
+                tokio::time::timeout(Duration::from_secs(120), measure(*profile, each, round)).await
+            });
+            all[at].push(measured.expect("in time"));
+        }
+    }
+    println!("| front | CPU us | writes | p50 us | p99 us | memory KiB | not served |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for (profile, runs) in PROFILES.iter().zip(&all) {
+        let column = |of: &dyn Fn(&Measured) -> f64, digits: usize| {
+            let mut values: Vec<f64> = runs.iter().map(of).collect();
+            values.sort_by(f64::total_cmp);
+            let (first, last) = (values[0], values[values.len() - 1]);
+            format!("{:.digits$} ({first:.digits$} to {last:.digits$})", values[values.len() / 2])
+        };
+        println!(
+            "| {profile:?} | {} | {} | {} | {} | {} | {} |",
+            column(&|m| m.cpu_us, 0),
+            column(&|m| m.writes, 2),
+            column(&|m| m.p50_us as f64, 0),
+            column(&|m| m.p99_us as f64, 0),
+            column(&|m| m.rss_kib, 0),
+            runs.iter().map(|m| m.other).sum::<usize>()
+        );
+    }
+}
--- a/crates/maplefall/src/main.rs
+++ b/crates/maplefall/src/main.rs
@@ -12,8 +12,8 @@
 
 Usage:
   maplefall                serves, by the BALANCER_* variables below
-  maplefall check FILE     tells every mistake in a configuration, a file of sources or one of forward authentication
-                           (.toml); 0 if there is none
+  maplefall check FILE     tells every mistake in a configuration, or in a file of sources, of forward authentication or of
+                           gRPC (.toml); 0 if there is none
   maplefall --help         this text
   maplefall --version      the version
 
@@ -23,6 +23,7 @@
   BALANCER_LISTEN          where clients connect, before the file's `listen`
   BALANCER_DISCOVERY       where discovery answers, before the file's `discovery`
   MAPLEFALL_SOURCES        a file of sources of the list of backends (deploy/sources.toml is one); without it only discovery
+  MAPLEFALL_GRPC           a file of methods (deploy/grpc.toml is one); without it gRPC is not taken
   MAPLEFALL_FORWARD_AUTH   a file of who checks callers (deploy/forward-auth.toml is one); without it nobody is checked
 
 Signals:
--- a/crates/maplefall/src/net/auth.rs
+++ b/crates/maplefall/src/net/auth.rs
@@ -3,6 +3,7 @@
 
 use super::auth_settings::{AuthSettings, Part};
 use super::clock::Clock;
+use super::door::Door;
 use super::pool::{NoConnection, Pools};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming as IncomingBody};
@@ -11,7 +12,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use maplefall_forward_auth::headers::{keep, About};
 use maplefall_forward_auth::{CheckId, Decision, Failure, Gate, Key, Keyring, Output, Refusal, Verdict};
-use maplefall_policy::{BackendId, ClassId, Millis};
+use maplefall_policy::{BackendId, ClassId, Millis, RequestId};
+use maplefall_protocol::Answer;
 use maplefall_settings::Links;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -41,6 +43,18 @@
     },
 }
 
+/// What became of a request whose caller was to be checked.
+pub enum Checked {
+    /// It goes on: its answer is to come.
+    Passed,
+    /// The decisions ended it first.
+    Answered(Answer),
+    /// The service's own answer is its answer.
+    Denied(Rc<Carried>),
+    /// Its caller could not be checked: nothing has run.
+    Unchecked,
+}
+
 /// What is known of a caller before it is asked for.
 pub struct Caller {
     key: Key,
@@ -161,6 +175,47 @@
         told.await.unwrap_or(Decision::Refuse(Refusal::GivenUp))
     }
 
+    /// Has a held request's caller checked, and tells the driver what came of it.
+    pub async fn settle(
+        self: &Rc<Self>,
+        door: &Rc<Door>,
+        caller: Caller,
+        id: RequestId,
+        deadline: Millis,
+        answer: &mut oneshot::Receiver<Answer>,
+    ) -> Checked {
+        let decision = tokio::select! {
+            // The decisions may end it first: its time is up, or its backends are gone.
+            answer = &mut *answer => return Checked::Answered(answer.unwrap_or(Answer::Failed)),
+            decision = self.check(caller, deadline) => decision,
+        };
+        let ended = match decision {
+            Decision::Pass(carried) => {
+                let onward = match &*carried {
+                    Carried::Onward(headers) => headers.as_slice(),
+                    Carried::Denial { .. } => &[],
+                };
+                door.passed(id, onward);
+                return Checked::Passed;
+            }
+            Decision::PassUnchecked(_) => {
+                door.passed(id, &[]);
+                return Checked::Passed;
+            }
+            Decision::Deny(carried) => Checked::Denied(carried),
+            Decision::Refuse(_) => Checked::Unchecked,
+        };
+        match door.turned_down(id) {
+            true => ended,
+            false => Checked::Answered(answer.await.unwrap_or(Answer::Failed)),
+        }
+    }
+
+    /// Takes from a client's headers what only the service may say.
+    pub fn strip(&self, headers: &mut HeaderMap) {
+        self.settings.headers.strip(headers);
+    }
+
     /// Lets time pass for the gate, and closes idle connections, for as long as the front door runs.
     pub async fn keep_time(self: Rc<Self>) {
         let tidy = self.clone();
--- a/crates/maplefall/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -21,7 +21,7 @@
 /// Part of the memory that long answers may take together, from the first byte read to the last one written.
 const ROOM_PART: usize = 4;
 /// A use over this many percent of a rate is no figure to go by.
-const MOST_USAGE: f64 = 100_000.0;
+pub const MOST_USAGE: f64 = 100_000.0;
 
 /// The memory that long answers may still take.
 #[derive(Clone)]
@@ -244,7 +244,7 @@
 }
 
 /// The first figure under this name that can be read and makes sense. One that does not spoils no answer.
-fn number(headers: &HeaderMap, name: &HeaderName, most: f64) -> Option<f64> {
+pub fn number(headers: &HeaderMap, name: &HeaderName, most: f64) -> Option<f64> {
     let mut values =
         headers.get_all(name).iter().filter_map(|value| value.to_str().ok()?.trim().parse().ok());
     values.find(|number: &f64| number.is_finite() && (0.0..=most).contains(number))
--- a/crates/maplefall/src/net/check.rs
+++ b/crates/maplefall/src/net/check.rs
@@ -2,16 +2,19 @@
 //! there is one. It also tells what can be read and cannot be meant.
 
 use super::config::{least_memory, LEAST_SOCKETS};
-use super::{auth_settings, membership, sources};
+use super::{auth_settings, grpc, membership, sources};
 use maplefall_protocol::Members;
 use maplefall_settings::{self as settings, Told};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 
-/// All mistakes in a file of sources and in the files that it names, or in one of forward authentication: their names
-/// end in `.toml`.
+/// All mistakes in a file of sources and in the files that it names, or in one of forward authentication or of gRPC: their
+/// names end in `.toml`.
 pub fn source_mistakes(path: &Path, text: &str) -> Vec<String> {
+    if grpc::is_one(text) {
+        return grpc::read(path, None).err().unwrap_or_default();
+    }
     if auth_settings::is_one(text) {
         return auth_settings::read(path, None).err().unwrap_or_default();
     }
--- a/crates/maplefall/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: the listener, how long a connection may take, and the one final answer of each request.
 
-use super::auth::{Auth, Caller, Carried};
+use super::auth::{Auth, Carried, Checked};
 #[cfg(feature = "breakages")]
 use super::breakages;
 use super::door::Door;
@@ -12,7 +12,6 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use maplefall_forward_auth::Decision;
 use maplefall_policy::{Millis, RequestId};
 use maplefall_protocol::Answer;
 use std::cell::{Cell, RefCell};
@@ -26,7 +25,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{watch, Notify};
 
 /// The readiness check of the front before the front doors.
 const HEALTH: &str = "/_health";
@@ -240,22 +239,27 @@
         incoming.checked = auth.is_none();
         #[cfg(feature = "breakages")]
         let incoming_deadline = incoming.deadline;
-        let (id, answer) = self.door.arrive(incoming).ok_or(Bad::Twice)?;
+        let (id, mut answer) = self.door.arrive(incoming).ok_or(Bad::Twice)?;
         let mut waiting = Waiting { door: &self.door, id: Some(id) };
-        let answer = match auth.filter(|_| self.door.held(id)) {
-            None => answer.await,
+        let checked = match auth.filter(|_| self.door.held(id)) {
+            None => Checked::Passed,
             Some(auth) => {
                 let caller = auth.caller(&head, class, plan, peer.address);
-                match self.checked(auth, caller, id, deadline, answer).await {
-                    Ok(answer) => answer,
-                    Err(response) => {
-                        waiting.id = None;
-                        return Ok(response);
-                    }
-                }
+                auth.settle(&self.door, caller, id, deadline, &mut answer).await
+            }
+        };
+        let answer = match checked {
+            Checked::Passed => answer.await.unwrap_or(Answer::Failed),
+            Checked::Answered(answer) => answer,
+            Checked::Denied(carried) => {
+                waiting.id = None;
+                return Ok(denial(&carried));
+            }
+            Checked::Unchecked => {
+                waiting.id = None;
+                return Ok(self.unchecked());
             }
         };
-        let answer = answer.unwrap_or(Answer::Failed);
         waiting.id = None;
         #[cfg(feature = "breakages")]
         if matches!(answer, Answer::Refused(_)) && breakages::is(breakages::Breakage::HeldBack) {
@@ -267,40 +271,6 @@
 }
 
 impl Clients {
-    /// Has a held request's caller checked. The request's answer, or the response that the check came to.
-    async fn checked(
-        &self,
-        auth: &Rc<Auth>,
-        caller: Caller,
-        id: RequestId,
-        deadline: Millis,
-        mut answer: oneshot::Receiver<Answer>,
-    ) -> Result<Result<Answer, oneshot::error::RecvError>, Response<Full<Bytes>>> {
-        let decision = tokio::select! {
-            // The decisions may end it first: its time is up, or its backends are gone.
-            answer = &mut answer => return Ok(answer),
-            decision = auth.check(caller, deadline) => decision,
-        };
-        let response = match decision {
-            Decision::Pass(carried) => {
-                let none = Vec::new();
-                let onward = if let Carried::Onward(headers) = &*carried { headers } else { &none };
-                self.door.passed(id, onward);
-                return Ok(answer.await);
-            }
-            Decision::PassUnchecked(_) => {
-                self.door.passed(id, &[]);
-                return Ok(answer.await);
-            }
-            Decision::Deny(carried) => denial(&carried),
-            Decision::Refuse(_) => self.unchecked(),
-        };
-        match self.door.turned_down(id) {
-            true => Err(response),
-            false => Ok(answer.await),
-        }
-    }
-
     /// The answer to a request whose caller could not be checked: nothing has run.
     fn unchecked(&self) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::default());
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -9,6 +9,7 @@
 use super::breakages;
 use super::clock::Clock;
 use super::config::Config;
+use super::grpc::{self, GrpcSettings, Passage};
 use super::pool::{self, Line, Pools};
 use hyper::header::{HeaderName, HeaderValue};
 use maplefall_policy::*;
@@ -75,6 +76,10 @@
     out: Option<Attempt>,
     /// Whether the module waits for its caller's check.
     held: bool,
+    /// The call that it is, if it came over gRPC.
+    passage: Option<Rc<Passage>>,
+    /// Whether its answer is on its way to the client: there can be no other attempt.
+    started: bool,
 }
 
 /// An attempt that is out.
@@ -108,6 +113,7 @@
     /// The names that the settings give to numbers.
     pub names: Names,
     pools: Rc<Pools>,
+    calls: grpc::Backends,
     reading: Rc<Reading>,
     state: RefCell<State>,
     queue: RefCell<VecDeque<(Millis, Event)>>,
@@ -140,8 +146,9 @@
 
 impl Door {
     /// A front door with an empty list of backends; so many of the descriptors for backends are needed elsewhere.
-    pub fn new(config: &Config, elsewhere: usize) -> Rc<Door> {
+    pub fn new(config: &Config, elsewhere: usize, grpc: Option<&GrpcSettings>) -> Rc<Door> {
         let told = &config.told;
+        let (connections, streams) = grpc.map_or((0, 0), |grpc| (grpc.backend_connections, grpc.streams));
         let reading = Reading::new(told, config.limits.memory_mb << 20);
         let pools = Pools::new(told.links, pool::budget(config.limits.sockets).saturating_sub(elsewhere));
         Rc::new(Door {
@@ -149,6 +156,7 @@
             settings: told.settings.clone(),
             names: told.names.clone(),
             pools: Rc::new(pools),
+            calls: grpc::Backends::new(told.links, connections, streams as usize, told.settings.max_units),
             reading: Rc::new(reading),
             state: RefCell::new(State {
                 gateway: Gateway::new(for_the_module(told.settings.clone()), config.seed),
@@ -229,6 +237,15 @@
 
     /// Takes a request in; `None` if one with its id has come before.
     pub fn arrive(self: &Rc<Self>, incoming: Incoming) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        self.arrive_by(incoming, None)
+    }
+
+    /// Takes a request in that may have come over gRPC; `None` if one with its id has come before.
+    pub fn arrive_by(
+        self: &Rc<Self>,
+        incoming: Incoming,
+        passage: Option<Rc<Passage>>,
+    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (sender, receiver) = oneshot::channel();
         let id = {
             let mut state = self.state.borrow_mut();
@@ -244,6 +261,8 @@
                 attempts: 0,
                 out: None,
                 held: false,
+                passage,
+                started: false,
             };
             state.requests.insert(id, entry);
             id
@@ -305,6 +324,22 @@
         }
     }
 
+    /// A call's answer is on its way to its client: no further attempt can take the place of this one.
+    pub fn started(self: &Rc<Self>, id: RequestId) {
+        if let Some(entry) = self.state.borrow_mut().requests.get_mut(&id) {
+            entry.started = true;
+        }
+        self.post(self.clock.now(), Event::StreamStarted(id));
+    }
+
+    /// Ends the attempt of a call whose client has gone, where the settings allow it.
+    pub fn call_off(self: &Rc<Self>, id: RequestId) {
+        let out = self.state.borrow().requests.get(&id).and_then(|entry| Some(entry.out.as_ref()?.number));
+        if let Some(number) = out.filter(|_| self.settings.cancel) {
+            self.settle(id, number, Ended::of(Outcome::Cancelled));
+        }
+    }
+
     /// Gives a request its final answer, unless it has one.
     fn answer(&self, id: RequestId, answer: Answer) {
         let mut state = self.state.borrow_mut();
@@ -344,8 +379,18 @@
             Some(last) if breakages::is(breakages::Breakage::ColdFavoured) => last,
             _ => to,
         };
+        let passage = entry.passage.clone();
         let task = tokio::task::spawn_local(async move {
-            let ended = backends::attempt(&door.pools, &door.reading, to, &order, limit, care, &on).await;
+            let ended = match &passage {
+                None => backends::attempt(&door.pools, &door.reading, to, &order, limit, care, &on).await,
+                Some(passage) => {
+                    let (pools, clock) = (&*door.pools, door.clock);
+                    let committed = &|| door.started(id);
+                    let (order, line) = (&*order, &on);
+                    let errand = grpc::Errand { pools, clock, order, passage, limit, care, line, committed };
+                    door.calls.attempt(to, errand).await
+                }
+            };
             door.settle(id, number, ended);
         });
         line.tie(task.abort_handle());
@@ -443,7 +488,17 @@
     fn fire(self: &Rc<Self>, now: Millis, due: Due) {
         match due {
             Due::Alarm(alarm) => self.post(now, Event::Alarm(alarm)),
-            Due::TimeOut(id, number) => self.settle(id, number, Ended::of(Outcome::Timeout)),
+            Due::TimeOut(id, number) => {
+                // A stream that has begun is not given up for its length: its client's deadline ends it.
+                let state = self.state.borrow();
+                let goes_on = state.requests.get(&id).filter(|entry| entry.started && entry.deadline > now);
+                let later = goes_on.map(|entry| entry.deadline);
+                drop(state);
+                match later {
+                    Some(deadline) => self.set_timer(deadline, Due::TimeOut(id, number)),
+                    None => self.settle(id, number, Ended::of(Outcome::Timeout)),
+                }
+            }
             Due::Deadline(id) => {
                 // The module answers before this; a request that it holds must not stay without an answer.
                 let waited = self.state.borrow().requests.get(&id).is_some_and(|e| e.answer.is_some());
@@ -525,7 +580,7 @@
 
     /// Disposes of idle connections before backends do, for as long as the front door runs.
     pub async fn tidy(self: Rc<Self>) {
-        self.pools.tidy().await;
+        tokio::join!(self.pools.tidy(), self.calls.tidy(&self.pools));
     }
 }
 
--- /dev/null
+++ b/crates/maplefall/src/net/grpc/settings.rs
@@ -0,0 +1,217 @@
+//! The file of gRPC pass-through (`MAPLEFALL_GRPC`, a TOML file; `deploy/grpc.toml` is one): where calls are taken, and which
+//! class each method belongs to. Without it no further port is opened.
+
+use maplefall_grpc::routes::{Routes, Wrong};
+use maplefall_grpc::Shape;
+use maplefall_policy::{ClassId, Millis};
+use maplefall_settings::plain;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "MAPLEFALL_GRPC";
+
+/// What a method's calls are.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Route {
+    /// Their class.
+    pub class: ClassId,
+    /// How their messages go.
+    pub shape: Shape,
+    /// Units of one whose client names none.
+    pub units: f64,
+}
+
+/// How calls are taken and passed on.
+#[derive(Clone, Debug)]
+pub struct GrpcSettings {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Connections of clients at most.
+    pub connections: usize,
+    /// Calls on one connection at most, either side.
+    pub streams: u32,
+    /// Calls at most, over all connections.
+    pub calls: usize,
+    /// Connections to backends at most.
+    pub backend_connections: usize,
+    /// Bytes of a client's messages, and of an answer, that are held for one call at most.
+    pub held_bytes: usize,
+    /// After how long without a call a connection is closed.
+    pub idle: Millis,
+    /// Which method is what.
+    pub routes: Routes<Route>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Text {
+    listen: String,
+    connections: Option<usize>,
+    streams: Option<u32>,
+    calls: Option<usize>,
+    backend_connections: Option<usize>,
+    held_bytes: Option<usize>,
+    idle_ms: Option<Millis>,
+    #[serde(default, rename = "route")]
+    routes: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Row {
+    method: String,
+    class: String,
+    #[serde(default)]
+    shape: Form,
+    units: Option<f64>,
+}
+
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Form {
+    #[default]
+    Unary,
+    ServerStream,
+    ClientStream,
+    Bidi,
+}
+
+/// What the variable's file says, for classes of these names; `None` without one.
+///
+/// # Errors
+/// Every mistake, one to a line.
+pub fn from_env(classes: &[String]) -> Result<Option<GrpcSettings>, String> {
+    let Some(path) = std::env::var_os(VARIABLE) else { return Ok(None) };
+    read(Path::new(&path), Some(classes)).map(Some).map_err(|found| found.join("\n"))
+}
+
+/// What a file says. Without the classes' names, whatever it calls a class is taken for one.
+///
+/// # Errors
+/// Every mistake, each with the file's name and the field.
+pub fn read(path: &Path, classes: Option<&[String]>) -> Result<GrpcSettings, Vec<String>> {
+    let named = |text: String| format!("{}: {text}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
+    parse(&text, classes).map_err(|found| found.into_iter().map(named).collect())
+}
+
+/// Whether a text is a file of this kind.
+pub fn is_one(text: &str) -> bool {
+    text.parse::<toml::Table>().is_ok_and(|table| table.contains_key("listen"))
+}
+
+fn parse(text: &str, classes: Option<&[String]>) -> Result<GrpcSettings, Vec<String>> {
+    let told: Text = toml::from_str(text).map_err(|error| vec![error.to_string().trim_end().to_owned()])?;
+    let mut found = Vec::new();
+    let listen = told.listen.parse::<SocketAddr>();
+    if listen.is_err() {
+        found.push(format!("listen: an address with a port was expected, not {:?}", told.listen));
+    }
+    let mut within = |field: &str, value: f64, least: f64, most: f64| {
+        if !(least..=most).contains(&value) {
+            found.push(format!("{field}: a number from {least} to {most} was expected"));
+        }
+    };
+    let connections = told.connections.unwrap_or(32);
+    let streams = told.streams.unwrap_or(64);
+    let calls = told.calls.unwrap_or(512);
+    let backend_connections = told.backend_connections.unwrap_or(32);
+    let held_bytes = told.held_bytes.unwrap_or(64 * 1024);
+    let idle = told.idle_ms.unwrap_or(60_000.0);
+    within("connections", connections as f64, 1.0, 65_536.0);
+    within("streams", f64::from(streams), 1.0, 65_536.0);
+    within("calls", calls as f64, 1.0, 65_536.0);
+    within("backend_connections", backend_connections as f64, 1.0, 65_536.0);
+    within("held_bytes", held_bytes as f64, 1024.0, 4_194_304.0);
+    within("idle_ms", idle, 100.0, 86_400_000.0);
+    if told.routes.is_empty() {
+        found.push("route: at least one [[route]] was expected".to_owned());
+    }
+    let mut rows = Vec::new();
+    for (at, row) in told.routes.iter().enumerate() {
+        let known = classes.map(|known| known.iter().position(|known| *known == plain(&row.class)));
+        if let (Some(None), Some(known)) = (known, classes) {
+            found.push(format!(
+                "route.{at}.class: one of {} was expected, not {:?}",
+                known.join(", "),
+                row.class
+            ));
+        }
+        let units = row.units.unwrap_or(1.0);
+        if !(units > 0.0 && units.is_finite()) {
+            found.push(format!("route.{at}.units: a number over 0 was expected"));
+        }
+        let shape = match row.shape {
+            Form::Unary => Shape::Unary,
+            Form::ServerStream => Shape::ServerStream,
+            Form::ClientStream => Shape::ClientStream,
+            Form::Bidi => Shape::Bidi,
+        };
+        rows.push((
+            row.method.as_str(),
+            Route { class: ClassId(known.flatten().unwrap_or(at)), shape, units },
+        ));
+    }
+    let routes = Routes::new(rows);
+    if let Err(wrong) = &routes {
+        found.extend(wrong.iter().map(|wrong: &Wrong| format!("route: {wrong}")));
+    }
+    match (listen, routes) {
+        (Ok(listen), Ok(routes)) if found.is_empty() => Ok(GrpcSettings {
+            listen,
+            connections,
+            streams,
+            calls,
+            backend_connections,
+            held_bytes,
+            idle,
+            routes,
+        }),
+        _ => Err(found),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the example that ships.
+    #[test]
+    fn the_shipped_example_can_be_used() {
+        let text = include_str!("../../../../../deploy/grpc.toml");
+        assert!(is_one(text) && !is_one(include_str!("../../../../../deploy/sources.toml")));
+        assert!(!is_one(include_str!("../../../../../deploy/forward-auth.toml")));
+        let classes = ["consulta", "extension", "cobro"].map(str::to_owned);
+        let settings = parse(text, Some(&classes)).unwrap();
+        let route = settings.routes.find("/lots.v1.Sessions/Charge").unwrap();
+        assert_eq!((route.class, route.shape), (ClassId(2), Shape::Unary));
+        assert!(parse(text, None).is_ok());
+    }
+
+    #[test]
+    fn every_mistake_is_told_with_its_field() {
+        let text =
+            "listen = \"here\"\nstreams = 0\nheld_bytes = 5\nidle_ms = nan\n[[route]]\nmethod = \"/a.B/C\"\n\
+                    class = \"pago\"\nunits = 0\n[[route]]\nmethod = \"a\"\nclass = \"cobro\"\n[[route]]\n\
+                    method = \"/a.B/C\"\nclass = \"cobro\"\n";
+        let found = parse(text, Some(&["cobro".to_owned()])).unwrap_err();
+        let begins = [
+            "listen:",
+            "streams:",
+            "held_bytes:",
+            "idle_ms:",
+            "route.0.class: one of cobro",
+            "route.0.units:",
+            "route: \"a\":",
+            "route: \"/a.B/C\" stands there twice",
+        ];
+        for begin in begins {
+            assert!(found.iter().any(|line| line.starts_with(begin)), "{begin} {found:#?}");
+        }
+        assert_eq!(found.len(), begins.len(), "{found:#?}");
+        assert!(parse("listen = \"127.0.0.1:1\"", None).unwrap_err()[0].starts_with("route:"));
+        assert!(parse("listen = \"a\"\nshape = 1", None).unwrap_err()[0].contains("unknown field"));
+    }
+}
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod config;
 mod discovery;
 mod door;
+mod grpc;
 mod membership;
 mod pool;
 mod request;
@@ -20,8 +21,10 @@
 use clients::Clients;
 use config::Config;
 use door::Door;
+use grpc::{Front, GrpcSettings};
 use membership::Membership;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
@@ -42,7 +45,9 @@
     let effects: Vec<_> = classes.iter().map(|class| class.effect).collect();
     let auth_settings = auth_settings::from_env(&config.told.names.classes, &effects)?;
     let auth_sockets = auth::sockets(auth_settings.as_ref(), config.limits.sockets);
-    let door = Door::new(&config, auth_sockets);
+    let grpc_settings = grpc::from_env(&config.told.names.classes)?;
+    let elsewhere = auth_sockets + grpc::sockets(grpc_settings.as_ref());
+    let door = Door::new(&config, elsewhere, grpc_settings.as_ref());
     let auth = auth_settings.map(|settings| Auth::new(settings, door.clock, config.seed, auth_sockets));
     if let Some(auth) = &auth {
         tokio::task::spawn_local(auth.clone().keep_time());
@@ -66,6 +71,10 @@
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
     eprintln!("{}: serving on {bound}", config.name);
+    let front = match grpc_settings {
+        Some(settings) => Some(listen_for_calls(&config.name, &door, &auth, settings).await?),
+        None => None,
+    };
     loop {
         tokio::select! {
             _ = stop.recv() => break,
@@ -78,10 +87,32 @@
         }
     }
     eprintln!("{}: stopping", config.name);
-    clients.stop().await;
+    let calls = async {
+        if let Some(front) = &front {
+            front.stop().await;
+        }
+    };
+    tokio::join!(clients.stop(), calls);
     Ok(())
 }
 
+/// Opens the port for gRPC.
+async fn listen_for_calls(
+    name: &str,
+    door: &Rc<Door>,
+    auth: &Option<Rc<Auth>>,
+    settings: GrpcSettings,
+) -> Result<Rc<Front>, String> {
+    let listen = settings.listen;
+    let no_port = |error| format!("cannot listen on {listen} for gRPC: {error}");
+    let listener = tokio::net::TcpListener::bind(listen).await.map_err(no_port)?;
+    let bound = listener.local_addr().map_err(no_port)?;
+    let front = Front::new(door.clone(), auth.clone(), settings);
+    tokio::task::spawn_local(front.clone().accept(listener));
+    eprintln!("{name}: gRPC on {bound}");
+    Ok(front)
+}
+
 /// Re-reads the configuration and the file of sources after SIGHUP. Only where discovery and etcd answer, and credentials,
 /// can change while the program runs; what cannot be used is told, and the old goes on.
 fn take_up(name: &str, agent: &watch::Sender<SocketAddr>, membership: &Membership) {
--- a/crates/maplefall/src/net/pool.rs
+++ b/crates/maplefall/src/net/pool.rs
@@ -224,6 +224,8 @@
 #[derive(Clone, Default)]
 pub struct Line {
     wire: Rc<RefCell<Option<Rc<Wire>>>>,
+    /// Whether a call has gone to a connection that carries others too.
+    begun: Rc<Cell<bool>>,
     task: Rc<RefCell<Option<AbortHandle>>>,
 }
 
@@ -238,9 +240,14 @@
         *self.task.borrow_mut() = Some(task);
     }
 
+    /// A call has gone to a connection that carries others too: from now on it may run.
+    pub fn begun(&self) {
+        self.begun.set(true);
+    }
+
     /// Whether the request has been written whole: before that, it cannot have run.
     pub fn whole(&self) -> bool {
-        self.wire.borrow().as_ref().is_some_and(|wire| wire.whole())
+        self.begun.get() || self.wire.borrow().as_ref().is_some_and(|wire| wire.whole())
     }
 
     /// Gives the attempt up: its connection is closed before this returns.
--- a/crates/maplefall/src/net/request.rs
+++ b/crates/maplefall/src/net/request.rs
@@ -137,14 +137,16 @@
 }
 
 /// What a request takes from its owner's quota, and how many front doors its owner's set has.
-struct Terms {
-    units: f64,
-    spread: f64,
+pub struct Terms {
+    /// Units.
+    pub units: f64,
+    /// Front doors.
+    pub spread: f64,
 }
 
 impl Terms {
     /// Only what the settings have room for: the decisions would clamp a figure beyond it and serve the request.
-    fn read(text: &str, settings: &Settings) -> Option<Terms> {
+    pub fn read(text: &str, settings: &Settings) -> Option<Terms> {
         let doors = settings.gateways.max(1);
         let (mut units, mut spread, mut first) = (None, None, None);
         for field in text.split(',') {
@@ -168,7 +170,7 @@
 }
 
 /// The value of a header that stands there once and is plain ASCII.
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
+pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
     let mut values = headers.get_all(name).iter();
     let value = values.next().and_then(|value| value.to_str().ok());
     match (value, values.next()) {
@@ -178,7 +180,7 @@
 }
 
 /// A header that names something: neither empty nor long, and no spaces.
-fn name<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
+pub fn name<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<&'a str, Bad> {
     let value = text(headers, name)?;
     let good = (1..=LONGEST_NAME).contains(&value.len()) && value.bytes().all(|byte| byte.is_ascii_graphic());
     good.then_some(value).ok_or_else(|| Bad::Header(name.clone()))
@@ -195,7 +197,7 @@
 }
 
 /// The customer that the one cookie of that name tells.
-fn customer(headers: &HeaderMap) -> Option<CustomerId> {
+pub fn customer(headers: &HeaderMap) -> Option<CustomerId> {
     let line = text(headers, &COOKIE).ok()?;
     let mut names = line.split(';').filter_map(|one| one.trim().strip_prefix("client="));
     let name = names.next()?;
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod counter;
 pub mod etcd;
+pub mod grpc;
 pub mod lateness;
 pub mod node;
 pub mod rude;
