Forward authentication rehearsed: seven scenarios, a sixth rule, four breakages, its cost

Change: scenarios may have an authentication service ([auth]; events auth_trouble, revoke, strangers); the judge's rule 6: nothing goes on for a caller that does not pass, a revoked credential lives no longer than passes are kept, who passes is not denied. Breakages fail-open, key-without-credential, late-verdict-answers, checked-again. benches/fronts counts system calls (strace) and, in builds with count-allocations, allocations. Callers that do not pass no longer count as worth asked for. Gaps: no TLS to the service; answers without Cache-Control are not kept; no real service was at hand.

--- a/crates/judge/src/figures.rs
+++ b/crates/judge/src/figures.rs
@@ -122,6 +122,7 @@
     order.sort_by(|a, b| a[0].asked.total_cmp(&b[0].asked));
     let mut stores: BTreeMap<u64, (f64, Millis)> = BTreeMap::new();
     let mut worth: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+    let denied = crate::callers::denied(view);
     // One figure of three digits is enough, and the table stays small.
     let mut times = Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).ok();
     for tries in order {
@@ -132,6 +133,10 @@
         if let (Some(took), Some(times)) = (took, &mut times) {
             times.saturating_record((took.max(0.0) * 1000.0) as u64);
         }
+        // Nobody owes anything to a caller that does not pass.
+        if denied.get(&first.customer).is_some_and(|(from, _)| *from <= first.asked) {
+            continue;
+        }
         // Offered is what one front door that saw all first tries would let in.
         let (level, at) = stores.entry(first.customer).or_insert((plan.burst, first.asked));
         *level = (*level + plan.rate * (first.asked - *at) / 1000.0).min(plan.burst);
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -2,9 +2,11 @@
 //! to the test. No I/O, no clock: a record that was kept can be judged again at any time.
 //!
 //! The rules are those of the platform's pages (BRIEF "The five rules", WIRE "Invariants", PROTOCOL "The rules on
-//! sockets"). Each has a file: [`answers`], [`repeats`], [`drains`], [`cold`], [`ceilings`].
+//! sockets"), each in a file: [`answers`], [`repeats`], [`drains`], [`cold`], [`ceilings`]; and where callers are checked a
+//! sixth, [`callers`].
 
 pub mod answers;
+pub mod callers;
 pub mod ceilings;
 pub mod cold;
 pub mod drain_times;
@@ -35,7 +37,7 @@
     pub seed: u64,
     /// Why the run says nothing of the front doors, if it does not.
     pub void: Option<String>,
-    /// The five rules.
+    /// The rules.
     pub rules: Vec<Ruling>,
     /// What else was measured.
     pub figures: Figures,
@@ -67,6 +69,7 @@
             drains::judge(&view),
             cold::judge(&view),
             ceilings::judge(&view),
+            callers::judge(&view),
         ],
         figures: figures::count(&view),
     }
--- a/crates/judge/src/view.rs
+++ b/crates/judge/src/view.rs
@@ -298,7 +298,10 @@
             Entry::Rude { kind, status, neglected } => {
                 self.rude.push((at, kind, *status, *neglected, line));
             }
-            Entry::Failure { .. } | Entry::Used { .. } | Entry::Lateness { .. } => {}
+            Entry::Failure { .. }
+            | Entry::Credential { .. }
+            | Entry::Used { .. }
+            | Entry::Lateness { .. } => {}
         }
     }
 
--- a/crates/judge/tests/rules.rs
+++ b/crates/judge/tests/rules.rs
@@ -438,3 +438,44 @@
     assert_eq!((figures.requests, figures.served, figures.refused), (21, 10, 11));
     assert!((figures.worth_share - 0.5).abs() < 1e-9, "{}", figures.worth_share);
 }
+
+// ---- Rule 6 -------------------------------------------------------------------------------------------
+
+fn credential(tale: Tale, at: f64, customer: u64) -> Tale {
+    tale.line(at, Entry::Credential { customer, passes: false })
+}
+
+#[test]
+fn where_nobody_is_checked_nothing_is_said_of_it() {
+    assert_eq!(tale().served(100.0, 1, "a", UNSAFE, 0).rule(6).verdict, NotExercised);
+}
+
+#[test]
+fn nothing_goes_on_for_who_does_not_pass() {
+    let denied = credential(tale(), 0.0, 7).asked(100.0, "a", UNSAFE).answered(120.0, "a", 401, None).rule(6);
+    assert_eq!((denied.verdict, denied.tested), (Kept, 1));
+    let sent = credential(tale(), 0.0, 7).served(100.0, 1, "a", UNSAFE, 0).rule(6);
+    assert_eq!((sent.verdict, sent.findings[0].request.as_str()), (Broken, "a"));
+    // One that may pass where nobody can be asked.
+    assert_eq!(credential(tale(), 0.0, 7).served(100.0, 1, "a", SAFE, 0).rule(6).verdict, Kept);
+    // Another's request goes on.
+    assert_eq!(credential(tale(), 0.0, 8).served(100.0, 1, "a", UNSAFE, 0).rule(6).verdict, NotExercised);
+}
+
+#[test]
+fn a_revoked_credential_lives_on_for_as_long_as_verdicts_are_kept_and_no_longer() {
+    // 500 ms, 50 ms of the sockets, 25 ms that are not told apart.
+    for (late, verdict) in [(570.0, Kept), (580.0, Broken)] {
+        let before = credential(tale().served(100.0, 1, "a", UNSAFE, 0), 1000.0, 7);
+        let ruling = before.served(1000.0 + late - 2.0, 2, "b", UNSAFE, 0).rule(6);
+        assert_eq!(ruling.verdict, verdict, "{late}");
+    }
+    // Of one that never asked before nothing is kept.
+    assert_eq!(credential(tale(), 1000.0, 7).served(1100.0, 1, "a", UNSAFE, 0).rule(6).verdict, Broken);
+}
+
+#[test]
+fn who_passes_is_not_denied() {
+    let tale = credential(tale(), 0.0, 8).asked(100.0, "a", SAFE).answered(120.0, "a", 401, None);
+    assert_eq!(tale.rule(6).verdict, Broken);
+}
--- a/crates/judge/tests/tale/mod.rs
+++ b/crates/judge/tests/tale/mod.rs
@@ -32,6 +32,7 @@
         aim_ms: 500.0,
         worth: 1.0,
         late_worth: 0.0,
+        unchecked: name == "read",
     };
     let plan = |name: &str, ceiling| Plan { name: name.into(), rate: 10.0, burst: 20.0, price: 1.0, ceiling };
     Header {
@@ -48,7 +49,7 @@
             plan("open", None),
             plan("capped", Some(Ceiling { rate: 20.0, burst: 40.0, slack: 4.0 })),
         ],
-        rules: Rules::platform(100.0),
+        rules: Rules { revoked_ms: 500.0, ..Rules::platform(100.0) },
     }
 }
 
--- a/crates/maplefall/benches/fronts.rs
+++ b/crates/maplefall/benches/fronts.rs
@@ -2,6 +2,7 @@
 //!
 //! One front door process at a time, played backends and clients in this one: CPU of the front door for each request, its
 //! writes, its memory, and what clients wait. `ROUNDS` and `REQUESTS` (environment) tell how many.
+//! `STRACE=1` counts system calls (slower), `--features count-allocations` what is allocated.
 
 #[path = "../tests/sockets/mod.rs"]
 mod sockets;
@@ -46,6 +47,10 @@
 struct Measured {
     cpu_us: f64,
     writes: f64,
+    /// With the start and the warm-up in them; nought in a build that does not count.
+    allocations: f64,
+    /// Nought unless `STRACE` is set.
+    syscalls: f64,
     rss_kib: f64,
     p50_us: u64,
     p99_us: u64,
@@ -79,6 +84,37 @@
         .expect("a number")
 }
 
+/// Counts the system calls of a process until it is stopped (strace(1), which must be installed).
+struct Strace {
+    child: std::process::Child,
+    path: String,
+}
+
+impl Strace {
+    fn start(pid: u32) -> Strace {
+        let path = format!("{}/strace-{pid}.txt", env!("CARGO_TARGET_TMPDIR"));
+        let child = std::process::Command::new("strace")
+            .args(["-c", "-f", "-o", &path, "-p", &pid.to_string()])
+            .stderr(std::process::Stdio::null())
+            .spawn()
+            .expect("strace is installed");
+        while figure(pid, "status", "TracerPid") == 0.0 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Strace { child, path }
+    }
+
+    /// Stops it; how many there were.
+    fn stop(mut self) -> f64 {
+        let id = self.child.id().to_string();
+        std::process::Command::new("kill").args(["-INT", &id]).status().expect("kill runs");
+        self.child.wait().expect("an end");
+        let text = std::fs::read_to_string(&self.path).expect("what it counted");
+        let total = text.lines().rev().find(|line| line.trim_end().ends_with("total")).expect("a total");
+        total.split_whitespace().nth(3).and_then(|calls| calls.parse().ok()).expect("a number")
+    }
+}
+
 async fn http_backend(listener: TcpListener) {
     listener.set_nonblocking(true).expect("a listener");
     let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
@@ -118,7 +154,7 @@
         let listener = listener();
         let address = listener.local_addr().expect("an address");
         tokio::task::spawn_local(auth.clone().serve(listener));
-        auth.grant("ana", &["Remote-User: ana"]);
+        auth.grant("ana", &["Remote-User: ana", "Cache-Control: max-age=600"]);
         // Whoever it does not know passes here too: only the way there is measured.
         auth.deny_with(204, &[]);
         let text = format!(
@@ -156,8 +192,10 @@
     let pid = program.child.id();
     let other = Rc::new(Cell::new(0));
     let mut spent = [0.0; 2];
+    let mut syscalls = 0.0;
     let mut waits = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).expect("bounds");
     for (part, count) in [WARM_UP, each].into_iter().enumerate() {
+        let strace = (part > 0 && std::env::var_os("STRACE").is_some()).then(|| Strace::start(pid));
         let before = [cpu(pid), figure(pid, "io", "syscw")];
         let mut clients = tokio::task::JoinSet::new();
         for client in 0..CLIENTS {
@@ -197,6 +235,9 @@
             }
         }
         let after = [cpu(pid), figure(pid, "io", "syscw")];
+        if let Some(strace) = strace {
+            syscalls = strace.stop() / (CLIENTS * each) as f64;
+        }
         if part == 0 {
             waits.reset();
             other.set(0);
@@ -206,10 +247,25 @@
             }
         }
     }
+    let rss_kib = figure(pid, "status", "VmRSS");
+    let mut allocations = 0.0;
+    if cfg!(feature = "count-allocations") {
+        program.terminate();
+        while allocations == 0.0 {
+            let line = program.log_line();
+            assert!(!line.is_empty(), "it tells what it allocated");
+            let told = line
+                .strip_prefix("allocations ")
+                .and_then(|rest| rest.split(' ').next()?.parse::<f64>().ok());
+            allocations = told.unwrap_or(0.0) / (CLIENTS * (each + WARM_UP)) as f64;
+        }
+    }
     Measured {
         cpu_us: spent[0],
         writes: spent[1],
-        rss_kib: figure(pid, "status", "VmRSS"),
+        allocations,
+        syscalls,
+        rss_kib,
         p50_us: waits.value_at_quantile(0.5),
         p99_us: waits.value_at_quantile(0.99),
         other: other.get(),
@@ -231,8 +287,8 @@
             all[at].push(measured.expect("in time"));
         }
     }
-    println!("| front | CPU us | writes | p50 us | p99 us | memory KiB | not served |");
-    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    println!("| front | CPU us | writes | p50 us | p99 us | memory KiB | allocations | system calls | not served |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for (profile, runs) in PROFILES.iter().zip(&all) {
         let column = |of: &dyn Fn(&Measured) -> f64, digits: usize| {
             let mut values: Vec<f64> = runs.iter().map(of).collect();
@@ -241,12 +297,14 @@
             format!("{:.digits$} ({first:.digits$} to {last:.digits$})", values[values.len() / 2])
         };
         println!(
-            "| {profile:?} | {} | {} | {} | {} | {} | {} |",
+            "| {profile:?} | {} | {} | {} | {} | {} | {} | {} | {} |",
             column(&|m| m.cpu_us, 0),
             column(&|m| m.writes, 2),
             column(&|m| m.p50_us as f64, 0),
             column(&|m| m.p99_us as f64, 0),
             column(&|m| m.rss_kib, 0),
+            column(&|m| m.allocations, 1),
+            column(&|m| m.syscalls, 2),
             runs.iter().map(|m| m.other).sum::<usize>()
         );
     }
--- a/crates/maplefall/src/main.rs
+++ b/crates/maplefall/src/main.rs
@@ -6,6 +6,11 @@
 
 use std::process::ExitCode;
 
+/// Counts what is allocated, in builds for the bench alone.
+#[cfg(feature = "count-allocations")]
+#[global_allocator]
+static COUNTED: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
 const HELP: &str = "\
 The front door of a service sold by plan: holds each customer to its quota over all front doors, chooses a backend for
 every request, and repeats only what may be repeated.
@@ -98,5 +103,8 @@
         .build()
         .map_err(|error| format!("cannot start: {error}"))?;
     let local = tokio::task::LocalSet::new();
-    local.block_on(&runtime, net::run())
+    let served = local.block_on(&runtime, net::run());
+    #[cfg(feature = "count-allocations")]
+    eprintln!("allocations {} bytes {}", COUNTED.stats().allocations, COUNTED.stats().bytes_allocated);
+    served
 }
--- a/crates/maplefall/src/net/auth.rs
+++ b/crates/maplefall/src/net/auth.rs
@@ -2,6 +2,8 @@
 //! how long and what becomes of the verdict, `maplefall-forward-auth` decides; this file only carries.
 
 use super::auth_settings::{AuthSettings, Part};
+#[cfg(feature = "breakages")]
+use super::breakages::{self, Breakage};
 use super::clock::Clock;
 use super::door::Door;
 use super::pool::{NoConnection, Pools};
@@ -140,6 +142,9 @@
         self.settings.headers.strip(&mut headers);
         let host = headers.get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default().to_owned();
         let credentials: Vec<Option<Vec<u8>>> = self.settings.headers.credentials(&headers).collect();
+        #[cfg(feature = "breakages")]
+        let credentials =
+            if breakages::is(Breakage::KeyWithoutCredential) { Vec::new() } else { credentials };
         let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
         let part = |part: &Part| match part {
             Part::Class => class.0.to_be_bytes().to_vec(),
@@ -189,6 +194,11 @@
             answer = &mut *answer => return Checked::Answered(answer.unwrap_or(Answer::Failed)),
             decision = self.check(caller, deadline) => decision,
         };
+        #[cfg(feature = "breakages")]
+        let decision = match decision {
+            Decision::Refuse(why) if breakages::is(Breakage::FailOpen) => Decision::PassUnchecked(why),
+            decision => decision,
+        };
         let ended = match decision {
             Decision::Pass(carried) => {
                 let onward = match &*carried {
@@ -196,6 +206,10 @@
                     Carried::Denial { .. } => &[],
                 };
                 door.passed(id, onward);
+                #[cfg(feature = "breakages")]
+                if breakages::is(Breakage::CheckedAgain) {
+                    door.send_on_again(id);
+                }
                 return Checked::Passed;
             }
             Decision::PassUnchecked(_) => {
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -61,10 +61,18 @@
     LastWordHolds,
     /// What a lost source knew is taken for gone.
     LostEmpties,
+    /// Who cannot be checked passes.
+    FailOpen,
+    /// A verdict serves every caller.
+    KeyWithoutCredential,
+    /// A verdict that comes after its request was given up brings a second answer.
+    LateVerdictAnswers,
+    /// A caller is checked once more after its request went on, and sends it on again.
+    CheckedAgain,
 }
 
 /// Their names.
-const NAMES: [(&str, Breakage); 20] = [
+const NAMES: [(&str, Breakage); 24] = [
     ("second-answer", Breakage::SecondAnswer),
     ("drops-on-term", Breakage::DropsOnTerm),
     ("sent-after-answer", Breakage::SentAfterAnswer),
@@ -85,6 +93,10 @@
     ("compaction-ignored", Breakage::CompactionIgnored),
     ("last-word-holds", Breakage::LastWordHolds),
     ("lost-empties", Breakage::LostEmpties),
+    ("fail-open", Breakage::FailOpen),
+    ("key-without-credential", Breakage::KeyWithoutCredential),
+    ("late-verdict-answers", Breakage::LateVerdictAnswers),
+    ("checked-again", Breakage::CheckedAgain),
 ];
 
 /// Whether the program is to be broken in this way.
--- a/crates/maplefall/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -457,7 +457,9 @@
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         #[cfg(feature = "breakages")]
-        if buf.starts_with(b"HTTP/1.1 200") && breakages::is(breakages::Breakage::SecondAnswer) {
+        if (buf.starts_with(b"HTTP/1.1 200") && breakages::is(breakages::Breakage::SecondAnswer))
+            || (buf.starts_with(b"HTTP/1.1 503") && breakages::is(breakages::Breakage::LateVerdictAnswers))
+        {
             let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
             // Where there is no room for it, this one answer stays alone.
             let _ = self.stream.try_write(buf);
@@ -484,7 +486,9 @@
 
     fn is_write_vectored(&self) -> bool {
         #[cfg(feature = "breakages")]
-        if breakages::is(breakages::Breakage::SecondAnswer) {
+        if breakages::is(breakages::Breakage::SecondAnswer)
+            || breakages::is(breakages::Breakage::LateVerdictAnswers)
+        {
             return false;
         }
         self.stream.is_write_vectored()
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -414,6 +414,17 @@
         });
     }
 
+    /// Sends a request's order on once more, past the decision module, to wherever it is out.
+    #[cfg(feature = "breakages")]
+    pub fn send_on_again(self: &Rc<Self>, id: RequestId) {
+        let state = self.state.borrow();
+        let Some(entry) = state.requests.get(&id) else { return };
+        let Some(backend) = entry.out.as_ref().map(|out| out.backend) else { return };
+        let order = entry.order.clone();
+        drop(state);
+        self.send_again(backend, order, 30);
+    }
+
     /// Settles an attempt, once: whatever ends it later finds it gone.
     fn settle(self: &Rc<Self>, id: RequestId, number: u32, mut ended: Ended) {
         let now = self.clock.now();
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -35,6 +35,9 @@
     pub worth: f64,
     /// Part of the worth that an answer after the aim still earns.
     pub late_worth: f64,
+    /// Whether it may pass where its caller cannot be checked.
+    #[serde(default)]
+    pub unchecked: bool,
 }
 
 /// A hard ceiling on what all front doors send on for one customer.
@@ -80,6 +83,9 @@
     pub most_attempts: u32,
     /// What every limit is widened by for the sockets (protocol page: 50 ms).
     pub socket_slack_ms: Millis,
+    /// For how long after a credential is revoked its requests may go on: kept verdicts, and checks that are out.
+    #[serde(default)]
+    pub revoked_ms: Millis,
 }
 
 impl Rules {
@@ -94,6 +100,7 @@
             cold_slack_ms,
             most_attempts: 3,
             socket_slack_ms: 50.0,
+            revoked_ms: 0.0,
         }
     }
 }
@@ -244,6 +251,13 @@
         /// Its state from then on.
         health: Health,
     },
+    /// Whether a customer's credential passes from now on, where callers are checked; one that nothing is said of does.
+    Credential {
+        /// Whose.
+        customer: u64,
+        /// Whether it passes.
+        passes: bool,
+    },
     /// The last byte of a client's request was written.
     Asked {
         /// The request's id on the wire.
--- a/crates/rehearsal/src/carry.rs
+++ b/crates/rehearsal/src/carry.rs
@@ -101,6 +101,7 @@
             habits,
             doors: vec![address],
             board,
+            credentials: false,
         };
         let clients = Clients::new(crowd, recorder.clone(), lateness.clone());
         let zero = recorder.now() + 100.0;
--- a/crates/rehearsal/src/daemon.rs
+++ b/crates/rehearsal/src/daemon.rs
@@ -27,6 +27,8 @@
     pub log: PathBuf,
     /// Its file of sources, where it has one.
     pub sources: Option<PathBuf>,
+    /// Its file of forward authentication, where callers are checked.
+    pub forward_auth: Option<PathBuf>,
 }
 
 impl Files {
@@ -36,6 +38,7 @@
             config: folder.join(format!("door-{door}.json")),
             log: folder.join(format!("door-{door}.log")),
             sources: None,
+            forward_auth: None,
         }
     }
 
@@ -78,12 +81,16 @@
             .env("BALANCER_CONFIG", &files.config)
             .env_remove(BREAKAGE)
             .env_remove(SOURCES)
+            .env_remove(FORWARD_AUTH)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
         if let Some(sources) = &files.sources {
             command.env(SOURCES, sources);
         }
+        if let Some(forward_auth) = &files.forward_auth {
+            command.env(FORWARD_AUTH, forward_auth);
+        }
         if let Some(breakage) = breakage {
             command.env(BREAKAGE, breakage);
         }
@@ -149,6 +156,9 @@
 /// The variable that names a file of sources.
 const SOURCES: &str = "MAPLEFALL_SOURCES";
 
+/// The variable that names a file of forward authentication.
+const FORWARD_AUTH: &str = "MAPLEFALL_FORWARD_AUTH";
+
 /// Where a front door listens: an address that belongs to this process, play and door alone, at a host that no outgoing
 /// connection takes its port at (those come from 127.0.0.1) and a port that the system hands to nobody. It is worked out
 /// and never tried: a socket opened to find a free port lives on in whatever process is being begun just then, and the
--- a/crates/rehearsal/src/library.rs
+++ b/crates/rehearsal/src/library.rs
@@ -32,6 +32,13 @@
     "etcd-compacted",
     "disagreement",
     "sources-lost",
+    "auth-dead",
+    "auth-dying",
+    "auth-slow",
+    "auth-flapping",
+    "auth-half",
+    "auth-revoked",
+    "auth-strangers",
 );
 
 /// Long ones that measure, and are no part of `all`.
@@ -39,6 +46,8 @@
     ("drains-etcd", include_str!("../../../rehearsals/measure/drains-etcd.toml")),
     ("drains-etcd-cut", include_str!("../../../rehearsals/measure/drains-etcd-cut.toml")),
     ("drains-agent", include_str!("../../../rehearsals/measure/drains-agent.toml")),
+    ("auth-hole", include_str!("../../../rehearsals/measure/auth-hole.toml")),
+    ("auth-hole-unbroken", include_str!("../../../rehearsals/measure/auth-hole-unbroken.toml")),
     ("noise", include_str!("../../../rehearsals/measure/noise.toml")),
     ("noise-without", include_str!("../../../rehearsals/measure/noise-without.toml")),
 ];
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -373,7 +373,7 @@
         println!("{}", drains::row(name, &maplefall_judge::drain_times::drain_times(&record)));
         let times = &judgement.figures.times;
         println!(
-            "{:18}answers p50 {:.0} p99 {:.0} ms; stand-ins late by {:.1} ms at p99; rules 1-5 {}",
+            "{:18}answers p50 {:.0} p99 {:.0} ms; stand-ins late by {:.1} ms at p99; rules 1-6 {}",
             "",
             times.p50_ms,
             times.p99_ms,
@@ -428,7 +428,7 @@
     let wanted = names.filter(|name| only.is_empty() || only.iter().any(|only| only == name));
     let runs: Vec<(&str, u64)> =
         wanted.flat_map(|name| (seed..seed.saturating_add(seeds)).map(move |seed| (name, seed))).collect();
-    println!("{:<12} {:>5} rules 1-5  worth  p99 ms  late p99  wall s", "scenario", "seed");
+    println!("{:<12} {:>5} rules 1-6  worth  p99 ms  late p99  wall s", "scenario", "seed");
     let ends = side_by_side(jobs, &runs, |(name, seed)| {
         let begun = Instant::now();
         let played = library::find(name).map_err(plainly).and_then(|scenario| {
@@ -495,7 +495,7 @@
     // The whole daemon in each scenario, then each breakage.
     let mut runs: Vec<(&str, Option<Proof>)> = scenarios.iter().map(|name| (*name, None)).collect();
     runs.extend(proofs.iter().map(|proof| (proof.scenario, Some(*proof))));
-    println!("{:<18} {:<11} rules 1-5  by rule  found", "breakage", "scenario");
+    println!("{:<18} {:<11} rules 1-6  by rule  found", "breakage", "scenario");
     let ends = side_by_side(jobs, &runs, |(name, proof)| {
         let scenario = library::find(name).map_err(plainly)?;
         let breakage = proof.map(|proof| proof.breakage);
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -3,20 +3,22 @@
 
 use crate::daemon::{healthy, own_address, Door, Files};
 use crate::etcd_world::EtcdWorld;
-use crate::scenario::{Scenario, Sources, Strike};
+use crate::scenario::{AuthTrouble, Scenario, Sources, Strike};
 use crate::script::{DoorAct, Script, WorldAct};
 use crate::settings;
 use maplefall_protocol::{Health, Member, Members};
 use maplefall_record as record;
 use maplefall_record::{DoorState, Entry, Millis, Record, Recorder};
 use maplefall_stand_ins::agent::{self, Agent, List};
-use maplefall_stand_ins::client::{Ask, Backoff, Board, Clients, Crowd, DoorSeen, Habits, Kind};
+use maplefall_stand_ins::auth::{self, Auth};
+use maplefall_stand_ins::client::{credential, Ask, Backoff, Board, Clients, Crowd, DoorSeen, Habits, Kind};
 use maplefall_stand_ins::lateness::Lateness;
 use maplefall_stand_ins::node::{
     Deployment, Fault, Metering, Node, Overload, Place, Seats, Spec, Trouble, Work, World,
 };
 use maplefall_stand_ins::rude;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -125,6 +127,12 @@
         let mut agents_at = Vec::new();
         let mut slots = Vec::new();
         let mut etcd_at = Vec::new();
+        let mut auth_at = Vec::new();
+        for _ in 0..scenario.checks.as_ref().map_or(0, |checks| checks.servers) {
+            auth_at.push(port().map_err(io_error("a listener for authentication"))?);
+        }
+        let auth_addresses: Vec<SocketAddr> =
+            auth_at.iter().filter_map(|listener| listener.local_addr().ok()).collect();
         for door in 0..doors {
             let two = [port(), port()].map(|listener| {
                 let listener = listener?;
@@ -147,6 +155,11 @@
                 }
                 etcd_at.push(listener);
             }
+            if let Some(text) = settings::forward_auth(scenario, &auth_addresses) {
+                let path = self.folder.join(format!("door-{door}-auth.toml"));
+                std::fs::write(&path, text).map_err(io_error("a file of forward authentication"))?;
+                files.forward_auth = Some(path);
+            }
             slots.push(Slot {
                 files,
                 listen: own_address(std::process::id(), play, door),
@@ -180,6 +193,7 @@
                         places,
                         agents_at,
                         etcd_at,
+                        auth_at,
                         world_starts,
                         stop,
                     ))
@@ -441,6 +455,7 @@
     places: Vec<Seats>,
     agents_at: Vec<(TcpListener, SocketAddr, TcpListener, List)>,
     etcd_at: Vec<TcpListener>,
+    auth_at: Vec<TcpListener>,
     starts: tokio::sync::oneshot::Receiver<Millis>,
     stop: Arc<AtomicBool>,
 ) -> io::Result<()> {
@@ -489,6 +504,7 @@
             Some(EtcdWorld::start(etcd_at, scenario.nodes, address, recorder.clone(), unix_start)?)
         }
     };
+    let auths = authentication(script, auth_at, &recorder);
     let mut agents = Vec::new();
     let mut second = Vec::new();
     for (door, (first, _, later, list)) in agents_at.into_iter().enumerate() {
@@ -582,6 +598,14 @@
                         etcd.act(door, act);
                     }
                 }
+                WorldAct::Auth { server, trouble } => {
+                    auths[server]
+                        .fault(trouble.map(|(trouble, share, late)| (auth_fault(trouble, late), share)));
+                }
+                WorldAct::Revoke { customer } => {
+                    auths.iter().for_each(|auth| auth.revoke(&credential(customer)));
+                    recorder.note(Entry::Credential { customer, passes: false });
+                }
                 WorldAct::Compact => {
                     if let Some(etcd) = &etcd {
                         etcd.compact();
@@ -593,6 +617,44 @@
     Ok(())
 }
 
+/// The servers of the authentication service, which let pass whom the script does not deny.
+fn authentication(script: &Script, listeners: Vec<TcpListener>, recorder: &Recorder) -> Vec<Rc<Auth>> {
+    if listeners.is_empty() {
+        return Vec::new();
+    }
+    let denied: BTreeSet<u64> = script.denied.iter().copied().collect();
+    let mut passes: BTreeSet<u64> = script.asks.iter().map(|ask| ask.customer).collect();
+    passes.retain(|customer| !denied.contains(customer));
+    for customer in &denied {
+        recorder.note(Entry::Credential { customer: *customer, passes: false });
+    }
+    let begin = |(number, listener): (usize, TcpListener)| {
+        let auth = Auth::new(script.header.seed ^ number as u64);
+        for customer in &passes {
+            auth.grant(&credential(*customer), &["Cache-Control: max-age=600"]);
+        }
+        tokio::task::spawn_local(auth.clone().serve(listener));
+        auth
+    };
+    listeners.into_iter().enumerate().map(begin).collect()
+}
+
+fn auth_fault(trouble: AuthTrouble, late: Millis) -> auth::Fault {
+    match trouble {
+        AuthTrouble::Stall => auth::Fault::Stall,
+        AuthTrouble::Half => auth::Fault::HalfHead,
+        AuthTrouble::Late => {
+            auth::Fault::Late(Duration::try_from_secs_f64(late / 1000.0).unwrap_or_default())
+        }
+        AuthTrouble::Dead => auth::Fault::ResetBefore,
+        AuthTrouble::Reset => auth::Fault::ResetAfter,
+        AuthTrouble::Twice => auth::Fault::Twice,
+        AuthTrouble::Endless => auth::Fault::Endless,
+        AuthTrouble::Close => auth::Fault::Close,
+        AuthTrouble::Errors => auth::Fault::Status(500),
+    }
+}
+
 /// The clients, until the last of them has its answer.
 async fn play_clients(
     scenario: &Scenario,
@@ -632,6 +694,7 @@
         habits,
         doors: doors.clone(),
         board,
+        credentials: scenario.checks.is_some(),
     };
     let clients = Clients::new(crowd, recorder.clone(), lateness);
     let Ok(zero) = starts.await else { return Ok(()) };
--- a/crates/rehearsal/src/prove.rs
+++ b/crates/rehearsal/src/prove.rs
@@ -22,7 +22,7 @@
 }
 
 /// All of them, by rule.
-pub const PROOFS: [Proof; 20] = [
+pub const PROOFS: [Proof; 24] = [
     proof("second-answer", "short", 1, "a served answer is written twice"),
     proof("stale-body", "short", 1, "a request is answered with what was made for the one before"),
     proof("sent-after-answer", "short", 1, "a served request is sent on once more"),
@@ -43,6 +43,10 @@
     proof("cold-favoured", "rolling", 4, "everything goes to the node that started last"),
     proof("ceiling-per-door", "municipal", 5, "each front door gives the whole ceiling"),
     proof("no-ceiling", "municipal", 5, "there is no ceiling"),
+    proof("fail-open", "auth-dying", 6, "who cannot be checked passes"),
+    proof("key-without-credential", "auth-revoked", 6, "a verdict serves every caller"),
+    proof("late-verdict-answers", "auth-dying", 1, "a verdict that comes late brings a second answer"),
+    proof("checked-again", "auth-slow", 2, "a check that is repeated sends its request on again"),
 ];
 
 #[cfg(test)]
@@ -51,7 +55,7 @@
 
     #[test]
     fn every_rule_has_two_breakages_and_every_scenario_is_there() {
-        for rule in 1..=5 {
+        for rule in 1..=6 {
             let count = PROOFS.iter().filter(|proof| proof.rule == rule).count();
             assert!(count >= 2, "rule {rule}: {count}");
         }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -110,9 +110,87 @@
     Neighbour,
 }
 
+/// How an authentication service is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AuthTrouble {
+    /// Checks are read and never answered.
+    Stall,
+    /// Half of an answer's head comes.
+    Half,
+    /// Answers come later.
+    Late,
+    /// Connections are reset as they are accepted.
+    Dead,
+    /// Connections are reset once the check is whole.
+    Reset,
+    /// Answers come twice.
+    Twice,
+    /// Answers have no end.
+    Endless,
+    /// Connections are closed behind each answer without a word.
+    Close,
+    /// Answers are 500.
+    Errors,
+}
+
+/// Names of the troubles, as a file writes them.
+const AUTH_TROUBLES: [(&str, AuthTrouble); 9] = [
+    ("stall", AuthTrouble::Stall),
+    ("half", AuthTrouble::Half),
+    ("late", AuthTrouble::Late),
+    ("dead", AuthTrouble::Dead),
+    ("reset", AuthTrouble::Reset),
+    ("twice", AuthTrouble::Twice),
+    ("endless", AuthTrouble::Endless),
+    ("close", AuthTrouble::Close),
+    ("errors", AuthTrouble::Errors),
+];
+
+/// An authentication service, and how front doors use it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Checks {
+    /// Its servers.
+    pub servers: u32,
+    /// Part of the customers that do not pass.
+    pub denied: f64,
+    /// For how long a pass is kept.
+    pub keep_ms: Millis,
+    /// Longest wait for one server.
+    pub limit_ms: Millis,
+    /// Failures in a row after which a server is left alone.
+    pub failures: u32,
+    /// Classes that pass where the service cannot be asked.
+    pub open: Vec<String>,
+}
+
 /// What happens.
 #[derive(Clone, Debug, PartialEq)]
 pub enum What {
+    /// The authentication service fails.
+    AuthTrouble {
+        /// How.
+        trouble: AuthTrouble,
+        /// Part of its servers, rounded up.
+        part: f64,
+        /// Part of the checks there.
+        share: f64,
+        /// By how much answers are late.
+        late_ms: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Credentials are revoked, for good.
+    Revoke {
+        /// Part of the customers, rounded up.
+        part: f64,
+    },
+    /// Callers with credentials that nobody has seen.
+    Strangers {
+        /// Requests a second.
+        rate: f64,
+        /// For how long.
+        for_ms: Range,
+    },
     /// Front doors are killed outright and come back.
     KillDoors {
         /// Part of them, rounded up.
@@ -310,6 +388,8 @@
     pub notice_ms: Range,
     /// After how long another front door of a set is the busiest.
     pub busiest_ms: Millis,
+    /// Who checks callers, if anybody does.
+    pub checks: Option<Checks>,
     /// The classes.
     pub classes: Vec<Class>,
     /// The plans.
@@ -379,13 +459,25 @@
             top.number("version", None, version, version);
             let fleet = top.table("fleet");
             let traffic = top.table("traffic");
+            let auth = top.table("auth");
+            let checks = Checks {
+                servers: auth.whole("servers", Some(0.0), 0.0, 8.0),
+                denied: auth.number("denied", Some(0.1), 0.0, 1.0),
+                keep_ms: auth.number("keep_ms", Some(5000.0), 0.0, 600_000.0),
+                limit_ms: auth.number("limit_ms", Some(300.0), 1.0, 60_000.0),
+                failures: auth.whole("failures", Some(5.0), 1.0, 1_000_000.0),
+                open: match auth.text("open", Some("")).as_str() {
+                    "" => Vec::new(),
+                    open => vec![open.to_owned()],
+                },
+            };
             let classes: Vec<Class> = top.tables("class").iter().map(class).collect();
             let plans: Vec<Plan> = top.tables("plan").iter().map(plan).collect();
             let scenario = Scenario {
                 name: name.to_owned(),
                 title: top.text("title", None),
                 seconds: top.number("seconds", None, 2.0, MOST_SECONDS),
-                strains: top.numbers("strains", 1.0, 5.0).into_iter().map(|n| n as u32).collect(),
+                strains: top.numbers("strains", 1.0, 6.0).into_iter().map(|n| n as u32).collect(),
                 least_worth: top.number("least_worth", Some(0.0), 0.0, 1.0),
                 doors: fleet.whole("doors", Some(3.0), 1.0, MOST_DOORS),
                 nodes: fleet.whole("nodes", Some(10.0), 1.0, MOST_NODES),
@@ -412,6 +504,7 @@
                 patience: traffic.range("patience", Some([0.5, 1.0]), 0.05, 1.0),
                 notice_ms: traffic.range("notice_ms", Some([1100.0, 2500.0]), 0.0, 30_000.0),
                 busiest_ms: traffic.number("busiest_ms", Some(8000.0), 100.0, 600_000.0),
+                checks: (checks.servers > 0).then_some(checks),
                 classes: if classes.is_empty() { usual_classes() } else { classes },
                 plans: if plans.is_empty() { usual_plans() } else { plans },
                 events: Vec::new(),
@@ -420,6 +513,13 @@
             let events: Vec<Option<Event>> = tables.iter().map(event).collect();
             fleet.finish();
             traffic.finish();
+            auth.finish();
+            if let Some(open) = scenario.checks.as_ref().and_then(|checks| checks.open.first()) {
+                let known = scenario.classes.iter().find(|class| class.name == *open);
+                if known.is_none_or(|class| class.effect == Effect::Unsafe) {
+                    auth.wrong("open", "a class that may run twice");
+                }
+            }
             for (event, table) in events.iter().zip(&tables) {
                 let Some(event) = event else { continue };
                 let end = scenario.seconds * 1000.0;
@@ -435,6 +535,13 @@
                         | What::EtcdNoise { .. }
                         | What::ReplaceNodes { told_by: Teller::Etcd, .. }
                 );
+                let of_auth = matches!(
+                    event.what,
+                    What::AuthTrouble { .. } | What::Revoke { .. } | What::Strangers { .. }
+                );
+                if of_auth && scenario.checks.is_none() {
+                    table.wrong("what", "something that goes with a scenario whose auth.servers is above 0");
+                }
                 let of_agent = matches!(
                     event.what,
                     What::RepeatingAgents { .. } | What::ReplaceNodes { told_by: Teller::Agent, .. }
@@ -498,7 +605,7 @@
 }
 
 /// The events that a file may name, and what each is.
-pub const EVENTS: [(&str, &str); 26] = [
+pub const EVENTS: [(&str, &str); 29] = [
     ("kill_doors", "part, down_ms: front doors die outright and come back"),
     ("stop_doors", "part, down_ms: front doors are told to stop, one after the other"),
     ("reload_doors", "front doors get a new configuration, in which their agent has moved"),
@@ -528,6 +635,12 @@
     ("flood", "plan, customers, times, for_ms: customers ask for a multiple of their quota"),
     ("one_shots", "share, for_ms: clients that ask once and are not seen again"),
     ("rude", "rate, for_ms: clients that send what cannot be used"),
+    (
+        "auth_trouble",
+        "how (stall, half, late, dead, reset, twice, endless, close, errors), part, share, late_ms, for_ms: the authentication service fails",
+    ),
+    ("revoke", "part: credentials of customers are revoked"),
+    ("strangers", "rate, for_ms: callers with credentials that nobody has seen"),
 ];
 
 fn event(table: &Table<'_, '_>) -> Option<Event> {
@@ -594,6 +707,21 @@
             What::OneShots { share: table.range("share", Some([0.2, 0.5]), 0.0, 100.0), for_ms: for_ms() }
         }
         "rude" => What::Rude { rate: table.number("rate", Some(20.0), 0.1, 2000.0), for_ms: for_ms() },
+        "auth_trouble" => {
+            let names: Vec<&str> = AUTH_TROUBLES.iter().map(|(name, _)| *name).collect();
+            let how = table.choice("how", "", &names);
+            What::AuthTrouble {
+                trouble: AUTH_TROUBLES.iter().find(|(name, _)| *name == how).map(|(_, trouble)| *trouble)?,
+                part: part(),
+                share: table.number("share", Some(1.0), 0.0, 1.0),
+                late_ms: table.range("late_ms", Some([100.0, 400.0]), 0.0, 60_000.0),
+                for_ms: for_ms(),
+            }
+        }
+        "revoke" => What::Revoke { part: part() },
+        "strangers" => {
+            What::Strangers { rate: table.number("rate", Some(50.0), 0.1, 2000.0), for_ms: for_ms() }
+        }
         _ => return None,
     };
     table.finish();
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -1,7 +1,7 @@
 //! What will be played, drawn ahead from a scenario and a seed: the same seed gives the same script byte for byte.
 //! Nothing here does I/O.
 
-use crate::scenario::{Range, Scenario, Sources, Strike, Teller, What};
+use crate::scenario::{AuthTrouble, Range, Scenario, Sources, Strike, Teller, What};
 use maplefall_record as record;
 use maplefall_record::{Ceiling, Header, Millis, Rules};
 use maplefall_stand_ins::client::Ask;
@@ -18,6 +18,8 @@
 const GREEDY: f64 = 0.06;
 /// First number of the customers that ask once.
 const ONE_SHOTS: u64 = 1 << 24;
+/// First number of those whose credentials nobody has seen.
+const STRANGERS: u64 = 1 << 28;
 /// How long a neighbour is there, or away, at a time.
 const NEIGHBOUR_MS: Range = [700.0, 2000.0];
 /// Requests that a script holds at most.
@@ -111,6 +113,18 @@
     },
     /// Etcd's history is compacted up to its last revision.
     Compact,
+    /// A server of the authentication service fails, or no longer.
+    Auth {
+        /// Which.
+        server: usize,
+        /// How, at which part of the checks, and how late.
+        trouble: Option<(AuthTrouble, f64, Millis)>,
+    },
+    /// A customer's credential is revoked.
+    Revoke {
+        /// Whose.
+        customer: u64,
+    },
 }
 
 /// Something that happens to a member of etcd.
@@ -139,6 +153,8 @@
     pub doors: Vec<(Millis, usize, DoorAct)>,
     /// What is done to nodes and by agents.
     pub world: Vec<(Millis, WorldAct)>,
+    /// Customers that do not pass from the start on, where callers are checked.
+    pub denied: Vec<u64>,
     /// When clients come that send what cannot be used.
     pub rude: Vec<Millis>,
     /// When failures begin and end, for the report.
@@ -219,6 +235,7 @@
         asks: Vec::new(),
         doors: Vec::new(),
         world: Vec::new(),
+        denied: Vec::new(),
         rude: Vec::new(),
         failures: Vec::new(),
         notice_ms: dice.within(scenario.notice_ms),
@@ -229,6 +246,10 @@
         arrivals(&mut script, scenario, seed, customer, 1.0, [0.0, length], 0);
     }
     let usual_rate = script.asks.len() as f64 / length;
+    if let Some(checks) = scenario.checks.as_ref().filter(|checks| checks.denied > 0.0) {
+        let picked = Dice::new(seed, 3).part(customers.len(), checks.denied);
+        script.denied = picked.into_iter().map(|at| customers[at].number).collect();
+    }
     let mut list = Told {
         seed,
         sources: scenario.sources,
@@ -431,6 +452,45 @@
                 }
                 ("one-shot clients".to_owned(), end)
             }
+            What::AuthTrouble { trouble, part, share, late_ms, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                let servers = scenario.checks.as_ref().map_or(0, |checks| checks.servers as usize);
+                for server in dice.part(servers, *part) {
+                    let trouble = Some((*trouble, *share, dice.within(*late_ms)));
+                    script.world.push((at, WorldAct::Auth { server, trouble }));
+                    script.world.push((end, WorldAct::Auth { server, trouble: None }));
+                }
+                ("authentication fails".to_owned(), end)
+            }
+            What::Revoke { part } => {
+                for at_place in dice.part(customers.len(), *part) {
+                    let customer = customers[at_place].number;
+                    if !script.denied.contains(&customer) {
+                        script.world.push((at, WorldAct::Revoke { customer }));
+                    }
+                }
+                ("credentials revoked".to_owned(), at)
+            }
+            What::Strangers { rate, for_ms } => {
+                let end = at + dice.within(*for_ms);
+                let mut when = at + dice.wait(rate / 1000.0);
+                while when < end.min(length) && script.asks.len() < MOST_ASKS {
+                    let (item, doors) = (script.asks.len() as u64, scenario.doors);
+                    script.denied.push(STRANGERS + item);
+                    script.asks.push(Ask {
+                        at: when,
+                        item,
+                        customer: STRANGERS + item,
+                        plan: 0,
+                        class: class(scenario, dice.one()),
+                        units: dice.units(scenario.most_units),
+                        spread: (dice.within(scenario.spread) as u32).clamp(1, doors),
+                        first: (dice.one() * f64::from(doors)) as u32,
+                    });
+                    when += dice.wait(rate / 1000.0);
+                }
+                ("credentials never seen".to_owned(), end)
+            }
             What::Rude { rate, for_ms } => {
                 let end = at + dice.within(*for_ms);
                 let mut when = at;
@@ -616,6 +676,7 @@
         aim_ms: class.aim_ms,
         worth: class.worth,
         late_worth: class.late_worth,
+        unchecked: scenario.checks.as_ref().is_some_and(|checks| checks.open.contains(&class.name)),
     };
     let plan = |plan: &crate::scenario::Plan| record::Plan {
         name: plan.name.clone(),
@@ -637,7 +698,11 @@
         classes: scenario.classes.iter().map(class).collect(),
         plans: scenario.plans.iter().map(plan).collect(),
         // Two of the largest requests may come by chance.
-        rules: Rules::platform(2.0 * scenario.most_units / USUAL_UNITS * most_work),
+        rules: Rules {
+            // A check that is out when the credential is revoked may bring its pass later, which is kept from then on.
+            revoked_ms: scenario.checks.as_ref().map_or(0.0, |checks| checks.keep_ms + 2.0 * checks.limit_ms),
+            ..Rules::platform(2.0 * scenario.most_units / USUAL_UNITS * most_work)
+        },
     }
 }
 
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -63,6 +63,24 @@
     }
 }
 
+/// What a front door's file of forward authentication says.
+pub fn forward_auth(scenario: &Scenario, servers: &[SocketAddr]) -> Option<String> {
+    let checks = scenario.checks.as_ref()?;
+    let servers: Vec<String> = servers.iter().map(|at| format!("\"http://{at}/auth\"")).collect();
+    let mut text = format!(
+        "servers = [{}]\ncredentials = [\"authorization\"]\nlimit_ms = {:.1}\nfailures = {}\nkeep_ms = [{:.1}, 500.0]\n[classes]\n",
+        servers.join(", "),
+        checks.limit_ms,
+        checks.failures,
+        checks.keep_ms
+    );
+    for class in &scenario.classes {
+        let mode = if checks.open.contains(&class.name) { "open" } else { "closed" };
+        text.push_str(&format!("{} = \"{mode}\"\n", class.name));
+    }
+    Some(text)
+}
+
 /// Where etcd holds what a front door is to know: nodes have another address for each.
 pub fn prefix(door: usize) -> String {
     format!("/door-{door}")
--- a/crates/stand-ins/src/client.rs
+++ b/crates/stand-ins/src/client.rs
@@ -141,6 +141,13 @@
     pub doors: Vec<SocketAddr>,
     /// How the front doors are.
     pub board: Board,
+    /// Whether they send credentials.
+    pub credentials: bool,
+}
+
+/// The credential that a customer's clients send.
+pub fn credential(customer: u64) -> String {
+    format!("Bearer {customer:x}")
 }
 
 /// All clients, and the front.
@@ -158,6 +165,8 @@
     Served,
     Refused(Option<Millis>),
     Failed,
+    /// Its credential does not pass: asking again is of no use.
+    Denied,
     NotTaken,
 }
 
@@ -220,7 +229,7 @@
             let honours = draw(self.crowd.seed, ask.customer, 3) < self.crowd.habits.honour;
             let ended = self.attempt(&ask, kind, retry, timeout).await;
             let harmless = match ended {
-                Try::Served => return,
+                Try::Served | Try::Denied => return,
                 Try::Refused(_) | Try::NotTaken => true,
                 Try::Failed => match kind.effect {
                     Effect::Safe => true,
@@ -393,6 +402,7 @@
         match answer.status {
             200 => Try::Served,
             429 | 503 => Try::Refused(retry_after_ms),
+            401 | 403 => Try::Denied,
             _ => Try::Failed,
         }
     }
@@ -429,6 +439,9 @@
         if retry > 0 {
             text.push_str("Client-Retry: 1\r\n");
         }
+        if self.crowd.credentials {
+            let _ = write!(text, "Authorization: {}\r\n", credential(ask.customer));
+        }
         if let Some(key) = &key {
             let _ = write!(text, "Idempotency-Key: {key}\r\n");
         }
--- a/crates/stand-ins/tests/played.rs
+++ b/crates/stand-ins/tests/played.rs
@@ -454,6 +454,7 @@
             habits: HABITS,
             doors: vec![address],
             board,
+            credentials: true,
         };
         let clients = Clients::new(crowd, recorder.clone(), Lateness::default());
         let ask = Ask { at: 0.0, item: 1, customer: 9, plan: 0, class: 0, units: 1.0, spread: 1, first: 0 };
