--- a/crates/grpc/src/call.rs
+++ b/crates/grpc/src/call.rs
@@ -162,10 +162,6 @@
             return;
         }
         self.out = None;
-        // What did not end well has not been seen, and must not be.
-        if end.outcome != Outcome::Ok {
-            self.drop_held();
-        }
         self.last = Some((end, trailers));
     }
 
