Empty frames take no memory in a gRPC call; two breakages say what they really do

Need: read once more for what a peer can make grow. What is held of a call was bounded by its bytes, so a client or a backend that sends frames with nothing in them for ever grew the table of chunks without bound. Two breakages of forward authentication claimed more than they do: they write the 503 again and send the order again, and leave the gate whole.

--- a/crates/grpc/src/call.rs
+++ b/crates/grpc/src/call.rs
@@ -127,11 +127,12 @@
 
     /// Bytes of an attempt's answer.
     pub fn data(&mut self, attempt: u32, data: Bytes, outputs: &mut Vec<Output>) {
-        if self.hears(attempt) {
+        // An empty frame says nothing, and without end they would take no room by their bytes.
+        if self.hears(attempt) && !data.is_empty() {
             let length = data.len();
             self.pass(Output::Data(data), length, outputs);
             // A stream's messages are wanted as they come; a unary answer is worth nothing before its status.
-            if !self.committed && length > 0 && (self.shape.answer_streams() || self.bytes > self.most) {
+            if !self.committed && (self.shape.answer_streams() || self.bytes > self.most) {
                 self.commit(outputs);
             }
         }
--- a/crates/grpc/src/replay.rs
+++ b/crates/grpc/src/replay.rs
@@ -43,6 +43,10 @@
     /// The client has sent this. `false` if it can no longer all be kept: then the call must be committed before there is
     /// room again.
     pub fn push(&mut self, chunk: Bytes) -> bool {
+        // An empty one says nothing, and without end they would take no room by their bytes.
+        if chunk.is_empty() {
+            return self.has_room();
+        }
         self.bytes += chunk.len();
         self.chunks.push_back(chunk);
         self.has_room()
@@ -111,6 +115,15 @@
         assert_eq!((replay.next(1), replay.next(2), replay.bytes()), (Next::Gone, Next::End, 0));
     }
 
+    /// Guards memory against a client that sends frames with nothing in them for ever.
+    #[test]
+    fn empty_chunks_are_not_kept() {
+        let mut replay = Replay::new(6);
+        (0..1000).for_each(|_| assert!(replay.push(Bytes::new())));
+        replay.push(Bytes::from_static(b"a"));
+        assert_eq!((replay.chunks.len(), replay.next(0)), (1, Next::Chunk(Bytes::from_static(b"a"))));
+    }
+
     proptest! {
         /// Two attempts one after the other are sent the same, whatever comes between.
         #[test]
--- a/crates/grpc/tests/call.rs
+++ b/crates/grpc/tests/call.rs
@@ -128,6 +128,19 @@
     }
 }
 
+/// Guards memory against a backend that sends frames with nothing in them for ever.
+#[test]
+fn empty_frames_are_neither_held_nor_passed_on() {
+    for shape in [Shape::Unary, Shape::Bidi] {
+        let (mut call, mut outputs) = (call(shape), Vec::new());
+        let first = call.begin().unwrap();
+        call.head(first, HeaderMap::new(), &mut outputs);
+        (0..1000).for_each(|_| call.data(first, Bytes::new(), &mut outputs));
+        call.commit(&mut outputs);
+        assert_eq!(told(&outputs), "ch", "{shape:?}");
+    }
+}
+
 /// Guards against a status made of nothing: nobody is served whose last attempt did not end well.
 #[test]
 fn what_did_not_end_well_is_not_served() {
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -65,9 +65,9 @@
     FailOpen,
     /// A verdict serves every caller.
     KeyWithoutCredential,
-    /// A verdict that comes after its request was given up brings a second answer.
+    /// The answer to a request whose caller could not be checked is written twice, as if its verdict came after all.
     LateVerdictAnswers,
-    /// A caller is checked once more after its request went on, and sends it on again.
+    /// A request whose caller passed is sent on once more, as if its check had come back twice.
     CheckedAgain,
 }
 
--- a/crates/rehearsal/src/prove.rs
+++ b/crates/rehearsal/src/prove.rs
@@ -45,8 +45,13 @@
     proof("no-ceiling", "municipal", 5, "there is no ceiling"),
     proof("fail-open", "auth-dying", 6, "who cannot be checked passes"),
     proof("key-without-credential", "auth-revoked", 6, "a verdict serves every caller"),
-    proof("late-verdict-answers", "auth-dying", 1, "a verdict that comes late brings a second answer"),
-    proof("checked-again", "auth-slow", 2, "a check that is repeated sends its request on again"),
+    proof(
+        "late-verdict-answers",
+        "auth-dying",
+        1,
+        "who was given up unchecked is answered twice, as by a late verdict",
+    ),
+    proof("checked-again", "auth-slow", 2, "a request is sent on again, as by a check that came back twice"),
 ];
 
 #[cfg(test)]
