Cold backends get turns by their warmth: shares hold over a hundred doors

Seen in a trace of every admission of all 100 doors: the opening fell to 0.45 since the old backends carried nearly all; only 41 of 60 were used. Lines at fault: list_changed drew a debt of up to max_units (4 on average) for each new backend, and cold_budget earned warmth x demand / backends, some 0.01 units a second for a door with one request a second: minutes, while a backend is warm in 15 s.

Change: a cold backend has turns. Each request adds warmth / sum of warmth to its turn, held to 0.6 of the rule's multiple; at one it is sent the request. The start of the turn is drawn, so the fleet's sum is right from the first request and nothing comes in step. Debt, budget and the average of demand are gone. Test: 100 gateways, 60 backends, 36 replaced, a request a second each; the cold ones take more than a quarter, none is sent what the rule calls too much.

--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -82,6 +82,8 @@
 const RETRY_DEPTH: f64 = 10.0;
 /// Part of a ceiling's slack that the parts make use of; the rest is for rounding.
 const SLACK_USED: f64 = 0.9;
+/// Part of the multiple that pushes a cold backend over which a gateway makes use of.
+const COLD_PART: f64 = 0.6;
 /// Alarm that asks again for the list of backends.
 const LIST_ALARM: AlarmId = AlarmId(u64::MAX);
 
@@ -184,9 +186,8 @@
     /// By class; a class that it has not been sent has no entry.
     classes: BTreeMap<ClassId, ForClass>,
     set_aside: bool,
-    /// Units it may be sent while cold.
-    budget: f64,
-    budget_at: Millis,
+    /// Its turn while cold: it may be sent a request at one.
+    turn: f64,
 }
 
 /// A request that has no final answer yet, or whose last attempt is still out.
@@ -239,8 +240,6 @@
     answer_at: Millis,
     /// Units of a request, on average.
     usual: f64,
-    /// Units within the quotas that ask to be sent on, as a recent average.
-    demand: Cewma,
 }
 
 impl Gateway {
@@ -268,7 +267,6 @@
             opening: OPENING_START + (1.0 - OPENING_START) / gateways,
             usual: 1.0,
             answer_at: 0.0,
-            demand: Cewma::default(),
         }
     }
 
@@ -441,7 +439,6 @@
         if !self.open_room(now, request, part.open) || short_of_ceiling {
             return Err(None);
         }
-        self.demand.feed(now, request.units, self.demand_lambda());
         let backend = self.room(now, live).ok_or(None)?;
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             customer.slice -= request.units;
@@ -545,7 +542,8 @@
 
     /// The backend with the least expected time, and the wait expected there.
     fn choose(&mut self, now: Millis, live: &Live, reach: Reach) -> Option<(BackendId, Millis)> {
-        let even_rate = self.even_rate(now);
+        let cold = self.cold_turn(now);
+        let mut drawn: Option<(f64, BackendId, Millis)> = None;
         let mut best: Option<(f64, BackendId, Millis)> = None;
         let mut rng = self.rng.clone();
         for (id, backend) in &self.backends {
@@ -556,16 +554,23 @@
                 Reach::Nowhere => false,
             };
             let ready = backend.entry.availability == Availability::Ready;
-            if !fits || !ready || !self.warm_enough(now, backend, even_rate) {
+            if !fits || !ready || (self.warmth(now, backend) < 1.0 && cold != Some(*id)) {
                 continue;
             }
             let wait = self.wait(backend);
             let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng));
-            if best.is_none_or(|(least, _, _)| cost < least) {
+            if cold == Some(*id) {
+                drawn = Some((cost, *id, wait));
+            } else if best.is_none_or(|(least, _, _)| cost < least) {
                 best = Some((cost, *id, wait));
             }
         }
         self.rng = rng;
+        // A cold one in its turn goes first, unless it is distrusted or has too much of this gateway's own.
+        let best = match (drawn, best) {
+            (Some(cold), Some(warm)) if cold.0 > warm.0 + WAIT_LIMIT * self.aim => Some(warm),
+            (drawn, best) => drawn.or(best),
+        };
         best.map(|(_, id, wait)| (id, wait))
     }
 
@@ -653,36 +658,36 @@
         self.faded(now, backend.distrust, DISTRUST_AIMS).max(full).max(hanging)
     }
 
-    /// Units a second that a backend of size one gets of this gateway, if all are used alike.
-    fn even_rate(&self, now: Millis) -> f64 {
-        let size: f64 = self.ready().map(|b| b.entry.size).sum();
-        self.demand.rate(now, self.demand_lambda()) / size.max(0.01)
-    }
-
-    fn demand_lambda(&self) -> f64 {
-        std::f64::consts::LN_2 / (self.set.warm_up / 4.0).max(1.0)
+    fn warmth(&self, now: Millis, backend: &Backend) -> f64 {
+        backend.warmth(now, self.set.start_capacity, self.set.warm_up)
     }
 
-    /// Share of its capacity that a started backend has at least.
-    fn warmth(&self, now: Millis, backend: &Backend) -> f64 {
-        match backend.entry.started {
-            None => 1.0,
-            Some(at) => {
-                let part = ((now - at) / self.set.warm_up.max(1.0)).clamp(0.0, 1.0);
-                self.set.start_capacity + (1.0 - self.set.start_capacity) * part
+    /// The cold backend whose turn this request is, if it is one's. Guards cold backends: each gets its warmth
+    /// of what a warm one gets, as the warmth of all allows, and where hardly any is warm no more than a part of
+    /// the multiple that pushes it over. Turns come evenly from a start that is drawn: so shares hold over the
+    /// fleet though each of hundreds of gateways has few requests for many backends, and no first requests come
+    /// in step.
+    fn cold_turn(&mut self, now: Millis) -> Option<BackendId> {
+        let weights = self.ready().map(|b| (b.entry.size * self.warmth(now, b), b.entry.size));
+        let (warm, size) = weights.fold((0.0, 0.0), |sum, (w, s)| (sum.0 + w, sum.1 + s));
+        if warm >= size {
+            return None;
+        }
+        let most = (COLD_PART * self.set.overload_factor).max(1.0);
+        let per_weight = (1.0 / warm.max(0.01)).min(most / size);
+        let (first, span) = (self.set.start_capacity, self.set.warm_up);
+        let mut next: Option<(f64, BackendId)> = None;
+        for backend in self.backends.values_mut() {
+            let warmth = backend.warmth(now, first, span);
+            if warmth >= 1.0 || backend.entry.availability != Availability::Ready {
+                continue;
+            }
+            backend.turn = (backend.turn + warmth * backend.entry.size * per_weight).min(2.0);
+            if backend.turn >= 1.0 && next.is_none_or(|(turn, _)| backend.turn > turn) {
+                next = Some((backend.turn, backend.entry.id));
             }
         }
-    }
-
-    fn warm_enough(&self, now: Millis, backend: &Backend, even_rate: f64) -> bool {
-        self.warmth(now, backend) >= 1.0 || self.cold_budget(now, backend, even_rate) > 0.0
-    }
-
-    /// Guards a cold backend: a gateway sends it no more than its warmth of what a warm one gets, evenly. It
-    /// has to have earned a request before it sends one: hundreds of gateways make one each a crowd.
-    fn cold_budget(&self, now: Millis, backend: &Backend, even_rate: f64) -> f64 {
-        let rate = self.warmth(now, backend) * even_rate * backend.entry.size;
-        (backend.budget + rate * (now - backend.budget_at) / 1000.0).min(self.set.max_units.max(1.0))
+        next.map(|(_, id)| id)
     }
 
     // ---- Attempts and answers -----------------------------------------------------------------------
@@ -705,16 +710,14 @@
     }
 
     fn send(&mut self, now: Millis, id: RequestId, to: BackendId, actions: &mut Vec<Action>) {
-        let even_rate = self.even_rate(now);
         let (Some(live), Some(backend)) = (self.requests.get(&id), self.backends.get(&to)) else { return };
         let units = live.request.units.max(0.01);
-        let budget = self.cold_budget(now, backend, even_rate) - units;
         let load = Self::load_of(backend) + units;
         let left = self.cut(live) - now;
         let limit = self.patience(now, live, self.pace(backend) * load).min(left).max(self.set.tick);
         if let Some(backend) = self.backends.get_mut(&to) {
             backend.out.insert(id, Flight { at: now, class: live.request.class, load, units });
-            (backend.budget, backend.budget_at) = (budget, now);
+            backend.turn = (backend.turn - 1.0).max(0.0);
         }
         let Some(live) = self.requests.get_mut(&id) else { return };
         live.sends += 1;
@@ -977,12 +980,11 @@
         for entry in entries {
             let mut entry = *entry;
             entry.size = in_range(entry.size, 0.01, 1e6, 1.0);
-            // Guards against all gateways' first requests in one instant: each has yet to earn a part.
-            let debt = self.set.max_units.max(1.0) * chance(&mut self.rng);
-            let known = self.backends.entry(entry.id).or_insert_with(|| Backend::new(entry, now, debt));
+            let turn = chance(&mut self.rng);
+            let known = self.backends.entry(entry.id).or_insert_with(|| Backend::new(entry, now, turn));
             if known.entry.started != entry.started {
                 let out = std::mem::take(&mut known.out);
-                *known = Backend::new(entry, now, debt);
+                *known = Backend::new(entry, now, turn);
                 known.out = out;
             }
             known.entry = entry;
@@ -1030,7 +1032,7 @@
 }
 
 impl Backend {
-    fn new(entry: BackendEntry, now: Millis, debt: f64) -> Self {
+    fn new(entry: BackendEntry, now: Millis, turn: f64) -> Self {
         Backend {
             entry,
             out: BTreeMap::new(),
@@ -1041,10 +1043,15 @@
             full: BTreeMap::new(),
             classes: BTreeMap::new(),
             set_aside: false,
-            budget: -debt,
-            budget_at: now,
+            turn,
         }
     }
+
+    /// Share of its capacity that a started backend has at least, by what it starts with and when it is warm.
+    fn warmth(&self, now: Millis, first: f64, span: Millis) -> f64 {
+        let Some(at) = self.entry.started else { return 1.0 };
+        first + (1.0 - first) * ((now - at) / span.max(1.0)).clamp(0.0, 1.0)
+    }
 }
 
 /// A number drawn evenly from nought to one.
--- a/crates/policy/tests/attempts.rs
+++ b/crates/policy/tests/attempts.rs
@@ -183,6 +183,59 @@
     assert!(all >= 40, "it is made use of: {all}");
 }
 
+/// Guards a release that replaces six in ten backends at once, seen by a hundred gateways that each have a request a
+/// second for sixty backends: the cold ones take over what they can bear, and none is sent what pushes it over.
+/// Fails where each gateway has to earn its first request for longer than the backend takes to warm up.
+#[test]
+fn cold_backends_take_over_soon_though_each_gateway_has_few_requests() {
+    let set = Settings { start_capacity: 0.2, warm_up: 15_000.0, ..settings(open_plan(), 100) };
+    let set = Settings { overload_factor: 3.0, overload_window: 1500.0, max_units: 8.0, ..set };
+    let (old, new) = (0..60).partition::<Vec<u32>, _>(|id| *id < 24);
+    let start = 20_000.0;
+    let mut sent = Vec::new();
+    let mut all = 0;
+    for seed in 0..100u32 {
+        let list = (0..60).map(|id| ready(id, 0)).collect();
+        let mut stage = Stage::seeded(set.clone(), u64::from(seed), list);
+        for i in 0..32u32 {
+            let now = f64::from(i) * 1000.0 + f64::from(seed) * 10.0;
+            if i == 20 {
+                let gone = |id: &u32| BackendEntry { availability: Availability::Gone, ..ready(*id, 0) };
+                let cold = |id: &u32| BackendEntry { started: Some(start), ..ready(100 + id, 0) };
+                let list = old.iter().map(|id| ready(*id, 0)).chain(new.iter().map(gone));
+                stage.play(
+                    start,
+                    Event::Backends(ListKind::Changes, list.chain(new.iter().map(cold)).collect()),
+                );
+            }
+            let wanted = Request { units: 2.0, ..request(i, 0, now) };
+            if let Some(at) = stage.arrive(now, wanted) {
+                all += u32::from(now >= start);
+                if at.0 >= 100 {
+                    sent.push((now - start, at));
+                }
+                stage.settle(now + 50.0, i, 0, at, Outcome::Ok);
+            }
+        }
+    }
+    // Of 100 requests a second a backend gets 1.7 evenly; were that six tenths of what it can do, 2.8 is all.
+    let full = 100.0 / 60.0 / 0.6;
+    for id in new.iter().map(|id| BackendId(100 + id)) {
+        for from in (0..21).map(|half| f64::from(half) * 500.0) {
+            let within =
+                sent.iter().filter(|(at, to)| *to == id && (from..from + 1500.0).contains(at)).count();
+            let warmth = 0.2 + 0.8 * from / 15_000.0;
+            let most = 3.0 * full * warmth * 1.5 + 3.0;
+            assert!(
+                within as f64 <= most,
+                "{within} sent to {id:?} within 1.5 s from {from} ms, {most} at most"
+            );
+        }
+    }
+    let part = sent.len() as f64 / f64::from(all);
+    assert!(part > 0.25, "cold backends took {part:.2} of what was sent in their first 12 s");
+}
+
 #[test]
 fn a_fleet_of_cold_backends_alone_is_still_made_use_of() {
     let cold = |id| BackendEntry { started: Some(0.0), ..ready(id, 0) };
