--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -664,7 +664,7 @@
 
     /// The cold backend whose turn this request is, if it is one's. Guards cold backends: each gets its
     /// warmth of what a warm one gets, as the warmth of all allows, and where hardly any is warm no more than
-    /// a part of the multiple that pushes it over. Turns come evenly from a start that is drawn: so shares hold
+    /// a part of the multiple that pushes it over. Turns come evenly from a drawn start: so shares hold
     /// over the fleet though each of hundreds of gateways has few requests for many backends, and no first
     /// requests come in step.
     fn cold_turn(&mut self, now: Millis) -> Option<BackendId> {
