Discovery is asked by pauses that go by the size of the fleet; a 503 keeps the version

Lines at fault: PAUSE in discovery.rs, the same for 4 doors and 100, and the 503 that made a door ask for the whole list, which costs discovery three times as much.

Ruled out: asking for the whole list first after a restart (all 100 turned away).

Change: crates/back-off, no I/O: pauses drawn evenly from a span that grows to doors / 6 a second (16.7 s for 100 doors, 0.67 s for 4), first calls of doors that have a list drawn from an eighth of it. A 503 keeps the version.

--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -5,7 +5,9 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use maplefall_back_off::BackOff;
 use maplefall_protocol::Members;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -14,8 +16,8 @@
 
 /// Discovery says something every 2 s; a watch silent for three of these has lost its other end.
 const SILENCE: Duration = Duration::from_millis(6500);
-/// Pause before discovery is asked again after a watch has ended.
-const PAUSE: Duration = Duration::from_millis(250);
+/// Shortest pause before discovery is asked again after a watch has ended, in milliseconds.
+pub const SHORTEST_PAUSE: f64 = 250.0;
 /// Longest line that is taken in.
 const LONGEST_LINE: usize = 4 << 20;
 
@@ -38,6 +40,17 @@
     TooLong,
 }
 
+impl Ended {
+    /// Whether changes since the version last had may not do any more.
+    fn spoils_the_version(&self) -> bool {
+        match self {
+            Ended::Unreadable(_) | Ended::TooLong => true,
+            Ended::Status(status) => *status != StatusCode::SERVICE_UNAVAILABLE,
+            _ => false,
+        }
+    }
+}
+
 /// What is heard of discovery.
 #[derive(Clone, Copy, Debug)]
 pub enum Heard<'a> {
@@ -50,13 +63,20 @@
 }
 
 /// Follows discovery for as long as the front door runs, from the `version` that it last had, and hands on what is
-/// told. When `agent` tells another address, the old watch is left at once and resumed there.
+/// told. When `agent` tells another address, the old watch is left at once and resumed there. Discovery that fails is
+/// asked again after a pause that goes by the size of the fleet: it serves all doors, and turns calls away where they
+/// are too many.
 pub async fn follow(
     take: impl Fn(Heard<'_>),
     mut agent: watch::Receiver<SocketAddr>,
     mut version: Option<u64>,
+    mut pauses: BackOff,
 ) {
     let mut down = false;
+    if version.is_some() {
+        // Doors that were started together ask one after another, as long as each has a list to serve from.
+        tokio::time::sleep(Duration::from_secs_f64(pauses.at_the_start() / 1000.0)).await;
+    }
     loop {
         let address = *agent.borrow_and_update();
         let before = version;
@@ -64,12 +84,18 @@
             Some(seq) => format!("/catalog/members?watch=1&from={seq}"),
             None => "/catalog/members".to_owned(),
         };
+        let heard = Cell::new(false);
+        let hear = |word: Heard<'_>| {
+            heard.set(true);
+            take(word);
+        };
         let ended = tokio::select! {
-            ended = read(&take, address, &path, &mut version) => ended,
+            ended = read(&hear, address, &path, &mut version) => ended,
             _ = agent.changed() => continue,
         };
-        // A place that does not know the version, or tells what cannot be read, is asked for the whole list.
-        if matches!(ended, Err(Ended::Unreadable(_) | Ended::TooLong | Ended::Status(_))) {
+        // A place that does not know the version, or tells what cannot be read, is asked for the whole list; one that has
+        // too much to do is not, as that costs it more than the changes.
+        if ended.as_ref().is_err_and(Ended::spoils_the_version) {
             version = None;
         }
         let whole_list = before.is_none() && ended.is_ok();
@@ -77,6 +103,9 @@
             continue;
         }
         take(Heard::Lost);
+        if heard.get() {
+            pauses.served();
+        }
         // One line for an outage, not one for each try.
         if !down || version != before {
             let why = ended.err().map_or("closed".to_owned(), |error| error.to_string());
@@ -84,7 +113,7 @@
         }
         down = version == before;
         tokio::select! {
-            () = tokio::time::sleep(PAUSE) => {}
+            () = tokio::time::sleep(Duration::from_secs_f64(pauses.pause() / 1000.0)) => {}
             _ = agent.changed() => {}
         }
     }
@@ -137,3 +166,45 @@
     *version = Some(members.seq);
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// Guards a discovery that has too much to do against being asked for more: turned away, a door goes on from the
+    /// version that it has; only where that is unknown is the whole list asked for.
+    #[test]
+    fn a_door_that_is_turned_away_asks_for_changes_again_and_not_for_the_whole_list() {
+        let answers = [
+            "503 Service Unavailable",
+            "503 Service Unavailable",
+            "404 Not Found",
+            "503 Service Unavailable",
+        ];
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let asked = runtime.block_on(tokio::task::LocalSet::new().run_until(async {
+            let agent = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (_keep, address) = watch::channel(agent.local_addr().expect("an address"));
+            let pauses = BackOff::new(1, SHORTEST_PAUSE, 7);
+            let following = tokio::task::spawn_local(follow(|_| {}, address, Some(7), pauses));
+            let mut asked = Vec::new();
+            for status in answers {
+                let (mut stream, _) = agent.accept().await.expect("a call");
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    assert!(stream.read_buf(&mut head).await.expect("a request") > 0, "ended");
+                }
+                let head = String::from_utf8(head).expect("text");
+                asked.push(head.split(' ').nth(1).expect("a path").to_owned());
+                let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+                stream.write_all(answer.as_bytes()).await.expect("a reader");
+            }
+            following.abort();
+            asked
+        }));
+        let changes = "/catalog/members?watch=1&from=7";
+        assert_eq!(asked, [changes, changes, changes, "/catalog/members"]);
+    }
+}
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -22,6 +22,7 @@
 use config::Config;
 use door::Door;
 use grpc::{Front, GrpcSettings};
+use maplefall_back_off::BackOff;
 use membership::Membership;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -65,7 +66,8 @@
     if membership.has_agent() {
         let told = membership.clone();
         let take = move |heard: discovery::Heard<'_>| told.agent_heard(heard);
-        tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version));
+        let pauses = BackOff::new(config.told.settings.gateways, discovery::SHORTEST_PAUSE, config.seed);
+        tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version, pauses));
     }
     let clients = Clients::new(door.clone(), auth.clone(), config.limits.sockets);
     tokio::task::spawn_local(clients.clone().accept(listener));
