--- a/crates/maplefall/tests/membership.rs
+++ b/crates/maplefall/tests/membership.rs
@@ -90,11 +90,10 @@
         }
         self.client.write(request_of(&format!("id-{}", self.asked), "read", "wide", "8"));
         let at = wait_for("the request at a backend, or an answer", || {
-            // Connections that the front door has closed are no more looked at.
-            self.open.retain(|(_, wire)| {
-                !wire.speaks() || matches!(wire.reader.get_ref().peek(&mut [0]), Ok(1..))
-            });
-            if let Some(at) = self.open.iter().position(|(_, wire)| wire.speaks()) {
+            // Connections that the front door has closed are no more looked at, also those that it closes just now.
+            let says = |wire: &Wire| wire.speaks() && matches!(wire.reader.get_ref().peek(&mut [0]), Ok(1..));
+            self.open.retain(|(_, wire)| !wire.speaks() || says(wire));
+            if let Some(at) = self.open.iter().position(|(_, wire)| says(wire)) {
                 return Some(Some(at));
             }
             for (at, place) in self.backends.iter().enumerate() {
