--- /dev/null
+++ b/crates/maplefall/src/counts.rs
@@ -0,0 +1,202 @@
+//! `maplefall counts`: asks a running front door what it knows by shared counts, over its own protocol and with the key of its
+//! cluster; and shows what a datagram says.
+
+use crate::net::counts_settings::{self, CountsSettings};
+use maplefall_shared_counts::status::Status;
+use maplefall_shared_counts::wire::{self, Head, Kind, Seal, Section, Writer, MOST_DATAGRAM};
+use maplefall_shared_counts::{DoorId, Life};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How long an answer is waited for before it is asked again, and how often.
+const PATIENCE: Duration = Duration::from_millis(400);
+const TRIES: u32 = 5;
+/// Parts of a status at most.
+const MOST_PARTS: u32 = 1024;
+
+/// What is shown.
+#[derive(clap::Subcommand)]
+pub enum Command {
+    /// Who takes part, how old the news of each is, and what was refused
+    Members(Whom),
+    /// The customers that have used most, over all doors and the epochs that are kept
+    Customers(Whom),
+    /// All of it
+    Status(Whom),
+    /// What a datagram says, if it was made with the file's key
+    Dump {
+        /// The file of shared counts
+        #[arg(long)]
+        file: PathBuf,
+        /// The datagram, in hexadecimal digits
+        datagram: String,
+    },
+}
+
+/// Which front door is asked.
+#[derive(clap::Args)]
+pub struct Whom {
+    /// The file of shared counts that the front door was started with: for its cluster and key
+    #[arg(long)]
+    file: PathBuf,
+    /// Another address than the file's `gossip`
+    #[arg(long)]
+    ask: Option<SocketAddr>,
+    /// As one line of JSON
+    #[arg(long)]
+    json: bool,
+}
+
+/// Carries out a command.
+///
+/// # Errors
+/// One line: what cannot be used, or that nobody answers.
+pub fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Members(whom) => show(&whom, |status| {
+            status.customers.clear();
+        }),
+        Command::Customers(whom) => show(&whom, |status| {
+            status.members.clear();
+            status.refused.clear();
+        }),
+        Command::Status(whom) => show(&whom, |_| {}),
+        Command::Dump { file, datagram } => dump(&file, &datagram),
+    }
+}
+
+fn settings(file: &Path) -> Result<CountsSettings, String> {
+    counts_settings::read(file).map_err(|found| found.join("\n"))
+}
+
+fn show(whom: &Whom, part: impl Fn(&mut Status)) -> Result<(), String> {
+    let settings = settings(&whom.file)?;
+    let to = whom.ask.unwrap_or(settings.listen);
+    let text = ask(&settings, to)?;
+    let mut status: Status =
+        serde_json::from_str(&text).map_err(|error| format!("{to}: its status cannot be read: {error}"))?;
+    part(&mut status);
+    if whom.json {
+        println!("{}", status.json());
+    } else {
+        print!("{}", status.plain());
+    }
+    Ok(())
+}
+
+/// A conversation with one front door.
+struct Conversation {
+    socket: UdpSocket,
+    to: SocketAddr,
+    seal: Seal,
+    me: Life,
+    nonce: u64,
+    sent: u64,
+}
+
+impl Conversation {
+    fn send(&mut self, kind: Kind, echo: u64, section: Option<Section>) -> Result<(), String> {
+        self.sent += 1;
+        let head = Head { kind, from: self.me, number: self.sent, nonce: self.nonce, echo };
+        let mut writer = Writer::new(&self.seal, &head, MOST_DATAGRAM);
+        if let Some(section) = section {
+            writer.add(&section);
+        }
+        let bytes = writer.seal(&self.seal);
+        self.socket.send_to(&bytes, self.to).map_err(|error| format!("{}: {error}", self.to))?;
+        Ok(())
+    }
+
+    /// The next datagram of a kind that answers this conversation; `None` if there is none in time.
+    fn next(&self, kind: Kind) -> Option<(Head, Vec<Section>)> {
+        let until = Instant::now() + PATIENCE;
+        let mut bytes = [0; MOST_DATAGRAM + 1];
+        while Instant::now() < until {
+            let Ok((length, _)) = self.socket.recv_from(&mut bytes) else { continue };
+            let Ok((head, sections)) = wire::read(&self.seal, &bytes[..length]) else { continue };
+            if head.kind == kind && head.echo == self.nonce {
+                return Some((head, sections));
+            }
+        }
+        None
+    }
+
+    /// Asks until there is an answer.
+    fn until_answered<T>(
+        &mut self,
+        mut turn: impl FnMut(&mut Self) -> Result<Option<T>, String>,
+    ) -> Result<T, String> {
+        for _ in 0..TRIES {
+            if let Some(answer) = turn(self)? {
+                return Ok(answer);
+            }
+        }
+        Err(format!("{}: no answer; is it the address of a front door of this cluster and key?", self.to))
+    }
+}
+
+/// A front door's status, as text.
+fn ask(settings: &CountsSettings, to: SocketAddr) -> Result<String, String> {
+    let here: SocketAddr = if to.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let no_socket = |error: std::io::Error| format!("no socket: {error}");
+    let socket = UdpSocket::bind(here).map_err(no_socket)?;
+    socket.set_read_timeout(Some(PATIENCE / 4)).map_err(no_socket)?;
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let door = DoorId::of(&format!("operator of {:?}", socket.local_addr().ok()));
+    let mut talk = Conversation {
+        socket,
+        to,
+        seal: Seal::new(&settings.sharing.cluster, &settings.sharing.key),
+        me: Life { door, incarnation: (since.as_millis() as u64).max(1) },
+        nonce: (since.as_nanos() as u64) | 1,
+        sent: 0,
+    };
+    let echo = talk.until_answered(|talk| {
+        talk.send(Kind::Hello, 0, None)?;
+        Ok(talk.next(Kind::Hello).map(|(head, _)| head.nonce))
+    })?;
+    let (mut text, mut part, mut parts) = (Vec::new(), 0, 1);
+    while part < parts {
+        let (of, more) = talk.until_answered(|talk| {
+            talk.send(Kind::Ask, echo, Some(Section::Part(part)))?;
+            let told = talk.next(Kind::Told).map(|(_, sections)| sections);
+            Ok(told.into_iter().flatten().find_map(|section| match section {
+                Section::Text(parts, text) => Some((parts, text)),
+                _ => None,
+            }))
+        })?;
+        if of > MOST_PARTS {
+            return Err(format!("{to}: a status of {of} parts, {MOST_PARTS} at most were expected"));
+        }
+        text.extend(more);
+        (part, parts) = (part + 1, of);
+    }
+    String::from_utf8(text).map_err(|_| format!("{to}: its status is no text"))
+}
+
+fn dump(file: &Path, datagram: &str) -> Result<(), String> {
+    let settings = settings(file)?;
+    let digits: Option<Vec<u32>> = datagram.trim().chars().map(|digit| digit.to_digit(16)).collect();
+    let digits = digits.filter(|digits| digits.len() % 2 == 0);
+    let digits = digits.ok_or("the datagram: an even number of hexadecimal digits was expected")?;
+    let bytes: Vec<u8> = digits.chunks(2).map(|pair| (pair[0] << 4 | pair[1]) as u8).collect();
+    let seal = Seal::new(&settings.sharing.cluster, &settings.sharing.key);
+    let (head, sections) =
+        wire::read(&seal, &bytes).map_err(|why| format!("the datagram changes nothing: {why:?}"))?;
+    println!("{head:?}");
+    for section in sections {
+        match section {
+            Section::Cards(cards) => cards.iter().for_each(|card| println!("card {card:?}")),
+            Section::Digest(lines) => lines.iter().for_each(|line| println!("digest {line:?}")),
+            Section::Want(lines) => lines.iter().for_each(|line| println!("want {line:?}")),
+            Section::Counts(life, delta) => {
+                println!("counts of {life:?} after {} up to {}", delta.after, delta.up_to);
+                delta.counts.iter().for_each(|told| println!("  {told:?}"));
+            }
+            Section::Text(parts, text) => println!("text, {} bytes, of {parts} parts", text.len()),
+            Section::Part(part) => println!("part {part}"),
+        }
+    }
+    Ok(())
+}
--- a/crates/maplefall/src/main.rs
+++ b/crates/maplefall/src/main.rs
@@ -2,8 +2,10 @@
 
 #![forbid(unsafe_code)]
 
+mod counts;
 mod net;
 
+use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
 /// Counts what is allocated, in builds for the bench alone.
@@ -11,17 +13,11 @@
 #[global_allocator]
 static COUNTED: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
 
-const HELP: &str = "\
+const ABOUT: &str = "\
 The front door of a service sold by plan: holds each customer to its quota over all front doors, chooses a backend for
-every request, and repeats only what may be repeated.
-
-Usage:
-  maplefall                serves, by the BALANCER_* variables below
-  maplefall check FILE     tells every mistake in a configuration, or in a file of sources, of forward authentication or of
-                           gRPC (.toml); 0 if there is none
-  maplefall --help         this text
-  maplefall --version      the version
+every request, and repeats only what may be repeated. Without a command it serves, by the BALANCER_* variables below.";
 
+const VARIABLES: &str = "\
 Variables:
   BALANCER_CONFIG          the configuration, a JSON file (deploy/example.json is one, docs/operators explains it)
   BALANCER_NAME            its name in the log, before the file's `name`
@@ -30,42 +26,48 @@
   MAPLEFALL_SOURCES        a file of sources of the list of backends (deploy/sources.toml is one); without it only discovery
   MAPLEFALL_GRPC           a file of methods (deploy/grpc.toml is one); without it gRPC is not taken
   MAPLEFALL_FORWARD_AUTH   a file of who checks callers (deploy/forward-auth.toml is one); without it nobody is checked
+  MAPLEFALL_SHARED_COUNTS  a file of how doors tell one another what customers used (deploy/shared-counts.toml is one)
 
 Signals:
   SIGHUP                   forgets kept verdicts, and reads the first two files again; `discovery`, etcd's endpoints and credentials, and files of nodes move
                            at once, the rest takes a restart
   SIGTERM                  answers what has come, then ends with 0
 
-To rehearse failures on one machine: maplefall-rehearse --help
-";
+To rehearse failures on one machine: maplefall-rehearse --help";
 
-/// What the words behind the program's name ask for.
-enum Asked {
-    Serve,
-    Check(String),
-    Say(String),
+#[derive(Parser)]
+#[command(name = "maplefall", version, about = ABOUT, after_help = VARIABLES)]
+struct Asked {
+    #[command(subcommand)]
+    command: Option<Command>,
 }
 
-fn asked(words: impl Iterator<Item = String>) -> Result<Asked, String> {
-    let words: Vec<String> = words.collect();
-    match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        [] => Ok(Asked::Serve),
-        ["check", file] => Ok(Asked::Check(file.to_owned())),
-        ["--help" | "-h"] => Ok(Asked::Say(HELP.to_owned())),
-        ["--version" | "-V"] => Ok(Asked::Say(format!("maplefall {}\n", env!("CARGO_PKG_VERSION")))),
-        _ => Err(format!("{}: not understood; see maplefall --help", words.join(" "))),
-    }
+#[derive(Subcommand)]
+enum Command {
+    /// Tells every mistake in a configuration, or in a file of sources, forward authentication, gRPC or shared counts (.toml);
+    /// 0 if there is none
+    Check {
+        /// The file
+        file: String,
+    },
+    /// Shows what a running front door knows by shared counts
+    #[command(subcommand)]
+    Counts(counts::Command),
 }
 
 fn main() -> ExitCode {
-    let ended = match asked(std::env::args().skip(1)) {
-        Ok(Asked::Serve) => serve(),
-        Ok(Asked::Check(file)) => return check(&file),
-        Ok(Asked::Say(text)) => {
-            print!("{text}");
-            Ok(())
+    let asked = match Asked::try_parse() {
+        Ok(asked) => asked,
+        Err(error) => {
+            // Help and versions go to standard output and are no failure.
+            let _ = error.print();
+            return if error.use_stderr() { ExitCode::FAILURE } else { ExitCode::SUCCESS };
         }
-        Err(error) => Err(error),
+    };
+    let ended = match asked.command {
+        None => serve(),
+        Some(Command::Check { file }) => return check(&file),
+        Some(Command::Counts(command)) => counts::run(command),
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -69,10 +69,14 @@
     LateVerdictAnswers,
     /// A request whose caller passed is sent on once more, as if its check had come back twice.
     CheckedAgain,
+    /// What is heard of use elsewhere is added each time that it is heard, and not joined.
+    CountsAdded,
+    /// News of use elsewhere never grow old.
+    NewsNeverOld,
 }
 
 /// Their names.
-const NAMES: [(&str, Breakage); 24] = [
+const NAMES: [(&str, Breakage); 26] = [
     ("second-answer", Breakage::SecondAnswer),
     ("drops-on-term", Breakage::DropsOnTerm),
     ("sent-after-answer", Breakage::SentAfterAnswer),
@@ -97,6 +101,8 @@
     ("key-without-credential", Breakage::KeyWithoutCredential),
     ("late-verdict-answers", Breakage::LateVerdictAnswers),
     ("checked-again", Breakage::CheckedAgain),
+    ("counts-added", Breakage::CountsAdded),
+    ("news-never-old", Breakage::NewsNeverOld),
 ];
 
 /// Whether the program is to be broken in this way.
@@ -138,6 +144,20 @@
     settings
 }
 
+/// Times that news is heard by the rumours of a few peers.
+const HEARD_AGAIN: f64 = 3.0;
+
+/// What the decision module is told of use elsewhere.
+pub fn fact(mut fact: maplefall_shared_counts::Fact, now: Millis) -> maplefall_shared_counts::Fact {
+    if is(Breakage::CountsAdded) {
+        fact.units *= HEARD_AGAIN;
+    }
+    if is(Breakage::NewsNeverOld) {
+        (fact.as_of, fact.error) = (now, 0.0);
+    }
+    fact
+}
+
 /// An action as it is carried out.
 pub fn action(action: Action) -> Action {
     match action {
--- a/crates/maplefall/src/net/check.rs
+++ b/crates/maplefall/src/net/check.rs
@@ -2,7 +2,7 @@
 //! there is one. It also tells what can be read and cannot be meant.
 
 use super::config::{least_memory, LEAST_SOCKETS};
-use super::{auth_settings, grpc, membership, sources};
+use super::{auth_settings, counts_settings, grpc, membership, sources};
 use maplefall_protocol::Members;
 use maplefall_settings::{self as settings, Told};
 use serde_json::Value;
@@ -15,6 +15,9 @@
     if grpc::is_one(text) {
         return grpc::read(path, None).err().unwrap_or_default();
     }
+    if counts_settings::is_one(text) {
+        return counts_settings::read(path).err().unwrap_or_default();
+    }
     if auth_settings::is_one(text) {
         return auth_settings::read(path, None).err().unwrap_or_default();
     }
--- /dev/null
+++ b/crates/maplefall/src/net/counts.rs
@@ -0,0 +1,113 @@
+//! Shared counts on a socket: between the driver, the state machine of `maplefall-shared-counts` and UDP.
+//!
+//! Nothing is decided here. What customers use is counted by [`Counts::used`], what others have told of them is handed to the
+//! decision module as one event before a request of theirs ([`Counts::elsewhere`]).
+
+use super::clock::Clock;
+use super::counts_settings::CountsSettings;
+use maplefall_policy::{CustomerId, Elsewhere, Millis, PlanId};
+use maplefall_shared_counts::node::{Node, Start};
+use maplefall_shared_counts::wire::MOST_DATAGRAM;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+
+/// Datagrams that are read before others get their turn.
+const READ_AT_ONCE: usize = 64;
+
+/// This door's part in sharing counts.
+pub struct Counts {
+    node: RefCell<Node>,
+    socket: UdpSocket,
+    clock: Clock,
+    /// What the log is told when it runs.
+    line: String,
+    /// Doors in the settings: those that are not heard of keep their part of each quota.
+    doors: u32,
+}
+
+impl Counts {
+    /// Opens the socket and begins a new life of the door of this name.
+    ///
+    /// # Errors
+    /// One line that names the address.
+    pub async fn start(
+        settings: CountsSettings,
+        name: &str,
+        clock: Clock,
+        seed: u64,
+        doors: u32,
+    ) -> Result<Rc<Counts>, String> {
+        let listen = settings.listen;
+        let no_socket = |error| format!("cannot share counts on {listen}: {error}");
+        let socket = UdpSocket::bind(listen).await.map_err(no_socket)?;
+        let bound = socket.local_addr().map_err(no_socket)?;
+        // A date before 1970 or a nameless door is no reason not to serve: the life's number and the name then come of the
+        // address, and others tell this door if an earlier life had a larger number.
+        let date = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_millis() as u64);
+        let address = settings.advertise.unwrap_or(bound);
+        let plain: String = name.chars().filter(char::is_ascii_graphic).take(64).collect();
+        let name = if plain.is_empty() { address.to_string() } else { plain };
+        let start = Start { name, address, seeds: settings.seeds, date, seed };
+        let line = format!("{}: shares counts on {bound} as {address}", start.name);
+        let node = RefCell::new(Node::new(settings.sharing, start, clock.now()));
+        Ok(Rc::new(Counts { node, socket, clock, doors, line }))
+    }
+
+    /// A customer has used so many units here, or was given so many back where it is below nought.
+    pub fn used(&self, now: Millis, customer: CustomerId, units: f64) {
+        self.node.borrow_mut().used(now, customer.0, units);
+    }
+
+    /// What other doors have let in for a customer and the decision module has not been told.
+    pub fn elsewhere(&self, now: Millis, customer: CustomerId, plan: PlanId) -> Option<Elsewhere> {
+        let mut node = self.node.borrow_mut();
+        let fact = node.fact(now, customer.0)?;
+        let (_, heard) = node.news(now);
+        let heard = heard as f64 / f64::from(self.doors.max(1));
+        #[cfg(feature = "breakages")]
+        let fact = super::breakages::fact(fact, now);
+        Some(Elsewhere {
+            customer,
+            plan,
+            units: fact.units,
+            as_of: fact.as_of,
+            error: fact.error,
+            heard: heard.min(1.0),
+        })
+    }
+
+    /// Takes datagrams and keeps the rounds, for as long as the front door runs.
+    pub async fn run(self: Rc<Self>) {
+        eprintln!("{}", self.line);
+        let mut bytes = [0; MOST_DATAGRAM + 1];
+        loop {
+            self.send();
+            let due = self.node.borrow().due();
+            tokio::select! {
+                // An error of a socket without a peer is of an earlier datagram that found nobody; the next is waited for.
+                _ = self.socket.readable() => self.read(&mut bytes),
+                () = tokio::time::sleep_until(self.clock.instant(due)) => {
+                    self.node.borrow_mut().tick(self.clock.now());
+                }
+            }
+            // A flood of datagrams must not keep requests from their turn.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn read(&self, bytes: &mut [u8]) {
+        for _ in 0..READ_AT_ONCE {
+            let Ok((length, from)) = self.socket.try_recv_from(bytes) else { return };
+            self.node.borrow_mut().receive(self.clock.now(), from, &bytes[..length]);
+        }
+    }
+
+    /// Sends what waits; what the system does not take now is lost, as the network might have lost it.
+    fn send(&self) {
+        while let Some(output) = self.node.borrow_mut().poll() {
+            let _ = self.socket.try_send_to(&output.bytes, output.to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/maplefall/src/net/counts_settings.rs
@@ -0,0 +1,188 @@
+//! The file of shared counts (`MAPLEFALL_SHARED_COUNTS`, a TOML file; `deploy/shared-counts.toml` is one): where this door and
+//! its peers tell each other what customers have used. Without it nothing is told and no socket is opened.
+
+use maplefall_policy::Millis;
+use maplefall_shared_counts::Settings;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "MAPLEFALL_SHARED_COUNTS";
+/// Most seeds.
+const MOST_SEEDS: usize = 64;
+
+/// How this door shares counts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CountsSettings {
+    /// Where it takes datagrams.
+    pub listen: SocketAddr,
+    /// Where others reach it; the address that it listens on if none is told.
+    pub advertise: Option<SocketAddr>,
+    /// Doors to call first.
+    pub seeds: Vec<SocketAddr>,
+    /// How counts are shared.
+    pub sharing: Settings,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Text {
+    cluster: String,
+    gossip: String,
+    advertise: Option<String>,
+    seeds: Vec<String>,
+    key: Option<String>,
+    key_file: Option<PathBuf>,
+    interval_ms: Option<Millis>,
+    fan_out: Option<usize>,
+    epoch_ms: Option<Millis>,
+    epochs_kept: Option<u32>,
+    datagram_bytes: Option<usize>,
+    most_per_second: Option<f64>,
+    most_members: Option<usize>,
+    most_told: Option<usize>,
+    most_counts: Option<usize>,
+    suspect_phi: Option<f64>,
+    gone_after_ms: Option<Millis>,
+    forget_after_ms: Option<Millis>,
+}
+
+/// What the variable's file says; `None` without one.
+///
+/// # Errors
+/// Every mistake, one to a line.
+pub fn from_env() -> Result<Option<CountsSettings>, String> {
+    let Some(path) = std::env::var_os(VARIABLE) else { return Ok(None) };
+    read(Path::new(&path)).map(Some).map_err(|found| found.join("\n"))
+}
+
+/// What a file says.
+///
+/// # Errors
+/// Every mistake, each with the file's name and the field.
+pub fn read(path: &Path) -> Result<CountsSettings, Vec<String>> {
+    let named = |text: String| format!("{}: {text}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|error| vec![named(error.to_string())])?;
+    parse(&text, path.parent()).map_err(|found| found.into_iter().map(named).collect())
+}
+
+/// Whether a text is a file of this kind.
+pub fn is_one(text: &str) -> bool {
+    text.parse::<toml::Table>().is_ok_and(|table| table.contains_key("gossip"))
+}
+
+fn parse(text: &str, folder: Option<&Path>) -> Result<CountsSettings, Vec<String>> {
+    let told: Text = toml::from_str(text).map_err(|error| vec![error.to_string().trim_end().to_owned()])?;
+    let mut found = Vec::new();
+    let mut address = |field: &str, text: &str, known: bool| match text.parse::<SocketAddr>() {
+        Ok(address) if !known || (address.port() != 0 && !address.ip().is_unspecified()) => Some(address),
+        _ => {
+            found.push(format!("{field}: an address with a port was expected, not {text:?}"));
+            None
+        }
+    };
+    let listen = address("gossip", &told.gossip, false);
+    let advertise = told.advertise.as_deref().and_then(|text| address("advertise", text, true));
+    let seeds: Vec<SocketAddr> = told
+        .seeds
+        .iter()
+        .enumerate()
+        .filter_map(|(at, text)| address(&format!("seeds.{at}"), text, true))
+        .collect();
+    if told.seeds.len() > MOST_SEEDS {
+        found.push(format!("seeds: {MOST_SEEDS} at most were expected"));
+    }
+    if listen.is_some_and(|listen| listen.ip().is_unspecified()) && told.advertise.is_none() {
+        found.push("advertise: an address was expected, as gossip names no single one".to_owned());
+    }
+    let key = match (&told.key, &told.key_file) {
+        (Some(key), None) => Ok(key.clone()),
+        (None, Some(path)) => {
+            let path = folder.map_or(path.clone(), |folder| folder.join(path));
+            std::fs::read_to_string(&path).map_err(|error| format!("key_file: {}: {error}", path.display()))
+        }
+        _ => Err("key: either key or key_file was expected".to_owned()),
+    };
+    let key = key.and_then(|text| {
+        hexadecimal(text.trim()).ok_or("key: 32 to 128 hexadecimal digits were expected".to_owned())
+    });
+    let key = key.unwrap_or_else(|mistake| {
+        found.push(mistake);
+        vec![0; 32]
+    });
+    let usual = Settings::usual(&told.cluster, key);
+    let sharing = Settings {
+        interval: told.interval_ms.unwrap_or(usual.interval),
+        fan_out: told.fan_out.unwrap_or(usual.fan_out),
+        epoch: told.epoch_ms.unwrap_or(usual.epoch),
+        epochs_kept: told.epochs_kept.unwrap_or(usual.epochs_kept),
+        datagram: told.datagram_bytes.unwrap_or(usual.datagram),
+        most_per_second: told.most_per_second.unwrap_or(usual.most_per_second),
+        most_members: told.most_members.unwrap_or(usual.most_members),
+        most_told: told.most_told.unwrap_or(usual.most_told),
+        most_counts: told.most_counts.unwrap_or(usual.most_counts),
+        suspect: told.suspect_phi.unwrap_or(usual.suspect),
+        gone_after: told.gone_after_ms.unwrap_or(usual.gone_after),
+        forget_after: told.forget_after_ms.unwrap_or(usual.forget_after),
+        ..usual
+    };
+    found.extend(
+        sharing
+            .mistakes()
+            .into_iter()
+            .map(|wrong| format!("{}: {} was expected", wrong.field, wrong.expected)),
+    );
+    match (listen, found.is_empty()) {
+        (Some(listen), true) => Ok(CountsSettings { listen, advertise, seeds, sharing }),
+        _ => Err(found),
+    }
+}
+
+/// Bytes written as hexadecimal digits, 16 to 64 of them.
+fn hexadecimal(text: &str) -> Option<Vec<u8>> {
+    let digits: Option<Vec<u8>> =
+        text.chars().map(|digit| digit.to_digit(16).and_then(|digit| u8::try_from(digit).ok())).collect();
+    let digits = digits.filter(|digits| digits.len() % 2 == 0 && (32..=128).contains(&digits.len()))?;
+    Some(digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]).collect())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the example that ships: whoever copies it begins with a file that can be used.
+    #[test]
+    fn the_shipped_example_can_be_used() {
+        let text = include_str!("../../../../deploy/shared-counts.toml");
+        assert!(is_one(text) && !is_one(include_str!("../../../../deploy/grpc.toml")));
+        let settings = parse(text, None).unwrap();
+        assert_eq!((settings.seeds.len(), settings.sharing.key.len()), (2, 32));
+    }
+
+    #[test]
+    fn every_mistake_is_told_with_its_field() {
+        let text =
+            "cluster = \"\"\ngossip = \"0.0.0.0:7946\"\nseeds = [\"a\", \"127.0.0.1:0\"]\nkey = \"zz\"\n\
+                    interval_ms = 0\nepochs_kept = 1\nmost_members = 1000000\nsuspect_phi = nan\n";
+        let found = parse(text, None).unwrap_err();
+        let begins = [
+            "seeds.0:",
+            "seeds.1:",
+            "advertise:",
+            "key:",
+            "interval_ms:",
+            "epochs_kept:",
+            "most_members:",
+            "suspect_phi:",
+            "cluster:",
+        ];
+        for begin in begins {
+            assert!(found.iter().any(|line| line.starts_with(begin)), "{begin} {found:#?}");
+        }
+        assert_eq!(found.len(), begins.len(), "{found:#?}");
+        let no_key = parse("cluster = \"a\"\ngossip = \"127.0.0.1:1\"\nseeds = []\n", None).unwrap_err();
+        assert!(no_key[0].contains("either key or key_file"), "{no_key:?}");
+        assert!(parse("gossip = 3", None).is_err());
+    }
+}
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -9,13 +9,14 @@
 use super::breakages;
 use super::clock::Clock;
 use super::config::Config;
+use super::counts::Counts;
 use super::grpc::{self, GrpcSettings, Passage};
 use super::pool::{self, Line, Pools};
 use hyper::header::{HeaderName, HeaderValue};
 use maplefall_policy::*;
 use maplefall_protocol::{Answer, Ended, Health, Incoming, Member, Order};
 use maplefall_settings::{self as settings, Names};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -69,6 +70,9 @@
 /// A request that has no final answer yet, or an attempt of which is still out.
 struct Entry {
     order: Rc<Order>,
+    customer: CustomerId,
+    /// Units that its quota was asked for.
+    units: f64,
     deadline: Millis,
     /// Present until the one final answer has been handed over.
     answer: Option<oneshot::Sender<Answer>>,
@@ -114,6 +118,8 @@
     pub names: Names,
     pools: Rc<Pools>,
     calls: grpc::Backends,
+    /// Set once before anything is served, where doors share counts.
+    counts: OnceCell<Rc<Counts>>,
     reading: Rc<Reading>,
     state: RefCell<State>,
     queue: RefCell<VecDeque<(Millis, Event)>>,
@@ -157,6 +163,7 @@
             names: told.names.clone(),
             pools: Rc::new(pools),
             calls: grpc::Backends::new(told.links, connections, streams as usize, told.settings.max_units),
+            counts: OnceCell::new(),
             reading: Rc::new(reading),
             state: RefCell::new(State {
                 gateway: Gateway::new(for_the_module(told.settings.clone()), config.seed),
@@ -180,6 +187,12 @@
         })
     }
 
+    /// From now on counts are shared with other doors.
+    pub fn share(&self, counts: Rc<Counts>) {
+        // A second call would change nothing.
+        let _ = self.counts.set(counts);
+    }
+
     /// Whether there is a list to serve from.
     pub fn ready(&self) -> bool {
         !self.state.borrow().backends.is_empty()
@@ -256,6 +269,8 @@
             let id = state.new_request();
             let entry = Entry {
                 order: Rc::new(incoming.order),
+                customer: incoming.customer,
+                units: incoming.units,
                 deadline: incoming.deadline,
                 answer: Some(sender),
                 attempts: 0,
@@ -278,6 +293,12 @@
             checked: incoming.checked,
             spread: incoming.spread,
         };
+        if let Some(counts) = self.counts.get() {
+            // What is known of the customer's use elsewhere goes first, so that this request is decided by it.
+            if let Some(told) = counts.elsewhere(incoming.at, request.customer, request.plan) {
+                self.post(incoming.at, Event::Elsewhere(told));
+            }
+        }
         self.post(incoming.at, Event::Arrival(request));
         Some((id, receiver))
     }
@@ -368,6 +389,9 @@
             );
             return;
         }
+        if let Some(counts) = self.counts.get().filter(|_| number == 0) {
+            counts.used(now, entry.customer, entry.units);
+        }
         let order = entry.order.clone();
         #[cfg(feature = "breakages")]
         let order = breakages::order(order);
@@ -450,6 +474,9 @@
             if let Some(sender) = entry.answer.take_if(|_| ended.outcome == Outcome::Ok) {
                 let _ = sender.send(Answer::Served(ended.body.clone()));
             }
+            if let (Some(counts), Some(charge)) = (self.counts.get(), ended.charge) {
+                counts.used(now, entry.customer, charge - entry.units);
+            }
             let closed = entry.answer.is_none();
             settled(id, number, attempt.backend, now - attempt.sent, &ended, closed)
         };
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -9,6 +9,8 @@
 mod clients;
 mod clock;
 pub mod config;
+mod counts;
+pub mod counts_settings;
 mod discovery;
 mod door;
 mod grpc;
@@ -47,12 +49,20 @@
     let auth_settings = auth_settings::from_env(&config.told.names.classes, &effects)?;
     let auth_sockets = auth::sockets(auth_settings.as_ref(), config.limits.sockets);
     let grpc_settings = grpc::from_env(&config.told.names.classes)?;
-    let elsewhere = auth_sockets + grpc::sockets(grpc_settings.as_ref());
+    let shared = counts_settings::from_env()?;
+    let elsewhere = auth_sockets + grpc::sockets(grpc_settings.as_ref()) + usize::from(shared.is_some());
     let door = Door::new(&config, elsewhere, grpc_settings.as_ref());
     let auth = auth_settings.map(|settings| Auth::new(settings, door.clock, config.seed, auth_sockets));
     if let Some(auth) = &auth {
         tokio::task::spawn_local(auth.clone().keep_time());
     }
+    if let Some(shared) = shared {
+        let name = config.name.clone();
+        let counts =
+            counts::Counts::start(shared, &name, door.clock, config.seed, door.settings.gateways).await?;
+        door.share(counts.clone());
+        tokio::task::spawn_local(counts.run());
+    }
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     let agent = watch::Sender::new(config.discovery);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -319,6 +319,23 @@
     pub broken: u32,
 }
 
+/// What other gateways have let in for a customer, where gateways can tell one another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Elsewhere {
+    /// Whose quota.
+    pub customer: CustomerId,
+    /// Its plan.
+    pub plan: PlanId,
+    /// Units used elsewhere that were not told before; below nought where more was given back than used.
+    pub units: f64,
+    /// All that was used elsewhere until then is told, but for `error`.
+    pub as_of: Millis,
+    /// Units at most that may have been used elsewhere and are not told.
+    pub error: f64,
+    /// Part of the gateways that are heard of, this one with them; from nought to one.
+    pub heard: f64,
+}
+
 /// Something that happened at a front door.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -334,6 +351,8 @@
         /// Whether its caller passes.
         passes: bool,
     },
+    /// More was used elsewhere. Without such news, or once it is old, a gateway decides by itself.
+    Elsewhere(Elsewhere),
     /// A streamed answer has begun.
     StreamStarted(RequestId),
     /// An attempt ended.
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -84,6 +84,10 @@
 const SLACK_USED: f64 = 0.9;
 /// Part of the multiple that pushes a cold backend over which a gateway makes use of.
 const COLD_PART: f64 = 0.6;
+/// News of use elsewhere is good for this many shortest aims.
+const NEWS_AIMS: f64 = 6.0;
+/// Part of what is known to be left that one gateway may use between two news: the others see it too.
+const NEWS_PART: f64 = 0.5;
 /// Alarm that asks again for the list of backends.
 const LIST_ALARM: AlarmId = AlarmId(u64::MAX);
 
@@ -147,6 +151,18 @@
     sliver: bool,
 }
 
+/// What is left of a customer's quota over all gateways, by what they tell one another.
+#[derive(Clone, Copy, Debug)]
+struct News {
+    /// Units in the one store of all, as of `t`, by all use that is known; it may hold less, never more.
+    left: f64,
+    t: Millis,
+    /// What the last news said of itself.
+    as_of: Millis,
+    error: f64,
+    heard: f64,
+}
+
 /// An attempt that is out.
 #[derive(Clone, Copy, Debug)]
 struct Flight {
@@ -225,6 +241,8 @@
     born: Option<Millis>,
     aim: Millis,
     customers: BTreeMap<CustomerId, Customer>,
+    /// Empty where gateways tell one another nothing.
+    news: BTreeMap<CustomerId, News>,
     evict_at: Millis,
     backends: BTreeMap<BackendId, Backend>,
     requests: BTreeMap<RequestId, Live>,
@@ -254,6 +272,7 @@
             born: None,
             aim,
             customers: BTreeMap::new(),
+            news: BTreeMap::new(),
             evict_at: 0.0,
             backends: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -277,6 +296,7 @@
             Event::Backends(kind, entries) => self.list_changed(now, kind, &entries, actions),
             Event::Arrival(request) => self.arrived(now, request, actions),
             Event::Checked { request, passes } => self.checked(now, request, passes, actions),
+            Event::Elsewhere(told) => self.used_elsewhere(now, &told),
             Event::StreamStarted(id) => {
                 if let Some(live) = self.requests.get_mut(&id) {
                     live.started = true;
@@ -372,6 +392,40 @@
             customer.slice += request.units;
             customer.ceiling += request.units;
         }
+        self.use_news(request.customer, -request.units);
+    }
+
+    // Where gateways tell one another what they let in, there is one store again, known a little late. What
+    // it surely holds is let in, what it surely lacks is refused, and what is in doubt goes by the slice.
+
+    /// Takes in what others have let in.
+    fn used_elsewhere(&mut self, now: Millis, told: &Elsewhere) {
+        let Some(plan) = self.set.plans.get(told.plan.0).filter(|plan| plan.rate > 0.0) else { return };
+        let fresh = News { left: plan.burst, t: now, as_of: now, error: 0.0, heard: 1.0 };
+        let news = self.news.entry(told.customer).or_insert(fresh);
+        news.refill(now, plan);
+        let units = in_range(told.units, -plan.burst, 2.0 * plan.burst, 0.0);
+        news.left = (news.left - units).clamp(-plan.burst, plan.burst);
+        // Of gateways that are not heard of, each may use its even share.
+        news.heard = in_range(told.heard, 0.0, 1.0, 0.0);
+        news.as_of = in_range(told.as_of, 0.0, now, 0.0);
+        news.error = in_range(told.error, 0.0, f64::MAX, f64::MAX);
+    }
+
+    /// Counts what this gateway lets in.
+    fn use_news(&mut self, customer: CustomerId, units: f64) {
+        if let Some(news) = self.news.get_mut(&customer) {
+            news.left -= units;
+        }
+    }
+
+    /// Units that are left at least and at most, by news that are not old.
+    fn left(&mut self, now: Millis, request: &Request) -> Option<(f64, f64)> {
+        let plan = &self.set.plans[request.plan.0];
+        let news = self.news.get_mut(&request.customer)?;
+        news.refill(now, plan);
+        let good = now - news.as_of <= NEWS_AIMS * self.aim;
+        good.then_some((NEWS_PART * (news.left - news.error), news.left))
     }
 
     /// Lets a request in and names its backend, or tells how long the reason to refuse it will last.
@@ -381,6 +435,7 @@
         let born = self.born.unwrap_or(now);
         let per_unit = self.common_pace() / 1000.0;
         self.feel_pressure(now);
+        let left = self.left(now, request);
         let luck = chance(&mut self.rng);
         let plan = &self.set.plans[request.plan.0];
         let pressure = self.pressure.max(1.0 - self.opening);
@@ -412,14 +467,22 @@
             let rate = customer.average.rate(now, part.lambda);
             // For a sliver it shuts on all evidence, less what chance may add.
             let sure = (asked - BOX_DOUBT * (asked * usual).sqrt()) * plan.rate / held;
-            let sure = if part.sliver { sure } else { 0.0 };
+            let sure = if part.sliver && left.is_none() { sure } else { 0.0 };
             let rate = rate.max(sure);
             if rate > part.limit {
                 return Err(Some((rate / part.limit).ln() / part.lambda));
             }
+            let whole = left.is_some_and(|(least, _)| request.units <= least);
+            if let Some((_, most)) = left.filter(|(_, most)| *most < request.units) {
+                return Err(Some(1000.0 * (request.units - most) / plan.rate));
+            }
             // Guards against slices too small to tell use past the quota from a few requests that happen to
             // meet at one of many gateways: a sliver lets in by chance, by what all evidence says.
-            let strain = if part.sliver { excess } else { excess.min(1.0) };
+            let strain = match left {
+                Some((_, most)) => 1.0 - most / plan.burst.max(request.units),
+                None if part.sliver => excess,
+                None => excess.min(1.0),
+            };
             customer.share = opening / strain.max(opening);
             // By Little's law a cap on attempts out is a rate too: what others have out is not seen.
             let others = excess.min(1.0) * plan.rate * per_unit * (1.0 - 1.0 / part.spread);
@@ -431,7 +494,7 @@
             // Under pressure a slice keeps a reserve: those nearest the end of their quotas give way first.
             let reserve = pressure * (part.depth - request.units).max(0.0);
             let short = request.units + reserve - customer.slice;
-            if short > 0.0 {
+            if short > 0.0 && !whole {
                 return Err(Some(1000.0 * short / part.even));
             }
         }
@@ -441,9 +504,11 @@
         }
         let backend = self.room(now, live).ok_or(None)?;
         if let Some(customer) = self.customers.get_mut(&request.customer) {
-            customer.slice -= request.units;
+            // By news it may let in more than its slice holds.
+            customer.slice = (customer.slice - request.units).max(0.0);
             customer.ceiling -= request.units;
         }
+        self.use_news(request.customer, request.units);
         Ok(backend)
     }
 
@@ -509,6 +574,7 @@
         self.evict_at = now + age / 4.0;
         let left = |c: &Customer| c.average.n * (-(now - c.t) * std::f64::consts::LN_2 / longest).exp();
         self.customers.retain(|_, c| c.open > 0 || now - c.t < age || left(c) > 0.01);
+        self.news.retain(|_, news| now - news.t < age);
     }
 
     /// How short of capacity the gateway finds the backends, from nought to one.
@@ -871,6 +937,9 @@
         if let Some(true_units) = settled.true_units.filter(|u| u.is_finite()) {
             // The quota counts the true units, so the slice does; the ceiling goes by the guess.
             customer.slice = (customer.slice + request.units - true_units).min(part.depth);
+            if let Some(news) = self.news.get_mut(&request.customer) {
+                news.left += request.units - true_units;
+            }
         }
         if let Some(used) = settled.use_of_quota.filter(|u| u.is_finite()) {
             let span = (now - customer.metered).min(self.set.meter_period) / 1000.0;
@@ -1031,6 +1100,15 @@
     }
 }
 
+impl News {
+    /// Fills the store of those gateways that are heard of: what is theirs of the quota.
+    fn refill(&mut self, now: Millis, plan: &Plan) {
+        let gained = plan.rate * self.heard * (now - self.t).max(0.0) / 1000.0;
+        self.left = (self.left + gained).min(plan.burst);
+        self.t = now;
+    }
+}
+
 impl Backend {
     fn new(entry: BackendEntry, now: Millis, turn: f64) -> Self {
         Backend {
--- /dev/null
+++ b/crates/shared-counts/benches/worth.rs
@@ -0,0 +1,209 @@
+//! What shared counts are worth: the same traffic through the decision module of every door, with news of the others by gossip,
+//! without any, and with news that is always new. `cargo bench -p maplefall-shared-counts --bench worth`; some seconds.
+//!
+//! Backends serve everything, so what is refused is refused for quotas alone. A store for each customer that sees all doors
+//! tells which refusals and which uses were right.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use maplefall_policy::*;
+use maplefall_shared_counts::Settings as Sharing;
+use std::collections::BTreeMap;
+use world::*;
+
+const CUSTOMERS: usize = 60;
+const SECONDS: f64 = 60.0;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mode {
+    Without,
+    Gossip,
+    Perfect,
+}
+
+#[derive(Default)]
+struct Sum {
+    /// Units asked for within quotas, let in beyond them, and refused though there was room.
+    within: f64,
+    beyond: f64,
+    wrong: f64,
+}
+
+struct Store {
+    left: f64,
+    t: f64,
+}
+
+fn main() {
+    println!("doors  loss  mode      of what quotas hold of the demand: let in beyond %  refused though there was room %");
+    for (doors, loss) in [(4, 0.01), (20, 0.01), (20, 0.3), (100, 0.01)] {
+        for (name, mode) in [("without", Mode::Without), ("gossip", Mode::Gossip), ("perfect", Mode::Perfect)]
+        {
+            let mut rows = Vec::new();
+            for seed in 0..3 {
+                let sum = play(doors, loss, mode, seed);
+                rows.push((100.0 * sum.beyond / sum.within, 100.0 * sum.wrong / sum.within));
+            }
+            let show = |of: fn(&(f64, f64)) -> f64| {
+                let list: Vec<f64> = rows.iter().map(of).collect();
+                let mean = list.iter().sum::<f64>() / list.len() as f64;
+                let span = list.iter().fold(0.0f64, |most, one| most.max((one - mean).abs()));
+                format!("{mean:.1} +-{span:.1}")
+            };
+            println!("{doors:>5} {loss:>5} {name:>8} {:>40} {:>32}", show(|row| row.0), show(|row| row.1));
+        }
+    }
+}
+
+fn plan_of(customer: usize) -> usize {
+    customer % 3
+}
+
+/// How much of its quota a customer asks for: most well under it, some all, some several times.
+fn demand(customer: usize) -> f64 {
+    match customer % 10 {
+        0..=5 => 0.35,
+        6..=7 => 0.95,
+        _ => 3.0,
+    }
+}
+
+fn play(doors: usize, loss: f64, mode: Mode, seed: u64) -> Sum {
+    let class = Class { aim: 600.0, deadline: 2500.0, effect: Effect::Safe, ..Class::default() };
+    let plan = |rate: f64, span: f64| Plan { rate, burst: rate * span, ..Plan::default() };
+    let plans = vec![plan(2.0, 5.0), plan(10.0, 2.0), plan(30.0, 2.0)];
+    let set = Settings {
+        gateways: doors as u32,
+        tick: 2.0,
+        classes: vec![class],
+        plans: plans.clone(),
+        max_units: 8.0,
+        max_attempts: 3,
+        ..Settings::default()
+    };
+    let link = Link { loss, doubled: 0.0, delay: (0.5, 20.0) };
+    let sharing = Sharing { most_members: 1024, ..Sharing::usual("quito", vec![7; 32]) };
+    let mut world = World::new(doors, sharing, link, seed);
+    if mode == Mode::Gossip {
+        world.meet(120_000.0);
+    }
+    let start = world.now;
+    let entry = |id| BackendEntry {
+        id: BackendId(id),
+        zone: ZoneId(0),
+        cell: CellId(0),
+        availability: Availability::Ready,
+        started: None,
+        size: 1.0,
+    };
+    let list: Vec<BackendEntry> = (0..10).map(entry).collect();
+    let mut actions = Vec::new();
+    let mut gateways: Vec<Gateway> = (0..doors)
+        .map(|at| {
+            let mut gateway = Gateway::new(set.clone(), seed * 1000 + at as u64);
+            gateway.handle(world.clock(at), Event::Backends(ListKind::Full, list.clone()), &mut actions);
+            gateway
+        })
+        .collect();
+    let mut stores: Vec<Store> =
+        (0..CUSTOMERS).map(|c| Store { left: plans[plan_of(c)].burst, t: start }).collect();
+    let mut elsewhere: BTreeMap<(usize, usize), f64> = BTreeMap::new();
+    // Answers that are due: a request's door, number and backend.
+    let mut due: BTreeMap<(u64, u32), (usize, BackendId)> = BTreeMap::new();
+    let (mut sum, mut number) = (Sum::default(), 0u32);
+    while world.now - start < SECONDS * 1000.0 {
+        world.play(10.0);
+        while let Some((&(at, id), _)) = due.first_key_value().filter(|((at, _), _)| *at as f64 <= world.now)
+        {
+            let (door, backend) = due.remove(&(at, id)).expect("it was there");
+            let settled = Settled {
+                request: RequestId(id),
+                attempt: 0,
+                backend,
+                outcome: Outcome::Ok,
+                elapsed: 80.0,
+                closed: true,
+                use_of_quota: None,
+                true_units: None,
+                report: Report::default(),
+                broken: 0,
+            };
+            gateways[door].handle(world.clock(door), Event::Settled(settled), &mut actions);
+            actions.clear();
+        }
+        for customer in 0..CUSTOMERS {
+            let plan = &plans[plan_of(customer)];
+            // Requests of 3 units on average, drawn for each hundredth of a second.
+            let rate = plan.rate * demand(customer) / 3.0;
+            if chance(&mut world.rng) >= rate * 0.01 {
+                continue;
+            }
+            let units = 1.0 + (5.0 * chance(&mut world.rng)).floor();
+            // A few doors are busier than the others.
+            let door = (chance(&mut world.rng).powf(1.5) * doors as f64) as usize;
+            let store = &mut stores[customer];
+            store.left = (store.left + plan.rate * (world.now - store.t) / 1000.0).min(plan.burst);
+            store.t = world.now;
+            let room = store.left >= units;
+            let now = world.clock(door);
+            let told = |units, as_of, error, heard| {
+                let (customer, plan) = (CustomerId(customer as u64), PlanId(plan_of(customer)));
+                Event::Elsewhere(Elsewhere { customer, plan, units, as_of, error, heard })
+            };
+            match mode {
+                Mode::Without => {}
+                Mode::Gossip => {
+                    if let Some(fact) = world.node(door).fact(now, customer as u64) {
+                        let heard = world.node(door).news(now).1 as f64 / doors as f64;
+                        let event = told(fact.units, fact.as_of, fact.error, heard);
+                        gateways[door].handle(now, event, &mut actions);
+                    }
+                }
+                Mode::Perfect => {
+                    let units = elsewhere.remove(&(door, customer)).unwrap_or(0.0);
+                    gateways[door].handle(now, told(units, now, 0.0, 1.0), &mut actions);
+                }
+            }
+            number += 1;
+            let request = Request {
+                id: RequestId(number),
+                customer: CustomerId(customer as u64),
+                plan: PlanId(plan_of(customer)),
+                class: ClassId(0),
+                units,
+                deadline: now + 2500.0,
+                checked: true,
+                spread: doors as f64,
+            };
+            actions.clear();
+            gateways[door].handle(now, Event::Arrival(request), &mut actions);
+            let sent = actions.iter().find_map(|action| match action {
+                Action::Send { backend, .. } => Some(*backend),
+                _ => None,
+            });
+            sum.within += if room { units } else { 0.0 };
+            let Some(backend) = sent else {
+                sum.wrong += if room { units } else { 0.0 };
+                // What is refused leaves its room to the next; what quotas hold of the demand counts it once.
+                continue;
+            };
+            if room {
+                stores[customer].left -= units;
+            } else {
+                sum.beyond += units;
+            }
+            due.insert(((world.now + 80.0) as u64, number), (door, backend));
+            match mode {
+                Mode::Without => {}
+                Mode::Gossip => world.used(door, customer as u64, units),
+                Mode::Perfect => {
+                    for other in (0..doors).filter(|other| *other != door) {
+                        *elsewhere.entry((other, customer)).or_default() += units;
+                    }
+                }
+            }
+        }
+    }
+    sum
+}
--- a/crates/shared-counts/src/members.rs
+++ b/crates/shared-counts/src/members.rs
@@ -20,7 +20,7 @@
 const PROOF: u32 = 2;
 
 /// What is thought of a life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Told of by others; it has shown no life since.
--- a/crates/shared-counts/src/node.rs
+++ b/crates/shared-counts/src/node.rs
@@ -31,6 +31,8 @@
 const DIGEST_PART: f64 = 0.6;
 /// Cards of others that go into what is left of a datagram at most.
 const CARDS: usize = 8;
+/// A door that has sent no more datagrams than this has just begun.
+const NEWCOMER: u64 = 24;
 /// A door that is not heard of is called in one of so many rounds.
 const CALL_SILENT: u32 = 5;
 /// A seed is called in one of so many rounds.
@@ -88,6 +90,8 @@
     want: Vec<Line>,
     /// Doors whose cards the sender may lack.
     cards: Vec<DoorId>,
+    /// Whether the sender has just begun and is told of as many doors as there is room for.
+    welcome: bool,
 }
 
 /// A budget of so many a second.
@@ -479,8 +483,9 @@
             let chosen = self.others.iter().filter(move |(_, member)| state(member.state));
             chosen.map(|(id, _)| *id).collect::<Vec<_>>()
         };
-        let mut alive = of(|state| state == State::Alive);
-        let silent = of(|state| state != State::Alive);
+        // Whoever was only told of is called like the rest: it will answer, or be gone soon.
+        let mut alive = of(|state| matches!(state, State::Alive | State::Unproven));
+        let silent = of(|state| matches!(state, State::Suspected | State::Gone));
         let mut peers = Vec::new();
         for _ in 0..self.set.fan_out.min(alive.len()) {
             let at = below(&mut self.rng, alive.len());
@@ -552,17 +557,17 @@
         let room = (writer.room() as f64 * DIGEST_PART) as usize;
         writer.add(&Section::Digest(self.digest(now, room)));
         self.add_rumours(&mut writer, rumours);
-        self.add_cards(now, &mut writer);
+        self.add_cards(now, &mut writer, CARDS);
         self.send(now, to, writer);
     }
 
     /// Fills what is left of a datagram with cards of others, drawn by chance: so all get to know all.
-    fn add_cards(&mut self, now: Millis, writer: &mut Writer) {
+    fn add_cards(&mut self, now: Millis, writer: &mut Writer, most: usize) {
         // Only those who have shown life to this door: what somebody made up goes no further than to whom it was told.
         let lives = |member: &Member| matches!(member.state, State::Alive | State::Suspected);
         let mut there: Vec<DoorId> =
             self.others.iter().filter(|(_, member)| lives(member)).map(|(id, _)| *id).collect();
-        for _ in 0..CARDS.min(there.len()) {
+        for _ in 0..most.min(there.len()) {
             let id = there.swap_remove(below(&mut self.rng, there.len()));
             let Some(card) = self.card_of(now, id) else { continue };
             if !writer.add(&Section::Cards(vec![card])) {
@@ -745,7 +750,7 @@
         member.proven(now);
         member.nonce = Some(head.nonce);
         self.age = None;
-        let mut answer = Answer::default();
+        let mut answer = Answer { welcome: head.number <= NEWCOMER, ..Answer::default() };
         for section in sections {
             self.take_section(now, section, &mut answer);
         }
@@ -903,8 +908,8 @@
         let Some((address, Some(echo))) = self.others.get(&to).map(|peer| (peer.address, peer.nonce)) else {
             return;
         };
-        let Answer { mut owed, want, cards } = answer;
-        if owed.is_empty() && want.is_empty() && cards.is_empty() {
+        let Answer { mut owed, want, cards, welcome } = answer;
+        if owed.is_empty() && want.is_empty() && cards.is_empty() && !welcome {
             return;
         }
         // Whoever has much to hear of many hears of each in turn.
@@ -942,6 +947,9 @@
                     break;
                 }
             }
+            if datagram == 0 && welcome {
+                self.add_cards(now, &mut writer, usize::MAX);
+            }
             self.send(now, address, writer);
         }
     }
--- a/crates/shared-counts/src/status.rs
+++ b/crates/shared-counts/src/status.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 /// A door as another one sees it.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct MemberStatus {
     /// Its name.
     pub name: String,
@@ -29,7 +29,7 @@
 }
 
 /// What a customer has used, over all doors and the epochs that are kept.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct UseStatus {
     /// Whose use.
     pub customer: Customer,
@@ -38,7 +38,7 @@
 }
 
 /// All that is shown.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
 pub struct Status {
     /// The door that was asked.
     pub name: String,
--- a/crates/shared-counts/src/wire.rs
+++ b/crates/shared-counts/src/wire.rs
@@ -88,7 +88,7 @@
 }
 
 /// Why a datagram changes nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refused {
     /// It is longer than any may be.
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod grpc;
 pub mod lateness;
 pub mod node;
+pub mod relay;
 pub mod rude;
 pub mod wire;
 
