--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -84,6 +84,12 @@
 const SLACK_USED: f64 = 0.9;
 /// Part of the multiple that pushes a cold backend over which a gateway makes use of.
 const COLD_PART: f64 = 0.6;
+/// Gateways by which each backend is chosen, on average: with fewer, some would get far more than others.
+const CHOSEN_BY: f64 = 16.0;
+/// Backends that are chosen at least: with fewer, one that is cold or sick shifts too much to the others.
+const CHOSEN_LEAST: usize = 8;
+/// A backend that is not among the chosen must be better by this many aims.
+const STRANGE_AIMS: f64 = 0.25;
 /// Alarm that asks again for the list of backends.
 const LIST_ALARM: AlarmId = AlarmId(u64::MAX);
 
@@ -188,6 +194,8 @@
     set_aside: bool,
     /// Its turn while cold: it may be sent a request at one.
     turn: f64,
+    /// Its place among those that this gateway prefers, drawn once: the lowest are chosen.
+    place: f64,
 }
 
 /// A request that has no final answer yet, or whose last attempt is still out.
@@ -542,7 +550,8 @@
 
     /// The backend with the least expected time, and the wait expected there.
     fn choose(&mut self, now: Millis, live: &Live, reach: Reach) -> Option<(BackendId, Millis)> {
-        let cold = self.cold_turn(now);
+        let last = self.last_chosen(now);
+        let cold = self.cold_turn(now, last);
         let mut drawn: Option<(f64, BackendId, Millis)> = None;
         let mut best: Option<(f64, BackendId, Millis)> = None;
         let mut rng = self.rng.clone();
@@ -558,7 +567,8 @@
                 continue;
             }
             let wait = self.wait(backend);
-            let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng));
+            let strange = if backend.place > last { STRANGE_AIMS * self.aim } else { 0.0 };
+            let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng)) + strange;
             if cold == Some(*id) {
                 drawn = Some((cost, *id, wait));
             } else if best.is_none_or(|(least, _, _)| cost < least) {
@@ -662,13 +672,30 @@
         backend.warmth(now, self.set.start_capacity, self.set.warm_up)
     }
 
+    /// The last place of a backend that is among the chosen. Guards against a connection for each pair: where
+    /// a hundred gateways have few requests each, nearly every one would pay for a handshake. Others stand in
+    /// for those that are distrusted, or slower by far. All are chosen where there are few gateways.
+    fn last_chosen(&self, now: Millis) -> f64 {
+        let trusted = |b: &&Backend| self.faded(now, b.distrust, DISTRUST_AIMS) <= FORGOTTEN;
+        let mut places: Vec<f64> = self.ready().filter(trusted).map(|b| b.place).collect();
+        let most = (CHOSEN_BY * places.len() as f64 / f64::from(self.set.gateways.max(1))).ceil() as usize;
+        let most = most.max(CHOSEN_LEAST);
+        if most >= places.len() {
+            return 1.0;
+        }
+        *places.select_nth_unstable_by(most - 1, f64::total_cmp).1
+    }
+
     /// The cold backend whose turn this request is, if it is one's. Guards cold backends: each gets its
     /// warmth of what a warm one gets, as the warmth of all allows, and where hardly any is warm no more than
     /// a part of the multiple that pushes it over. Turns come evenly from a drawn start: so shares hold
     /// over the fleet though each of hundreds of gateways has few requests for many backends, and no first
     /// requests come in step.
-    fn cold_turn(&mut self, now: Millis) -> Option<BackendId> {
-        let weights = self.ready().map(|b| (b.entry.size * self.warmth(now, b), b.entry.size));
+    fn cold_turn(&mut self, now: Millis, last: f64) -> Option<BackendId> {
+        let weights = self
+            .ready()
+            .filter(|b| b.place <= last)
+            .map(|b| (b.entry.size * self.warmth(now, b), b.entry.size));
         let (warm, size) = weights.fold((0.0, 0.0), |sum, (w, s)| (sum.0 + w, sum.1 + s));
         if warm >= size {
             return None;
@@ -679,7 +706,8 @@
         let mut next: Option<(f64, BackendId)> = None;
         for backend in self.backends.values_mut() {
             let warmth = backend.warmth(now, first, span);
-            if warmth >= 1.0 || backend.entry.availability != Availability::Ready {
+            let ready = backend.entry.availability == Availability::Ready;
+            if warmth >= 1.0 || !ready || backend.place > last {
                 continue;
             }
             backend.turn = (backend.turn + warmth * backend.entry.size * per_weight).min(2.0);
@@ -980,12 +1008,12 @@
         for entry in entries {
             let mut entry = *entry;
             entry.size = in_range(entry.size, 0.01, 1e6, 1.0);
-            let turn = chance(&mut self.rng);
-            let known = self.backends.entry(entry.id).or_insert_with(|| Backend::new(entry, now, turn));
+            let (turn, place) = (chance(&mut self.rng), chance(&mut self.rng));
+            let fresh = Backend::new(entry, now, turn, place);
+            let known = self.backends.entry(entry.id).or_insert_with(|| fresh.clone());
             if known.entry.started != entry.started {
-                let out = std::mem::take(&mut known.out);
-                *known = Backend::new(entry, now, turn);
-                known.out = out;
+                let (out, place) = (std::mem::take(&mut known.out), known.place);
+                *known = Backend { out, place, ..fresh };
             }
             known.entry = entry;
         }
@@ -1032,7 +1060,7 @@
 }
 
 impl Backend {
-    fn new(entry: BackendEntry, now: Millis, turn: f64) -> Self {
+    fn new(entry: BackendEntry, now: Millis, turn: f64, place: f64) -> Self {
         Backend {
             entry,
             out: BTreeMap::new(),
@@ -1044,6 +1072,7 @@
             classes: BTreeMap::new(),
             set_aside: false,
             turn,
+            place,
         }
     }
 
--- a/crates/policy/tests/attempts.rs
+++ b/crates/policy/tests/attempts.rs
@@ -236,6 +236,70 @@
     assert!(part > 0.25, "cold backends took {part:.2} of what was sent in their first 12 s");
 }
 
+/// Plays 40 requests at each of so many gateways, two a second; how often each gateway sent to each backend.
+fn pairs(gateways: u32, backends: u32) -> std::collections::BTreeMap<(u32, BackendId), u32> {
+    let mut pairs = std::collections::BTreeMap::new();
+    for seed in 0..gateways {
+        let list = (0..backends).map(|id| ready(id, 0)).collect();
+        let mut stage = Stage::seeded(settings(open_plan(), gateways), u64::from(seed), list);
+        for i in 0..40u32 {
+            let now = f64::from(i) * 500.0 + f64::from(seed) * 5.0;
+            if let Some(at) = stage.arrive(now, request(i, 0, now)) {
+                *pairs.entry((seed, at)).or_insert(0) += 1;
+                stage.settle(now + 50.0, i, 0, at, Outcome::Ok);
+            }
+        }
+    }
+    pairs
+}
+
+/// Guards a fleet against a connection for each pair: a hundred gateways with few requests each keep to some backends,
+/// which are others at each, so that all get about the same. Four gateways use all.
+#[test]
+fn each_of_many_gateways_keeps_to_a_few_backends() {
+    let many = pairs(100, 60);
+    assert!(many.len() <= 100 * 20, "{} pairs of 6000", many.len());
+    let load =
+        |id| many.iter().filter(|((_, at), _)| *at == BackendId(id)).map(|(_, sent)| *sent).sum::<u32>();
+    let loads: Vec<u32> = (0..60).map(load).collect();
+    let mean = loads.iter().sum::<u32>() as f64 / 60.0;
+    assert!(
+        loads.iter().all(|load| (0.25..1.8).contains(&(f64::from(*load) / mean))),
+        "mean {mean}: {loads:?}"
+    );
+    let few = pairs(4, 12).len();
+    assert!(few >= 44, "{few} pairs of 48: by chance some may miss, four gateways choose all");
+}
+
+/// Guards a gateway whose chosen backends all die: others stand in after one refused connection each.
+#[test]
+fn others_stand_in_for_chosen_backends_that_die() {
+    let list = (0..60).map(|id| ready(id, 0)).collect();
+    let mut stage = Stage::seeded(settings(open_plan(), 100), 7, list);
+    let mut chosen = std::collections::BTreeSet::new();
+    for i in 0..100u32 {
+        let now = f64::from(i) * 100.0;
+        chosen.extend(stage.arrive(now, request(i, 0, now)));
+        stage.settle(now + 50.0, i, 0, stage.sent().unwrap_or(BackendId(99)), Outcome::Ok);
+    }
+    let (mut refused, mut served) = (0usize, 0u32);
+    for i in 100..200u32 {
+        let now = f64::from(i) * 100.0;
+        let mut attempt = 0;
+        let mut sent = stage.arrive(now, request(i, 0, now));
+        while let Some(at) = sent {
+            let dead = chosen.contains(&at);
+            refused += usize::from(dead);
+            served += u32::from(!dead);
+            stage.settle(now + 1.0, i, attempt, at, if dead { Outcome::ConnectFailed } else { Outcome::Ok });
+            attempt += 1;
+            sent = if dead { stage.sent() } else { None };
+        }
+    }
+    assert!(chosen.len() < 25 && served >= 80, "{} chosen, {served} served", chosen.len());
+    assert!(refused <= 2 * chosen.len(), "{refused} refused by {} dead", chosen.len());
+}
+
 #[test]
 fn a_fleet_of_cold_backends_alone_is_still_made_use_of() {
     let cold = |id| BackendEntry { started: Some(0.0), ..ready(id, 0) };
