--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -88,6 +88,12 @@
 const NEWS_AIMS: f64 = 6.0;
 /// Part of what is known to be left that one gateway may use between two news: the others see it too.
 const NEWS_PART: f64 = 0.5;
+/// Gateways by which each backend is chosen, on average: with fewer, some would get far more than others.
+const CHOSEN_BY: f64 = 16.0;
+/// Backends that are chosen at least: with fewer, one that is cold or sick shifts too much to the others.
+const CHOSEN_LEAST: usize = 8;
+/// A backend that is not among the chosen must be better by this many aims.
+const STRANGE_AIMS: f64 = 0.25;
 /// Alarm that asks again for the list of backends.
 const LIST_ALARM: AlarmId = AlarmId(u64::MAX);
 
@@ -204,6 +210,8 @@
     set_aside: bool,
     /// Its turn while cold: it may be sent a request at one.
     turn: f64,
+    /// Its place among those that this gateway prefers, drawn once: the lowest are chosen.
+    place: f64,
 }
 
 /// A request that has no final answer yet, or whose last attempt is still out.
@@ -608,7 +616,8 @@
 
     /// The backend with the least expected time, and the wait expected there.
     fn choose(&mut self, now: Millis, live: &Live, reach: Reach) -> Option<(BackendId, Millis)> {
-        let cold = self.cold_turn(now);
+        let last = self.last_chosen(now);
+        let cold = self.cold_turn(now, last);
         let mut drawn: Option<(f64, BackendId, Millis)> = None;
         let mut best: Option<(f64, BackendId, Millis)> = None;
         let mut rng = self.rng.clone();
@@ -624,7 +633,8 @@
                 continue;
             }
             let wait = self.wait(backend);
-            let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng));
+            let strange = if backend.place > last { STRANGE_AIMS * self.aim } else { 0.0 };
+            let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng)) + strange;
             if cold == Some(*id) {
                 drawn = Some((cost, *id, wait));
             } else if best.is_none_or(|(least, _, _)| cost < least) {
@@ -728,13 +738,30 @@
         backend.warmth(now, self.set.start_capacity, self.set.warm_up)
     }
 
+    /// The last place of a backend that is among the chosen. Guards against a connection for each pair: where
+    /// a hundred gateways have few requests each, nearly every one would pay for a handshake. Others stand in
+    /// for those that are distrusted, or slower by far. All are chosen where there are few gateways.
+    fn last_chosen(&self, now: Millis) -> f64 {
+        let trusted = |b: &&Backend| self.faded(now, b.distrust, DISTRUST_AIMS) <= FORGOTTEN;
+        let mut places: Vec<f64> = self.ready().filter(trusted).map(|b| b.place).collect();
+        let most = (CHOSEN_BY * places.len() as f64 / f64::from(self.set.gateways.max(1))).ceil() as usize;
+        let most = most.max(CHOSEN_LEAST);
+        if most >= places.len() {
+            return 1.0;
+        }
+        *places.select_nth_unstable_by(most - 1, f64::total_cmp).1
+    }
+
     /// The cold backend whose turn this request is, if it is one's. Guards cold backends: each gets its
     /// warmth of what a warm one gets, as the warmth of all allows, and where hardly any is warm no more than
     /// a part of the multiple that pushes it over. Turns come evenly from a drawn start: so shares hold
     /// over the fleet though each of hundreds of gateways has few requests for many backends, and no first
     /// requests come in step.
-    fn cold_turn(&mut self, now: Millis) -> Option<BackendId> {
-        let weights = self.ready().map(|b| (b.entry.size * self.warmth(now, b), b.entry.size));
+    fn cold_turn(&mut self, now: Millis, last: f64) -> Option<BackendId> {
+        let weights = self
+            .ready()
+            .filter(|b| b.place <= last)
+            .map(|b| (b.entry.size * self.warmth(now, b), b.entry.size));
         let (warm, size) = weights.fold((0.0, 0.0), |sum, (w, s)| (sum.0 + w, sum.1 + s));
         if warm >= size {
             return None;
@@ -745,7 +772,8 @@
         let mut next: Option<(f64, BackendId)> = None;
         for backend in self.backends.values_mut() {
             let warmth = backend.warmth(now, first, span);
-            if warmth >= 1.0 || backend.entry.availability != Availability::Ready {
+            let ready = backend.entry.availability == Availability::Ready;
+            if warmth >= 1.0 || !ready || backend.place > last {
                 continue;
             }
             backend.turn = (backend.turn + warmth * backend.entry.size * per_weight).min(2.0);
@@ -1049,12 +1077,12 @@
         for entry in entries {
             let mut entry = *entry;
             entry.size = in_range(entry.size, 0.01, 1e6, 1.0);
-            let turn = chance(&mut self.rng);
-            let known = self.backends.entry(entry.id).or_insert_with(|| Backend::new(entry, now, turn));
+            let (turn, place) = (chance(&mut self.rng), chance(&mut self.rng));
+            let fresh = Backend::new(entry, now, turn, place);
+            let known = self.backends.entry(entry.id).or_insert_with(|| fresh.clone());
             if known.entry.started != entry.started {
-                let out = std::mem::take(&mut known.out);
-                *known = Backend::new(entry, now, turn);
-                known.out = out;
+                let (out, place) = (std::mem::take(&mut known.out), known.place);
+                *known = Backend { out, place, ..fresh };
             }
             known.entry = entry;
         }
@@ -1110,7 +1138,7 @@
 }
 
 impl Backend {
-    fn new(entry: BackendEntry, now: Millis, turn: f64) -> Self {
+    fn new(entry: BackendEntry, now: Millis, turn: f64, place: f64) -> Self {
         Backend {
             entry,
             out: BTreeMap::new(),
@@ -1122,6 +1150,7 @@
             classes: BTreeMap::new(),
             set_aside: false,
             turn,
+            place,
         }
     }
 
