--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The rules are those of the platform's pages (BRIEF "The five rules", WIRE "Invariants", PROTOCOL "The rules on
 //! sockets"), each in a file: [`answers`], [`repeats`], [`drains`], [`cold`], [`ceilings`]; and where callers are checked a
-//! sixth, [`callers`].
+//! sixth, [`callers`]; where front doors share counts a seventh, [`quotas`].
 
 pub mod answers;
 pub mod callers;
@@ -12,6 +12,7 @@
 pub mod drain_times;
 pub mod drains;
 pub mod figures;
+pub mod quotas;
 pub mod repeats;
 mod ruling;
 pub mod view;
@@ -70,6 +71,7 @@
             cold::judge(&view),
             ceilings::judge(&view),
             callers::judge(&view),
+            quotas::judge(&view),
         ],
         figures: figures::count(&view),
     }
--- a/crates/judge/tests/rules.rs
+++ b/crates/judge/tests/rules.rs
@@ -479,3 +479,35 @@
     let tale = credential(tale(), 0.0, 8).asked(100.0, "a", SAFE).answered(120.0, "a", 401, None);
     assert_eq!(tale.rule(6).verdict, Broken);
 }
+
+// ---- Rule 7 -------------------------------------------------------------------------------------------
+
+/// So many units at once for one customer with a quota of 20 units, ten a second, where counts are shared and two seconds of the
+/// quota may pass it: one more burst and 20 units below nought are allowed.
+fn shared(units: u64) -> Tale {
+    let mut tale = (0..units).fold(tale(), |tale, i| {
+        let id = format!("q{i}");
+        tale.asked(0.0, &id, SAFE).came(20.0, i, &id, 0).over(30.0, i, End::Served).answered(
+            40.0,
+            &id,
+            200,
+            Some(i),
+        )
+    });
+    tale.header.rules.shared_ms = 2000.0;
+    tale
+}
+
+#[test]
+fn a_shared_quota_holds_over_all_front_doors_with_its_stated_error() {
+    let plan = header().plans[0].clone();
+    let allowed = (2.0 * plan.burst + plan.rate * 2.0) as u64;
+    assert_eq!(shared(1).rule(7).verdict, NotExercised);
+    let last = shared(allowed).rule(7);
+    assert_eq!((last.verdict, last.margin), (Kept, Some(0.0)));
+    assert_eq!(shared(allowed + 1).rule(7).verdict, Broken);
+    // Where counts are not shared nobody promised it.
+    let mut alone = shared(allowed + 1);
+    alone.header.rules.shared_ms = 0.0;
+    assert_eq!(alone.rule(7).verdict, NotExercised);
+}
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -158,6 +158,15 @@
     fact
 }
 
+/// Part of the front doors that the decision module takes to be heard of.
+pub fn heard(part: f64) -> f64 {
+    if is(Breakage::NewsNeverOld) {
+        1.0
+    } else {
+        part
+    }
+}
+
 /// An action as it is carried out.
 pub fn action(action: Action) -> Action {
     match action {
--- a/crates/maplefall/src/net/counts.rs
+++ b/crates/maplefall/src/net/counts.rs
@@ -88,6 +88,8 @@
         #[cfg(feature = "breakages")]
         let fact = super::breakages::fact(fact, now);
         let heard = (node.news(now).1 as f64 / f64::from(self.doors.max(1))).min(1.0);
+        #[cfg(feature = "breakages")]
+        let heard = super::breakages::heard(heard);
         Elsewhere { customer, plan, units: fact.units, as_of: fact.as_of, error: fact.error, heard }
     }
 
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -86,6 +86,9 @@
     /// For how long after a credential is revoked its requests may go on: kept verdicts, and checks that are out.
     #[serde(default)]
     pub revoked_ms: Millis,
+    /// Where front doors share counts: by how much of a quota's time use may pass it, beside its burst; 0 where they do not.
+    #[serde(default)]
+    pub shared_ms: Millis,
 }
 
 impl Rules {
@@ -101,6 +104,7 @@
             most_attempts: 3,
             socket_slack_ms: 50.0,
             revoked_ms: 0.0,
+            shared_ms: 0.0,
         }
     }
 }
--- a/crates/rehearsal/src/daemon.rs
+++ b/crates/rehearsal/src/daemon.rs
@@ -29,6 +29,8 @@
     pub sources: Option<PathBuf>,
     /// Its file of forward authentication, where callers are checked.
     pub forward_auth: Option<PathBuf>,
+    /// Its file of shared counts, where front doors share them.
+    pub shared_counts: Option<PathBuf>,
 }
 
 impl Files {
@@ -39,6 +41,7 @@
             log: folder.join(format!("door-{door}.log")),
             sources: None,
             forward_auth: None,
+            shared_counts: None,
         }
     }
 
@@ -82,6 +85,7 @@
             .env_remove(BREAKAGE)
             .env_remove(SOURCES)
             .env_remove(FORWARD_AUTH)
+            .env_remove(SHARED_COUNTS)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log);
@@ -91,6 +95,9 @@
         if let Some(forward_auth) = &files.forward_auth {
             command.env(FORWARD_AUTH, forward_auth);
         }
+        if let Some(shared_counts) = &files.shared_counts {
+            command.env(SHARED_COUNTS, shared_counts);
+        }
         if let Some(breakage) = breakage {
             command.env(BREAKAGE, breakage);
         }
@@ -159,6 +166,9 @@
 /// The variable that names a file of forward authentication.
 const FORWARD_AUTH: &str = "MAPLEFALL_FORWARD_AUTH";
 
+/// The variable that names a file of shared counts.
+const SHARED_COUNTS: &str = "MAPLEFALL_SHARED_COUNTS";
+
 /// Where a front door listens: an address that belongs to this process, play and door alone, at a host that no outgoing
 /// connection takes its port at (those come from 127.0.0.1) and a port that the system hands to nobody. It is worked out
 /// and never tried: a socket opened to find a free port lives on in whatever process is being begun just then, and the
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -3,7 +3,7 @@
 
 use crate::daemon::{healthy, own_address, Door, Files};
 use crate::etcd_world::EtcdWorld;
-use crate::scenario::{AuthTrouble, Scenario, Sources, Strike};
+use crate::scenario::{AuthTrouble, Scenario, Sharing, Sources, Strike};
 use crate::script::{DoorAct, Script, WorldAct};
 use crate::settings;
 use maplefall_protocol::{Health, Member, Members};
@@ -16,6 +16,7 @@
 use maplefall_stand_ins::node::{
     Deployment, Fault, Metering, Node, Overload, Place, Seats, Spec, Trouble, Work, World,
 };
+use maplefall_stand_ins::relay::{Relay, Weather};
 use maplefall_stand_ins::rude;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -67,6 +68,12 @@
     Overflow(u64),
 }
 
+/// What the network does to counts, with these pairs cut off from one another.
+fn weather(sharing: &Sharing, cut: &[(usize, usize)]) -> Weather {
+    let delay_ms = (sharing.delay_ms[0], sharing.delay_ms[1]);
+    Weather { loss: sharing.loss, doubled: sharing.loss / 3.0, delay_ms, cut: cut.iter().copied().collect() }
+}
+
 fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> NotPlayed {
     let what = what.into();
     |error| NotPlayed::Io { what, error }
@@ -133,6 +140,15 @@
         }
         let auth_addresses: Vec<SocketAddr> =
             auth_at.iter().filter_map(|listener| listener.local_addr().ok()).collect();
+        let relay = match &scenario.sharing {
+            Some(sharing) => {
+                let relay =
+                    Relay::new(doors, script.header.seed).map_err(io_error("a network for counts"))?;
+                relay.play(weather(sharing, &[]));
+                Some(relay)
+            }
+            None => None,
+        };
         for door in 0..doors {
             let two = [port(), port()].map(|listener| {
                 let listener = listener?;
@@ -160,9 +176,18 @@
                 std::fs::write(&path, text).map_err(io_error("a file of forward authentication"))?;
                 files.forward_auth = Some(path);
             }
+            let listen = own_address(std::process::id(), play, door);
+            if let Some(relay) = &relay {
+                relay.door(door, listen);
+                if let Some(text) = settings::shared_counts(scenario, listen, door, &relay.fronts) {
+                    let path = self.folder.join(format!("door-{door}-counts.toml"));
+                    std::fs::write(&path, text).map_err(io_error("a file of shared counts"))?;
+                    files.shared_counts = Some(path);
+                }
+            }
             slots.push(Slot {
                 files,
-                listen: own_address(std::process::id(), play, door),
+                listen,
                 discovery: local(&first)?,
                 list: list.clone(),
                 door: None,
@@ -219,6 +244,7 @@
                 unix_start,
                 &mut slots,
                 &moved,
+                relay.as_ref(),
                 start_world,
                 start_clients,
                 &clients,
@@ -246,6 +272,7 @@
         unix_start: Millis,
         slots: &mut [Slot],
         moved: &[SocketAddr],
+        relay: Option<&Relay>,
         start_world: tokio::sync::oneshot::Sender<Millis>,
         start_clients: tokio::sync::oneshot::Sender<Millis>,
         clients: &std::thread::ScopedJoinHandle<'_, T>,
@@ -269,7 +296,10 @@
                 recorder.note(Entry::Failure { name: name.clone(), begins: *begins });
             }
             while let Some((_, door, act)) = acts.next_if(|(at, _, _)| *at <= now) {
-                self.act(recorder, board, slots, moved, *door, *act)?;
+                match (act, relay, &self.scenario.sharing) {
+                    (DoorAct::Cut(pairs), Some(relay), Some(sharing)) => relay.play(weather(sharing, pairs)),
+                    _ => self.act(recorder, board, slots, moved, *door, act)?,
+                }
             }
             self.look(recorder, board, unix_start, slots)?;
             (self.progress)(now.max(0.0));
@@ -345,7 +375,7 @@
         slots: &mut [Slot],
         moved: &[SocketAddr],
         door: usize,
-        act: DoorAct,
+        act: &DoorAct,
     ) -> Result<(), NotPlayed> {
         let Some(slot) = slots.get_mut(door) else { return Ok(()) };
         let Some(process) = &mut slot.door else { return Ok(()) };
@@ -356,6 +386,7 @@
         };
         match act {
             DoorAct::Kill(down) => {
+                let down = *down;
                 let (cpu_ms, memory_kib) = process.used();
                 // Before the signal: what is lost from here on is the killer's doing.
                 recorder.note(Entry::Door { door: number, state: DoorState::Killed });
@@ -370,8 +401,9 @@
                 recorder.note(Entry::Door { door: number, state: DoorState::Terminated });
                 process.terminate();
                 left(true);
-                slot.stopping = Some(down);
+                slot.stopping = Some(*down);
             }
+            DoorAct::Cut(_) => {}
             DoorAct::Reload => {
                 slot.discovery = moved[door];
                 self.configure(slot, door)?;
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -26,7 +26,7 @@
 pub const MOST_ASKS: usize = 400_000;
 
 /// Something done to a front door's process.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum DoorAct {
     /// Killed, and started again after this.
     Kill(Millis),
@@ -34,6 +34,8 @@
     Stop(Millis),
     /// Handed a configuration in which its agent has moved.
     Reload,
+    /// From now on no counts pass between these, from and to; of all front doors, whichever is named.
+    Cut(Vec<(usize, usize)>),
 }
 
 /// Something done to a node or by an agent.
@@ -288,6 +290,28 @@
                 (0..doors).for_each(|door| script.doors.push((at, door, DoorAct::Reload)));
                 ("reload, agents move".to_owned(), at + 1500.0)
             }
+            What::SplitDoors { for_ms } => {
+                let length = dice.within(*for_ms);
+                let half = dice.part(doors, 0.5);
+                let pairs = |left: &[usize]| {
+                    let apart = |door: usize| left.contains(&door);
+                    let all = (0..doors).flat_map(|from| (0..doors).map(move |to| (from, to)));
+                    all.filter(|(from, to)| apart(*from) != apart(*to)).collect::<Vec<_>>()
+                };
+                script.doors.push((at, 0, DoorAct::Cut(pairs(&half))));
+                script.doors.push((at + length, 0, DoorAct::Cut(Vec::new())));
+                ("front doors in two halves".to_owned(), at + length)
+            }
+            What::SilentDoor { for_ms } => {
+                let length = dice.within(*for_ms);
+                let silent = dice.part(doors, 0.001);
+                let others = (0..doors).filter(|door| !silent.contains(door));
+                let pairs = others
+                    .flat_map(|other| silent.iter().flat_map(move |one| [(*one, other), (other, *one)]));
+                script.doors.push((at, 0, DoorAct::Cut(pairs.collect())));
+                script.doors.push((at + length, 0, DoorAct::Cut(Vec::new())));
+                ("a front door silent".to_owned(), at + length)
+            }
             What::Strike { strike, part, share, late_ms, for_ms } => {
                 let length = dice.within(*for_ms);
                 for place in dice.part(scenario.nodes as usize, *part) {
@@ -701,6 +725,7 @@
         rules: Rules {
             // A check that is out when the credential is revoked may bring its pass later, which is kept from then on.
             revoked_ms: scenario.checks.as_ref().map_or(0.0, |checks| checks.keep_ms + 2.0 * checks.limit_ms),
+            shared_ms: scenario.sharing.as_ref().map_or(0.0, |sharing| sharing.error_ms),
             ..Rules::platform(2.0 * scenario.most_units / USUAL_UNITS * most_work)
         },
     }
--- a/crates/rehearsal/src/settings.rs
+++ b/crates/rehearsal/src/settings.rs
@@ -81,6 +81,26 @@
     Some(text)
 }
 
+/// What a front door's file of shared counts says: it takes datagrams at the address at which it takes clients, and others
+/// reach it by way of the played network.
+pub fn shared_counts(
+    scenario: &Scenario,
+    listen: SocketAddr,
+    door: usize,
+    fronts: &[SocketAddr],
+) -> Option<String> {
+    let sharing = scenario.sharing.as_ref()?;
+    let seeds: Vec<String> = fronts.iter().take(2).map(|front| format!("\"{front}\"")).collect();
+    let advertise = fronts.get(door)?;
+    Some(format!(
+        "cluster = \"rehearsal\"\nkey = \"{:064x}\"\ngossip = \"{listen}\"\nadvertise = \"{advertise}\"\nseeds = [{}]\n\
+         interval_ms = {:.1}\n",
+        0x7265_6865_6172_7361_u64,
+        seeds.join(", "),
+        sharing.interval_ms
+    ))
+}
+
 /// Where etcd holds what a front door is to know: nodes have another address for each.
 pub fn prefix(door: usize) -> String {
     format!("/door-{door}")
--- a/crates/shared-counts/src/settings.rs
+++ b/crates/shared-counts/src/settings.rs
@@ -44,6 +44,9 @@
     pub expected: String,
 }
 
+/// Bytes of a datagram for each line of its digest, with what stands beside the digest.
+const BYTES_A_LINE: f64 = 44.0;
+
 impl Settings {
     /// The defaults, for a cluster and a key.
     pub fn usual(cluster: &str, key: Vec<u8>) -> Settings {
@@ -70,6 +73,16 @@
         self.epoch * f64::from(self.epochs_kept.saturating_sub(1))
     }
 
+    /// How old news is at most, in milliseconds, while all of so many doors are up, this part of the datagrams is lost and
+    /// none takes longer than `delay`: four times the rounds that a rumour takes through all doors, and the rounds in which all
+    /// are told of once.
+    pub fn news_bound(&self, doors: usize, loss: f64, delay: Millis) -> Millis {
+        let (doors, kept) = (doors.max(2) as f64, (1.0 - loss).clamp(0.01, 1.0));
+        let lines = self.datagram as f64 / BYTES_A_LINE;
+        let rounds = doors.ln() / (1.0 + self.fan_out as f64 * kept).ln() + doors / lines;
+        4.0 * self.interval * rounds / kept + 2.0 * delay * doors.log2()
+    }
+
     /// All that cannot be used.
     pub fn mistakes(&self) -> Vec<Mistake> {
         let mut found = Vec::new();
--- a/crates/shared-counts/tests/world/mod.rs
+++ b/crates/shared-counts/tests/world/mod.rs
@@ -279,3 +279,33 @@
 pub fn chance(rng: &mut Pcg64Mcg) -> f64 {
     f64::from(rng.next_u32()) / 4_294_967_296.0
 }
+
+/// Random schedules: doors that come and go, links that are cut and heal, loss, doubles, late datagrams, use everywhere.
+/// Never over the truth, and equal once quiet (among doors that run; what a door that is gone told nobody is lost with it).
+pub fn schedule(doors: usize, steps: usize, seed: u64) {
+    let rough = Link { loss: 0.2, doubled: 0.1, delay: (0.5, 80.0) };
+    let set = Settings { forget_after: 20_000_000.0, ..settings() };
+    let mut world = World::new(doors, set, rough, seed);
+    world.meet(60_000.0);
+    for _ in 0..steps {
+        let at = (chance(&mut world.rng) * doors as f64) as usize;
+        match (chance(&mut world.rng) * 12.0) as u32 {
+            0 => {
+                let other = (chance(&mut world.rng) * doors as f64) as usize;
+                world.cut.insert((at, other));
+            }
+            1 => world.cut.clear(),
+            _ => {
+                let customer = (chance(&mut world.rng) * 5.0) as u64;
+                let units = 6.0 * chance(&mut world.rng);
+                world.used(at, customer, units);
+                world.used(at, customer, -0.3 * units);
+            }
+        }
+        world.play(10.0);
+        world.assert_never_over();
+    }
+    world.cut.clear();
+    world.link = CALM;
+    world.settle(120_000.0);
+}
