--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -191,7 +191,9 @@
         Action::Send { request, backend, limit, .. } => {
             reply.send(door, request.0, backend.0, limit.unwrap_or(0.0));
         }
-        Action::Refuse { request, retry_after } => reply.refuse(door, request.0, retry_after.unwrap_or(0.0)),
+        Action::Refuse { request, retry_after, .. } => {
+            reply.refuse(door, request.0, retry_after.unwrap_or(0.0))
+        }
         Action::Fail(request) => reply.fail(door, request.0),
         Action::Check(_) => {}
         Action::CallOff { request, attempt } => {
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -5,7 +5,7 @@
 use hyper::Uri;
 use maplefall_etcd::client::Seam;
 use maplefall_etcd::{Command, Input};
-use maplefall_policy::{Action, BackendEntry, Effect, Millis, Settings};
+use maplefall_policy::{Action, BackendEntry, Effect, Millis, Reason, Settings};
 use maplefall_protocol::{Health, Member, Order};
 use maplefall_roster::{Event, Roster, Update};
 use std::rc::Rc;
@@ -170,7 +170,9 @@
 /// An action as it is carried out.
 pub fn action(action: Action) -> Action {
     match action {
-        Action::Fail(request) if is(Breakage::RefusedAfter) => Action::Refuse { request, retry_after: None },
+        Action::Fail(request) if is(Breakage::RefusedAfter) => {
+            Action::Refuse { request, reason: Reason::Attempts, retry_after: None }
+        }
         action => action,
     }
 }
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -234,7 +234,7 @@
                     entry.held = true;
                 }
             }
-            Action::Refuse { request, retry_after } => self.answer(request, Answer::Refused(retry_after)),
+            Action::Refuse { request, retry_after, .. } => self.answer(request, Answer::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Answer::Failed),
             Action::CallOff { request, attempt } => {
                 self.settle(request, attempt, Ended::of(Outcome::Cancelled))
--- a/crates/model/src/door.rs
+++ b/crates/model/src/door.rs
@@ -152,7 +152,8 @@
         match event {
             Event::Backends(kind, entries) => self.hear(kind, &entries),
             Event::Arrival(request) => {
-                let backend = if self.lets_in(now, &request) { self.choose() } else { None };
+                let let_in = self.lets_in(now, &request);
+                let backend = if let_in { self.choose() } else { None };
                 match backend {
                     Some(backend) => {
                         *self.out.entry(backend).or_default() += 1;
@@ -160,7 +161,10 @@
                         let limit = Some(request.deadline - now);
                         actions.push(Action::Send { request: request.id, backend, limit, care: Care::Usual });
                     }
-                    None => actions.push(Action::Refuse { request: request.id, retry_after: None }),
+                    None => {
+                        let reason = if let_in { Reason::Backends } else { Reason::Slice };
+                        actions.push(Action::Refuse { request: request.id, reason, retry_after: None });
+                    }
                 }
             }
             Event::Settled(settled) => {
@@ -173,7 +177,11 @@
                     _ if settled.closed => {}
                     Outcome::Ok => {}
                     Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent => {
-                        actions.push(Action::Refuse { request: settled.request, retry_after: None });
+                        actions.push(Action::Refuse {
+                            request: settled.request,
+                            reason: Reason::Attempts,
+                            retry_after: None,
+                        });
                     }
                     _ => actions.push(Action::Fail(settled.request)),
                 }
--- a/crates/model/src/metrics.rs
+++ b/crates/model/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// What came of a run. One line of JSON; the same for the same world and seed.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -24,8 +25,28 @@
     pub lost: u64,
     /// Of what one door that sees all would let in, by worth: the part that was served in time.
     pub worth: f64,
+    /// Worth sent on beyond quotas, as a part of the same worth.
+    pub over: f64,
+    /// Both by plan.
+    pub worth_by_plan: Vec<f64>,
+    /// See above.
+    pub over_by_plan: Vec<f64>,
+    /// The same, and units let in beyond quotas, by group of demand.
+    pub worth_by_demand: Vec<f64>,
+    /// See above.
+    pub beyond_by_demand: Vec<f64>,
     /// Units let in beyond quotas, as a part of what that door would let in.
     pub beyond: f64,
+    /// Tries turned away, by reason, and those of them that a door which sees all would have let in.
+    pub refusals: BTreeMap<&'static str, u64>,
+    /// See above.
+    pub refused_with_room: BTreeMap<&'static str, u64>,
+    /// First tries that were let in within their quotas and not served in time.
+    pub late: u64,
+    /// Tries sent on over a hard ceiling.
+    pub over_ceiling: u64,
+    /// Attempts to another zone, as a part of all.
+    pub crossings: f64,
     /// Attempts for each first try.
     pub attempts: f64,
     /// Connections opened for each attempt.
@@ -61,9 +82,15 @@
 }
 
 impl Outcome {
-    /// A field by its name, for tables and comparisons.
+    /// A field by its name, for tables and comparisons; `refusals.slice` is one of a table, 0 where it has none such.
     pub fn field(&self, name: &str) -> Option<f64> {
-        serde_json::to_value(self).ok()?.get(name)?.as_f64()
+        let whole = serde_json::to_value(self).ok()?;
+        match name.split_once('.') {
+            Some((table, row)) => {
+                Some(whole.get(table)?.as_object()?.get(row).map_or(0.0, |v| v.as_f64().unwrap_or(0.0)))
+            }
+            None => whole.get(name)?.as_f64(),
+        }
     }
 }
 
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -10,7 +10,7 @@
 use maplefall_policy::{
     Action, AlarmId, BackendEntry, BackendId, ClassId, CustomerId, Effect, Event, PlanId, RequestId,
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Something that happens.
 #[derive(Clone, Debug)]
@@ -18,7 +18,7 @@
     /// The next first try is made.
     Ask,
     /// A client tries again.
-    Again(usize, u32),
+    Again { first: usize, number: u32, door: Option<usize> },
     /// A try comes to its door.
     Come(u32),
     /// A client stops waiting for a try.
@@ -45,6 +45,16 @@
     End(usize),
     /// A backend's speed changes.
     Speed(usize, f64),
+    /// The next request of a flood's customer, or of one that comes once, until then.
+    Flood { customer: usize, pause: f64, until: f64 },
+    /// A customer's spike begins.
+    Spike(usize),
+    /// See above.
+    OneShot { pause: f64, until: f64 },
+    /// A partition ends.
+    Heal,
+    /// The backends of a zone start again.
+    Revive(Vec<usize>),
 }
 
 /// A first try and what came of it.
@@ -53,9 +63,13 @@
     asked: f64,
     customer: usize,
     class: usize,
+    /// What it is guessed to take, and what it takes in truth.
     units: f64,
+    true_units: f64,
     work: f64,
     served: bool,
+    /// Whether a try of it was let in within its quota.
+    let_in: bool,
 }
 
 /// A try that is not over.
@@ -89,6 +103,25 @@
     there: bool,
 }
 
+/// A customer as it is; those that come once are added as they come.
+struct Customer {
+    plan: usize,
+    /// The first door of its set, the busiest one (counted from there), and until when it is that.
+    home: usize,
+    busiest: usize,
+    until: f64,
+    /// Doors that a flood of it comes through; 0 for its whole set.
+    through: usize,
+    /// What really is left of its quota, and what one door that sees all would have left.
+    store: Store,
+    ideal: Store,
+    ceiling: Store,
+    /// Attempts out.
+    open: u32,
+    /// Units sent on in the meter's period of this number, and in those before it.
+    metered: (u64, [f64; 4]),
+}
+
 struct Door {
     policy: Box<dyn Policy>,
     life: u32,
@@ -107,12 +140,14 @@
     now: f64,
     queue: Queue<Happens>,
     settings: policy::Settings,
-    customers: Alias,
-    plan_of: Vec<usize>,
-    rates: Vec<f64>,
-    /// The first door of each customer's set.
-    home: Vec<usize>,
+    ranks: Alias,
+    plans: Alias,
+    customers: Vec<Customer>,
     classes: Alias,
+    /// First tries a second, spikes and floods left out.
+    rate: f64,
+    /// The group of demand of each customer.
+    groups: Vec<usize>,
     doors: Vec<Door>,
     backends: Vec<Backend>,
     lives: Vec<u32>,
@@ -121,10 +156,14 @@
     attempts: BTreeMap<u64, Attempt>,
     next_try: u32,
     next_attempt: u64,
-    /// What really is left of each quota, and what one door that sees all would have left.
-    stores: BTreeMap<usize, Store>,
-    ideal: BTreeMap<usize, Store>,
+    /// Doors and backends that do not reach each other.
+    apart: Option<(BTreeSet<usize>, BTreeSet<usize>)>,
+    crossings: u64,
+    meter_late: f64,
     offered: f64,
+    offered_by_plan: Vec<f64>,
+    /// Worth and units.
+    offered_by_demand: Vec<(f64, f64)>,
     offered_units: f64,
     beyond: f64,
     gained: f64,
@@ -162,6 +201,8 @@
         burst: plan.burst,
         price: plan.price,
         over_cost: 1.0,
+        max_open: plan.max_open,
+        ceiling: None,
         ..policy::Plan::default()
     };
     policy::Settings {
@@ -170,6 +211,8 @@
         classes: world.class.iter().map(class).collect(),
         plans: world.plan.iter().map(plan).collect(),
         max_units: world.most_units,
+        meter_period: world.meter_ms,
+        cross_zone_price: world.cross_price,
         max_attempts: world.attempts,
         cancel: true,
         retry_after: true,
@@ -186,13 +229,30 @@
 impl<'a> Run<'a> {
     fn new(world: &'a World, seed: u64) -> Run<'a> {
         let mut dice = Dice::new(seed);
-        let weights: Vec<f64> =
+        let mut weights: Vec<f64> =
             (0..world.customers).map(|rank| 1.0 / (rank as f64 + 1.0).powf(world.zipf)).collect();
         let plans = Alias::new(&world.plan.iter().map(|plan| plan.share).collect::<Vec<_>>());
         let plan_of: Vec<usize> = weights.iter().map(|_| plans.draw(&mut dice)).collect();
-        let home = weights.iter().map(|_| dice.below(world.doors)).collect();
+        let home: Vec<usize> = weights.iter().map(|_| dice.below(world.doors)).collect();
         let mut settings = settings(world);
-        if world.usage > 0.0 {
+        let (mut rate, mut groups) = (world.requests_per_second(), Vec::new());
+        if !world.demand.is_empty() {
+            let shares = Alias::new(&world.demand.iter().map(|demand| demand.share).collect::<Vec<_>>());
+            let mut within = 0.0;
+            for (weight, plan) in weights.iter_mut().zip(&plan_of) {
+                let group = shares.draw(&mut dice);
+                let part = dice.within(world.demand[group].part);
+                *weight = part * world.plan[*plan].rate;
+                within += part.min(1.0) * world.plan[*plan].rate;
+                groups.push(group);
+            }
+            let factor = rate * world.units / within.max(1e-9);
+            rate = weights.iter().sum::<f64>() * factor / world.units;
+            for plan in &mut settings.plans {
+                plan.burst = (plan.burst * factor).max(2.0 * world.most_units);
+                plan.rate *= factor;
+            }
+        } else if world.usage > 0.0 {
             // Each plan is as large as its customers' use asks for; its burst keeps its length in time.
             let all: f64 = weights.iter().sum();
             let units = world.requests_per_second() * world.units;
@@ -205,7 +265,16 @@
                 plan.burst = (plan.rate * span).max(2.0 * world.most_units);
             }
         }
-        let rates = settings.plans.iter().map(|plan| plan.rate).collect();
+        for (plan, spec) in settings.plans.iter_mut().zip(&world.plan) {
+            if spec.ceiling > 0.0 {
+                let burst = (spec.ceiling * plan.burst).max(4.0 * world.most_units);
+                let slack = (0.1 * burst).max(world.most_units);
+                plan.ceiling = Some(policy::Ceiling { rate: spec.ceiling * plan.rate, burst, slack });
+            }
+        }
+        let customers =
+            plan_of.iter().zip(home).map(|(plan, home)| customer(&settings, *plan, home, 0.0)).collect();
+        let meter_late = dice.within(world.meter_late_ms);
         let shape = Shape {
             cores: world.cores,
             queue: world.queue,
@@ -220,10 +289,11 @@
             now: 0.0,
             queue: Queue::default(),
             settings,
-            customers: Alias::new(&weights),
-            plan_of,
-            rates,
-            home,
+            ranks: Alias::new(&weights),
+            plans,
+            customers,
+            rate,
+            groups,
             classes: Alias::new(&world.class.iter().map(|class| class.share).collect::<Vec<_>>()),
             doors: Vec::new(),
             lives: vec![0; backends.len()],
@@ -233,9 +303,12 @@
             attempts: BTreeMap::new(),
             next_try: 0,
             next_attempt: 0,
-            stores: BTreeMap::new(),
-            ideal: BTreeMap::new(),
+            apart: None,
+            crossings: 0,
+            meter_late,
             offered: 0.0,
+            offered_by_plan: vec![0.0; world.plan.len()],
+            offered_by_demand: vec![(0.0, 0.0); world.demand.len()],
             offered_units: 0.0,
             beyond: 0.0,
             gained: 0.0,
@@ -253,8 +326,9 @@
         }
     }
 
-    fn policy(&mut self) -> Box<dyn Policy> {
-        let (set, seed) = (self.settings.clone(), self.dice.seed());
+    fn policy(&mut self, door: usize) -> Box<dyn Policy> {
+        let zone = policy::ZoneId((door % self.world.zones) as u32);
+        let (set, seed) = (policy::Settings { zone, ..self.settings.clone() }, self.dice.seed());
         match self.world.choice {
             Choice::Module => Box::new(policy::Gateway::new(set, seed)),
             choice => Box::new(Plain::new(choice, self.world.admission, set, seed)),
@@ -263,9 +337,9 @@
 
     fn begin(&mut self) {
         let entries: BTreeMap<usize, BackendEntry> =
-            (0..self.backends.len()).map(|at| (at, entry(at, None))).collect();
-        for _ in 0..self.world.doors {
-            let policy = self.policy();
+            (0..self.backends.len()).map(|at| (at, self.entry(at, None))).collect();
+        for door in 0..self.world.doors {
+            let policy = self.policy(door);
             let list = entries.clone();
             let (told, connected) = (BTreeMap::new(), BTreeMap::new());
             self.doors.push(Door { policy, life: 0, up: true, told, list, connected });
@@ -275,14 +349,20 @@
             self.tell(door, Event::Backends(policy::ListKind::Full, list));
         }
         self.queue.push(0.0, Happens::Ask);
+        for (customer, group) in self.groups.clone().into_iter().enumerate() {
+            let demand = &self.world.demand[group];
+            if demand.spike > 0.0 {
+                let at = self.dice.within([0.0, demand.every_s * 1000.0]);
+                self.queue.push(at, Happens::Spike(customer));
+            }
+        }
         for (at, trouble) in self.world.trouble.iter().enumerate() {
-            let at_s = match trouble {
-                Trouble::RestartDoors { at_s, .. }
-                | Trouble::ReplaceBackends { at_s, .. }
-                | Trouble::SlowBackends { at_s, .. } => *at_s,
-            };
-            self.queue.push(at_s * 1000.0, Happens::Trouble(at));
+            self.queue.push(trouble.at_s() * 1000.0, Happens::Trouble(at));
         }
+        self.outcome.over_by_plan = vec![0.0; self.world.plan.len()];
+        self.outcome.worth_by_plan = vec![0.0; self.world.plan.len()];
+        self.outcome.worth_by_demand = vec![0.0; self.world.demand.len()];
+        self.outcome.beyond_by_demand = vec![0.0; self.world.demand.len()];
         self.outcome.by_second = vec![0.0; self.world.seconds.ceil() as usize];
     }
 
@@ -292,7 +372,7 @@
             self.outcome.events += 1;
             match event {
                 Happens::Ask => self.ask(),
-                Happens::Again(first, number) => self.begin_try(first, number),
+                Happens::Again { first, number, door } => self.begin_try(first, number, door),
                 Happens::Come(id) => self.come(id),
                 Happens::GiveUp(id) => self.give_up(id),
                 Happens::Reach(attempt) => self.reach(attempt),
@@ -310,6 +390,29 @@
                 Happens::Drain(backend) => self.drain(backend),
                 Happens::End(backend) => self.end(backend),
                 Happens::Speed(backend, factor) => self.backends[backend].speed *= factor,
+                Happens::Flood { customer, pause, until } => {
+                    if self.now < until {
+                        let next = self.now + self.dice.exponential(pause);
+                        self.queue.push(next, Happens::Flood { customer, pause, until });
+                        self.ask_for(customer);
+                    } else {
+                        self.customers[customer].through = 0;
+                    }
+                }
+                Happens::Spike(customer) => self.spike(customer),
+                Happens::OneShot { pause, until } => {
+                    if self.now < until {
+                        let next = self.now + self.dice.exponential(pause);
+                        self.queue.push(next, Happens::OneShot { pause, until });
+                        let plan = self.plans.draw(&mut self.dice);
+                        let home = self.dice.below(self.world.doors);
+                        let one = customer(&self.settings, plan, home, self.now);
+                        self.customers.push(one);
+                        self.ask_for(self.customers.len() - 1);
+                    }
+                }
+                Happens::Heal => self.apart = None,
+                Happens::Revive(backends) => self.revive(backends),
             }
         }
     }
@@ -318,6 +421,22 @@
         self.dice.within(self.world.delay_ms)
     }
 
+    /// One way between a door and a backend.
+    fn way(&mut self, door: usize, backend: usize) -> f64 {
+        let cross = self.crosses(door, backend);
+        self.delay() + if cross { self.dice.within(self.world.cross_ms) } else { 0.0 }
+    }
+
+    fn crosses(&self, door: usize, backend: usize) -> bool {
+        door % self.world.zones != backend % self.world.zones
+    }
+
+    fn cut(&self, door: usize, backend: usize) -> bool {
+        self.apart
+            .as_ref()
+            .is_some_and(|(doors, backends)| doors.contains(&door) && backends.contains(&backend))
+    }
+
     // ---- Clients ------------------------------------------------------------------------------------
 
     fn ask(&mut self) {
@@ -325,9 +444,27 @@
         if self.now >= end {
             return;
         }
-        let pause = self.dice.exponential(1000.0 / self.world.requests_per_second());
+        let pause = self.dice.exponential(1000.0 / self.rate);
         self.queue.push(self.now + pause, Happens::Ask);
-        let customer = self.customers.draw(&mut self.dice);
+        let customer = self.ranks.draw(&mut self.dice);
+        self.ask_for(customer);
+    }
+
+    fn spike(&mut self, customer: usize) {
+        let demand = self.world.demand[self.groups[customer]].clone();
+        let rate = self.settings.plans[self.customers[customer].plan].rate;
+        let pause = 1000.0 * self.world.units / (rate * demand.spike).max(1e-9);
+        let end = self.world.seconds * 1000.0;
+        let until = (self.now + demand.spike_s * 1000.0).min(end);
+        self.queue.push(self.now + self.dice.exponential(pause), Happens::Flood { customer, pause, until });
+        let next = self.now + demand.every_s * 1000.0 * self.dice.within([0.7, 1.3]);
+        if next < end {
+            self.queue.push(next, Happens::Spike(customer));
+        }
+    }
+
+    /// A first try of a customer.
+    fn ask_for(&mut self, customer: usize) {
         let class = self.classes.draw(&mut self.dice);
         // A geometric number of units with this mean, cut off at the most.
         let more = 1.0 - 1.0 / self.world.units;
@@ -344,38 +481,66 @@
         } else {
             self.dice.log_normal(mean, spec.cv)
         };
-        let (rate, burst, price) = self.quota(customer);
+        let true_units = units;
+        if self.world.guess_cv > 0.0 {
+            units =
+                self.dice.log_normal(units, self.world.guess_cv).round().clamp(1.0, self.world.most_units);
+        }
         let now = self.now;
-        let ideal = self.ideal.entry(customer).or_insert(Store::full(burst, now));
-        if ideal.holds(now, rate, burst, units) {
-            ideal.left -= units;
-            self.offered += spec.worth * price * units;
-            self.offered_units += units;
+        let plan = &self.settings.plans[self.customers[customer].plan];
+        let ideal = &mut self.customers[customer].ideal;
+        if ideal.holds(now, plan.rate, plan.burst, units) {
+            ideal.left = (ideal.left - true_units).min(plan.burst);
+            self.offered += spec.worth * plan.price * true_units;
+            self.offered_by_plan[self.customers[customer].plan] += spec.worth * plan.price * true_units;
+            if let Some(group) = self.groups.get(customer) {
+                self.offered_by_demand[*group].0 += spec.worth * plan.price * true_units;
+                self.offered_by_demand[*group].1 += true_units;
+            }
+            self.offered_units += true_units;
         }
         self.outcome.first_tries += 1;
-        self.firsts.push(First { asked: now, customer, class, units, work, served: false });
-        self.begin_try(self.firsts.len() - 1, 0);
+        let one =
+            First { asked: now, customer, class, units, true_units, work, served: false, let_in: false };
+        self.firsts.push(one);
+        self.begin_try(self.firsts.len() - 1, 0, None);
     }
 
-    fn quota(&self, customer: usize) -> (f64, f64, f64) {
-        let at = self.plan_of[customer];
-        let plan = &self.settings.plans[at];
-        (self.rates[at], plan.burst, plan.price)
+    /// The door that a request of a customer comes to: the busiest of its set at present, or another.
+    fn door_for(&mut self, customer: usize, kept: Option<usize>) -> Option<usize> {
+        let (spread, doors, now) = (self.spread(customer), self.doors.len(), self.now);
+        let shifts = self.world.shift_s[1] > 0.0 && self.world.uneven > 0.0;
+        if self.world.uneven > 0.0 && now >= self.customers[customer].until {
+            let busiest = self.dice.below(spread);
+            let lasts = if shifts { self.dice.within(self.world.shift_s) * 1000.0 } else { f64::INFINITY };
+            let one = &mut self.customers[customer];
+            (one.busiest, one.until) = (busiest, now + lasts.max(1.0));
+        }
+        let (home, busiest, through) = {
+            let one = &self.customers[customer];
+            (one.home, one.busiest, one.through)
+        };
+        let from = if through > 0 {
+            self.dice.below(through.min(spread))
+        } else if self.world.uneven > 0.0 && self.dice.one() < self.world.uneven {
+            busiest
+        } else {
+            self.dice.below(spread)
+        };
+        // A door that is down takes nothing; its clients find another one of the customer's set.
+        let set = (0..spread).map(|at| (home + (from + at) % spread) % doors);
+        kept.into_iter().chain(set).find(|door| self.doors[*door].up)
     }
 
-    fn begin_try(&mut self, first: usize, number: u32) {
+    fn begin_try(&mut self, first: usize, number: u32, kept: Option<usize>) {
         let one = self.firsts[first].clone();
         let class = &self.world.class[one.class];
         let last = one.asked + class.give_up_ms;
         if self.now >= last {
             return;
         }
-        let spread = self.spread();
-        // A door that is down takes nothing; its clients find another one of the customer's set.
-        let from = self.dice.below(spread);
-        let set = (0..spread).map(|at| (self.home[one.customer] + (from + at) % spread) % self.doors.len());
-        let Some(door) = set.into_iter().find(|door| self.doors[*door].up) else {
-            return self.come_back(first, number, None);
+        let Some(door) = self.door_for(one.customer, kept) else {
+            return self.come_back(first, number, None, None);
         };
         self.outcome.tries += 1;
         self.next_try += 1;
@@ -399,18 +564,27 @@
         self.queue.push(last, Happens::GiveUp(id));
     }
 
-    fn spread(&self) -> usize {
-        match self.world.spread {
+    /// Doors that a customer's requests come through. Where its plan has a ceiling no more than hold two of the largest requests
+    /// each: else these could go through none of them.
+    fn spread(&self, customer: usize) -> usize {
+        let most = match self.world.spread {
             0 => self.doors.len(),
             spread => spread.min(self.doors.len()),
-        }
+        };
+        let ceiling = self.settings.plans[self.customers[customer].plan].ceiling;
+        let fits = ceiling.map_or(usize::MAX, |c| (c.burst / (2.0 * self.world.most_units)) as usize);
+        most.min(fits.max(2)).min(self.doors.len())
     }
 
     /// A client whose try was turned away tries again, if it has tries and time left.
-    fn come_back(&mut self, first: usize, number: u32, advised: Option<f64>) {
+    fn come_back(&mut self, first: usize, number: u32, advised: Option<f64>, door: Option<usize>) {
         if number < self.world.retries {
+            let follows = self.world.honour >= 1.0 || self.dice.one() < self.world.honour;
+            let advised = advised.filter(|_| follows);
             let wait = advised.unwrap_or_else(|| self.dice.within(self.world.backoff_ms));
-            self.queue.push(self.now + wait, Happens::Again(first, number + 1));
+            let keeps = self.world.sticky > 0.0 && self.dice.one() < self.world.sticky;
+            let again = Happens::Again { first, number: number + 1, door: door.filter(|_| keeps) };
+            self.queue.push(self.now + wait, again);
         }
     }
 
@@ -424,12 +598,12 @@
         let request = policy::Request {
             id: RequestId(id),
             customer: CustomerId(first.customer as u64),
-            plan: PlanId(self.plan_of[first.customer]),
+            plan: PlanId(self.customers[first.customer].plan),
             class: ClassId(first.class),
             units: first.units,
             deadline: one.deadline,
             checked: true,
-            spread: self.spread() as f64,
+            spread: self.spread(first.customer) as f64,
         };
         if self.world.choice == Choice::Oracle {
             return self.by_truth(id, door, &first);
@@ -439,16 +613,16 @@
 
     /// Decides for a request by the true state of all backends and quotas.
     fn by_truth(&mut self, id: u32, door: usize, first: &First) {
-        let (rate, burst, _) = self.quota(first.customer);
         let now = self.now;
-        let store = self.stores.entry(first.customer).or_insert(Store::full(burst, now));
-        let room = store.holds(now, rate, burst, first.units);
+        let room = self.holds(first.customer, first.units);
         let free = |backend: &Backend| {
             (backend.holds() as f64 + 1.0)
                 / (backend.shape.cores as f64 * backend.warmth(now) * backend.speed)
         };
         let best = (0..self.backends.len())
-            .filter(|at| self.backends[*at].up && self.backends[*at].drained.is_none())
+            .filter(|at| {
+                self.backends[*at].up && self.backends[*at].drained.is_none() && !self.cut(door, *at)
+            })
             .min_by(|one, other| free(&self.backends[*one]).total_cmp(&free(&self.backends[*other])));
         let action = match best.filter(|_| room) {
             Some(backend) => Action::Send {
@@ -457,7 +631,10 @@
                 limit: None,
                 care: policy::Care::Usual,
             },
-            None => Action::Refuse { request: RequestId(id), retry_after: None },
+            None => {
+                let reason = if room { policy::Reason::Backends } else { policy::Reason::SoldOut };
+                Action::Refuse { request: RequestId(id), reason, retry_after: None }
+            }
         };
         self.carry_out(door, action);
     }
@@ -469,7 +646,7 @@
         let (first, number) = (one.first, one.number);
         self.outcome.lost += 1;
         self.tries.remove(&id);
-        self.come_back(first, number, None);
+        self.come_back(first, number, None, None);
     }
 
     fn give_up(&mut self, id: u32) {
@@ -494,14 +671,14 @@
         }
     }
 
-    fn answer(&mut self, id: u32, served: bool, advised: Option<f64>, refused: bool) {
+    fn answer(&mut self, id: u32, served: bool, advised: Option<f64>, refused: Option<policy::Reason>) {
         let Some(one) = self.tries.get_mut(&id) else { return };
         if one.answered {
             self.outcome.doubled += 1;
             return;
         }
         one.answered = true;
-        let (first, number, inside) = (one.first, one.number, one.inside);
+        let (first, number, inside, door) = (one.first, one.number, one.inside, one.door);
         if served {
             self.outcome.served += 1;
             let took = self.now - self.firsts[first].asked;
@@ -509,17 +686,26 @@
             let one = &mut self.firsts[first];
             let spec = &self.world.class[one.class];
             if inside && !one.served && took <= spec.aim_ms {
-                let price = self.settings.plans[self.plan_of[one.customer]].price;
-                let worth = spec.worth * price * one.units;
+                let price = self.settings.plans[self.customers[one.customer].plan].price;
+                let worth = spec.worth * price * one.true_units;
                 self.gained += worth;
+                self.outcome.worth_by_plan[self.customers[one.customer].plan] += worth;
+                if let Some(group) = self.groups.get(one.customer) {
+                    self.outcome.worth_by_demand[*group] += worth;
+                }
                 if let Some(second) = self.outcome.by_second.get_mut((one.asked / 1000.0) as usize) {
                     *second += worth;
                 }
             }
             one.served = true;
-        } else if refused {
+        } else if let Some(reason) = refused {
             self.outcome.refused += 1;
-            self.come_back(first, number, advised);
+            *self.outcome.refusals.entry(reason.name()).or_default() += 1;
+            let (customer, units) = (self.firsts[first].customer, self.firsts[first].units);
+            if self.holds(customer, units) {
+                *self.outcome.refused_with_room.entry(reason.name()).or_default() += 1;
+            }
+            self.come_back(first, number, advised, Some(door));
         } else {
             self.outcome.failed += 1;
         }
@@ -543,8 +729,10 @@
             Action::Send { request, backend, limit, .. } => {
                 self.send(door, request.0, backend.0 as usize, limit)
             }
-            Action::Refuse { request, retry_after } => self.answer(request.0, false, retry_after, true),
-            Action::Fail(request) => self.answer(request.0, false, None, false),
+            Action::Refuse { request, reason, retry_after } => {
+                self.answer(request.0, false, retry_after, Some(reason))
+            }
+            Action::Fail(request) => self.answer(request.0, false, None, None),
             Action::CallOff { request, .. } => {
                 let out = self.tries.get(&request.0).and_then(|one| one.out);
                 if let Some(attempt) = out {
@@ -568,34 +756,61 @@
         let attempt = self.next_attempt;
         one.out = Some(attempt);
         let (first, life) = (one.first, one.life);
+        let customer = self.firsts[first].customer;
         if number == 0 {
-            let (customer, units) = (self.firsts[first].customer, self.firsts[first].units);
-            let (rate, burst, _) = self.quota(customer);
-            let store = self.stores.entry(customer).or_insert(Store::full(burst, now));
-            let inside = store.holds(now, rate, burst, units);
+            let units = self.firsts[first].units;
+            let inside = self.holds(customer, units);
+            let plan = self.settings.plans[self.customers[customer].plan].clone();
+            let period = if self.world.meter_ms > 0.0 { (now / self.world.meter_ms) as u64 } else { 0 };
+            let held = &mut self.customers[customer];
             if inside {
-                store.left -= units;
+                held.store.left -= units;
+                self.firsts[first].let_in = true;
             } else {
                 self.beyond += units;
+                let worth = self.world.class[self.firsts[first].class].worth * plan.price * units;
+                self.outcome.over_by_plan[held.plan] += worth;
+                if let Some(group) = self.groups.get(customer) {
+                    self.outcome.beyond_by_demand[*group] += units;
+                }
+            }
+            held.meter(period, units);
+            if let Some(ceiling) = plan.ceiling {
+                held.ceiling.holds(now, ceiling.rate, ceiling.burst, units);
+                held.ceiling.left -= units;
+                self.outcome.over_ceiling += u64::from(held.ceiling.left < -ceiling.slack);
             }
             if let Some(one) = self.tries.get_mut(&id) {
                 one.inside = inside;
             }
         }
+        self.customers[customer].open += 1;
         self.sent += 1;
         let late =
             self.doors[door].told.get(&backend).is_some_and(|told| now > told + self.world.drain_grace_ms);
         self.outcome.late_sends += u64::from(late);
         let used = self.doors[door].connected.insert(backend, now);
-        let mut delay = self.delay();
+        let mut dials = false;
+        let mut delay = self.way(door, backend);
+        self.crossings += u64::from(self.crosses(door, backend));
         if used.is_none_or(|used| now - used > self.world.idle_ms) {
             self.handshakes += 1;
             delay += self.world.handshake_ms;
+            if self.cut(door, backend) {
+                self.doors[door].connected.remove(&backend);
+                dials = true;
+            }
         }
         let there = true;
         let one = Attempt { id, number, backend, door, life, sent: now, first, settled: false, there };
         self.attempts.insert(attempt, one);
-        self.queue.push(now + delay, Happens::Reach(attempt));
+        if dials {
+            self.leave(attempt);
+            let failed = Happens::Reply(attempt, policy::Outcome::ConnectFailed);
+            self.queue.push(now + self.world.dial_ms, failed);
+        } else {
+            self.queue.push(now + delay, Happens::Reach(attempt));
+        }
         if let Some(limit) = limit.filter(|limit| limit.is_finite()) {
             self.queue.push(now + limit, Happens::Limit(attempt));
         }
@@ -614,6 +829,19 @@
             return;
         }
         let alive = self.doors[one.door].up && self.doors[one.door].life == one.life;
+        let (customer, units, true_units) = {
+            let first = &self.firsts[one.first];
+            (first.customer, first.units, first.true_units)
+        };
+        let served = outcome == policy::Outcome::Ok;
+        self.customers[customer].open = self.customers[customer].open.saturating_sub(1);
+        if served && self.tries.get(&one.id).is_some_and(|held| held.inside && !held.answered) {
+            let burst = self.settings.plans[self.customers[customer].plan].burst;
+            let store = &mut self.customers[customer].store;
+            store.left = (store.left + units - true_units).min(burst);
+        }
+        let answers = matches!(outcome, policy::Outcome::Ok | policy::Outcome::Error | policy::Outcome::Full);
+        let use_of_quota = if answers { self.use_of_quota(customer) } else { None };
         if let Some(held) = self.tries.get_mut(&one.id) {
             held.out = None;
         }
@@ -621,7 +849,7 @@
             return self.forget(one.id);
         }
         if outcome == policy::Outcome::Ok && self.tries.get(&one.id).is_some_and(|held| !held.answered) {
-            self.answer(one.id, true, None, false);
+            self.answer(one.id, true, None, None);
         }
         let closed = self.tries.get(&one.id).is_none_or(|held| held.answered);
         let settled = policy::Settled {
@@ -631,14 +859,15 @@
             outcome,
             elapsed: self.now - one.sent,
             closed,
-            use_of_quota: None,
-            true_units: None,
+            use_of_quota,
+            true_units: (served && self.world.guess_cv > 0.0).then_some(true_units),
             report: policy::Report::default(),
             broken: 0,
         };
         if self.world.choice == Choice::Oracle {
             if !closed {
-                self.answer(one.id, false, None, outcome == policy::Outcome::Full);
+                let full = (outcome == policy::Outcome::Full).then_some(policy::Reason::Attempts);
+                self.answer(one.id, false, None, full);
             }
         } else {
             self.tell(one.door, Event::Settled(settled));
@@ -678,7 +907,11 @@
     fn reach(&mut self, attempt: u64) {
         let Some(one) = self.attempts.get(&attempt).cloned() else { return };
         let now = self.now;
-        let delay = self.delay();
+        if self.cut(one.door, one.backend) {
+            // Nothing comes of it: its door waits until its limit.
+            return self.leave(attempt);
+        }
+        let delay = self.way(one.door, one.backend);
         let first = &self.firsts[one.first];
         let backend = &mut self.backends[one.backend];
         if !backend.up {
@@ -735,8 +968,10 @@
                 self.outcome.ran_twice += u64::from(twice);
             }
             self.leave(attempt);
-            let delay = self.delay();
-            self.queue.push(self.now + delay, Happens::Reply(attempt, policy::Outcome::Ok));
+            let delay = self.way(one.door, one.backend);
+            if !self.cut(one.door, one.backend) {
+                self.queue.push(self.now + delay, Happens::Reply(attempt, policy::Outcome::Ok));
+            }
         }
         let now = self.now;
         if let Some((job, until)) = self.backends[backend].next(now) {
@@ -769,8 +1004,11 @@
     // ---- Troubles -----------------------------------------------------------------------------------
 
     fn some(&mut self, count: usize, part: f64) -> Vec<usize> {
+        self.some_of(count, (part * count as f64).ceil() as usize)
+    }
+
+    fn some_of(&mut self, count: usize, many: usize) -> Vec<usize> {
         let mut all: Vec<usize> = (0..count).collect();
-        let many = (part * count as f64).ceil() as usize;
         (0..many.min(count)).map(|_| all.swap_remove(self.dice.below(all.len()))).collect()
     }
 
@@ -802,11 +1040,55 @@
                     self.queue.push(self.now + for_s * 1000.0, Happens::Speed(backend, 1.0 / speed));
                 }
             }
+            Trouble::Flood { for_s, customers, times, through, .. } => {
+                let until = self.now + for_s * 1000.0;
+                for customer in self.some_of(self.world.customers, customers) {
+                    let rate = self.settings.plans[self.customers[customer].plan].rate;
+                    let pause = 1000.0 * self.world.units / (rate * times).max(1e-9);
+                    self.customers[customer].through = through;
+                    let next = self.now + self.dice.exponential(pause);
+                    self.queue.push(next, Happens::Flood { customer, pause, until });
+                }
+            }
+            Trouble::OneShots { for_s, share, .. } => {
+                let pause = 1000.0 / (share * self.rate).max(1e-9);
+                let until = self.now + for_s * 1000.0;
+                self.queue.push(self.now + pause, Happens::OneShot { pause, until });
+            }
+            Trouble::Partition { for_s, doors, backends, .. } => {
+                let doors = self.some(self.doors.len(), doors).into_iter().collect();
+                let backends = self.some(self.backends.len(), backends).into_iter().collect();
+                self.apart = Some((doors, backends));
+                self.queue.push(self.now + for_s * 1000.0, Happens::Heal);
+            }
+            Trouble::LoseZone { for_s, zone, .. } => {
+                let lost: Vec<usize> = (0..self.backends.len())
+                    .filter(|at| at % self.world.zones == zone && self.backends[*at].up)
+                    .collect();
+                for backend in &lost {
+                    self.die(*backend);
+                    let gone = BackendEntry {
+                        availability: policy::Availability::Gone,
+                        ..self.entry(*backend, None)
+                    };
+                    self.spread_news(&[gone]);
+                }
+                self.queue.push(self.now + for_s * 1000.0, Happens::Revive(lost));
+            }
+        }
+    }
+
+    fn revive(&mut self, backends: Vec<usize>) {
+        for at in backends {
+            let old = &self.backends[at];
+            self.backends[at] = Backend::new(old.shape, old.speed, Some(self.now));
+            let back = self.entry(at, Some(self.now));
+            self.spread_news(&[back]);
         }
     }
 
     fn back(&mut self, door: usize) {
-        let policy = self.policy();
+        let policy = self.policy(door);
         let old = &mut self.doors[door];
         (old.policy, old.up) = (policy, true);
         old.connected.clear();
@@ -829,7 +1111,7 @@
         });
         self.spread_news(&[BackendEntry {
             availability: policy::Availability::Draining,
-            ..entry(backend, None)
+            ..self.entry(backend, None)
         }]);
         self.queue.push(self.now + drain_ms.unwrap_or(0.0), Happens::End(backend));
     }
@@ -837,22 +1119,67 @@
     /// A backend ends, and a cold one comes in its stead under a new number.
     fn end(&mut self, backend: usize) {
         self.die(backend);
-        let gone = BackendEntry { availability: policy::Availability::Gone, ..entry(backend, None) };
+        let gone = BackendEntry { availability: policy::Availability::Gone, ..self.entry(backend, None) };
         self.spread_news(&[gone]);
         let speed = self.dice.log_normal(1.0, self.world.speed_cv);
         let shape = self.backends[backend].shape;
         self.backends.push(Backend::new(shape, speed, Some(self.now)));
         self.lives.push(0);
-        let fresh = entry(self.backends.len() - 1, Some(self.now));
+        let fresh = self.entry(self.backends.len() - 1, Some(self.now));
         self.spread_news(&[fresh]);
     }
 
+    fn entry(&self, backend: usize, started: Option<f64>) -> BackendEntry {
+        BackendEntry {
+            id: BackendId(backend as u32),
+            zone: policy::ZoneId((backend % self.world.zones) as u32),
+            cell: policy::CellId(0),
+            availability: policy::Availability::Ready,
+            started,
+            size: 1.0,
+        }
+    }
+
+    /// Whether a customer's quota really holds so many units now, and covers one more attempt.
+    fn holds(&mut self, customer: usize, units: f64) -> bool {
+        let one = &mut self.customers[customer];
+        let plan = &self.settings.plans[one.plan];
+        let fits = plan.max_open == 0 || one.open < plan.max_open;
+        one.store.holds(self.now, plan.rate, plan.burst, units) && fits
+    }
+
+    /// What the meter says: use in the last period that it has added up, as a part of the rate.
+    fn use_of_quota(&mut self, customer: usize) -> Option<f64> {
+        let period = self.world.meter_ms;
+        if period <= 0.0 || self.now < period + self.meter_late {
+            return None;
+        }
+        let (now, told) = ((self.now / period) as u64, ((self.now - self.meter_late) / period) as u64 - 1);
+        let one = &mut self.customers[customer];
+        one.turn(now);
+        let used = one.metered.1.get((now - told) as usize)?;
+        Some(used / (self.settings.plans[one.plan].rate * period / 1000.0))
+    }
+
     fn close(mut self, seed: u64) -> Outcome {
         let mut outcome = std::mem::take(&mut self.outcome);
         (outcome.world, outcome.seed) = (self.world.name.clone(), seed);
         let part = |of: f64, all: f64| if all > 0.0 { of / all } else { 0.0 };
         outcome.worth = part(self.gained, self.offered);
+        outcome.over = part(outcome.over_by_plan.iter().sum(), self.offered);
+        for (over, offered) in outcome.over_by_plan.iter_mut().zip(&self.offered_by_plan) {
+            *over = part(*over, *offered);
+        }
+        for (gained, offered) in outcome.worth_by_plan.iter_mut().zip(&self.offered_by_plan) {
+            *gained = part(*gained, *offered);
+        }
+        for (at, (worth, units)) in self.offered_by_demand.iter().enumerate() {
+            outcome.worth_by_demand[at] = part(outcome.worth_by_demand[at], *worth);
+            outcome.beyond_by_demand[at] = part(outcome.beyond_by_demand[at], *units);
+        }
         outcome.beyond = part(self.beyond, self.offered_units);
+        outcome.late = self.firsts.iter().filter(|one| one.let_in && !one.served).count() as u64;
+        outcome.crossings = part(self.crossings as f64, self.sent as f64);
         outcome.attempts = part(self.sent as f64, outcome.first_tries as f64);
         outcome.handshakes = part(self.handshakes as f64, self.sent as f64);
         (outcome.p50_ms, outcome.p99_ms) = (self.times.quantile(0.5), self.times.quantile(0.99));
@@ -868,13 +1195,36 @@
     }
 }
 
-fn entry(backend: usize, started: Option<f64>) -> BackendEntry {
-    BackendEntry {
-        id: BackendId(backend as u32),
-        zone: policy::ZoneId(0),
-        cell: policy::CellId(0),
-        availability: policy::Availability::Ready,
-        started,
-        size: 1.0,
+/// A customer with full stores.
+fn customer(settings: &policy::Settings, plan: usize, home: usize, now: f64) -> Customer {
+    let (burst, ceiling) = (settings.plans[plan].burst, settings.plans[plan].ceiling);
+    Customer {
+        plan,
+        home,
+        busiest: 0,
+        until: 0.0,
+        through: 0,
+        store: Store::full(burst, now),
+        ideal: Store::full(burst, now),
+        ceiling: Store::full(ceiling.map_or(0.0, |ceiling| ceiling.burst), now),
+        open: 0,
+        metered: (0, [0.0; 4]),
+    }
+}
+
+impl Customer {
+    /// Counts units that were sent on in a period.
+    fn meter(&mut self, period: u64, units: f64) {
+        self.turn(period);
+        self.metered.1[0] += units;
+    }
+
+    /// Moves the counts on to a period; the first is that period's, the next are those before it.
+    fn turn(&mut self, period: u64) {
+        let (now, counts) = &mut self.metered;
+        let on = (period.saturating_sub(*now) as usize).min(counts.len());
+        counts.rotate_right(on);
+        counts[..on].fill(0.0);
+        *now = period.max(*now);
     }
 }
--- a/crates/model/src/world.rs
+++ b/crates/model/src/world.rs
@@ -73,6 +73,31 @@
     pub burst: f64,
     /// Factor on the worth.
     pub price: f64,
+    /// Attempts out at once that the quota covers; 0 for no such quota.
+    #[serde(default)]
+    pub max_open: u32,
+    /// A hard ceiling at so many times rate and burst; 0 for none. Its slack is a tenth of its burst, a largest request at least.
+    #[serde(default)]
+    pub ceiling: f64,
+}
+
+/// What a group of customers asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DemandSpec {
+    /// Part of the customers.
+    pub share: f64,
+    /// Asked for on average, as a part of the quota's rate: drawn for each customer.
+    pub part: [f64; 2],
+    /// Now and then so many times the rate on top; 0 for never.
+    #[serde(default)]
+    pub spike: f64,
+    /// For how long, and from one spike to the next.
+    #[serde(default)]
+    pub spike_s: f64,
+    /// See above.
+    #[serde(default)]
+    pub every_s: f64,
 }
 
 /// Something that goes wrong.
@@ -110,14 +135,62 @@
         /// For how long.
         for_s: f64,
     },
+    /// Some customers ask for a multiple of their quota on top of what they ask.
+    Flood {
+        /// When.
+        at_s: f64,
+        /// For how long.
+        for_s: f64,
+        /// How many.
+        customers: usize,
+        /// The multiple.
+        times: f64,
+        /// Through so many doors of each one's set; 0 for all of them.
+        #[serde(default)]
+        through: usize,
+    },
+    /// Customers that ask once and are not seen again.
+    OneShots {
+        /// When.
+        at_s: f64,
+        /// For how long.
+        for_s: f64,
+        /// As a part of the usual requests.
+        share: f64,
+    },
+    /// Doors and backends that do not reach each other: new connections time out, kept ones go silent.
+    Partition {
+        /// When.
+        at_s: f64,
+        /// For how long.
+        for_s: f64,
+        /// Part of the doors, part of the backends.
+        doors: f64,
+        /// See above.
+        backends: f64,
+    },
+    /// The backends of a zone die and come back cold.
+    LoseZone {
+        /// When.
+        at_s: f64,
+        /// For how long.
+        for_s: f64,
+        /// Which, from 0.
+        zone: usize,
+    },
 }
 
 impl Trouble {
-    fn at_s(&self) -> f64 {
+    /// When it begins.
+    pub fn at_s(&self) -> f64 {
         match self {
             Trouble::RestartDoors { at_s, .. }
             | Trouble::ReplaceBackends { at_s, .. }
-            | Trouble::SlowBackends { at_s, .. } => *at_s,
+            | Trouble::SlowBackends { at_s, .. }
+            | Trouble::Flood { at_s, .. }
+            | Trouble::OneShots { at_s, .. }
+            | Trouble::Partition { at_s, .. }
+            | Trouble::LoseZone { at_s, .. } => *at_s,
         }
     }
 }
@@ -167,6 +240,29 @@
     pub load: f64,
     /// Doors that a customer's requests come through; 0 for all.
     pub spread: usize,
+    /// Part of a customer's requests that come through the busiest door of its set; the rest come evenly. 0 for all evenly.
+    pub uneven: f64,
+    /// After how long another door of the set is the busiest, drawn anew for each customer; 0 for never.
+    pub shift_s: [f64; 2],
+    /// Part of the further tries that come to the same door, as connections are kept.
+    pub sticky: f64,
+    /// Part of the clients that follow a time to come back.
+    pub honour: f64,
+    /// Zones, over which doors and backends are dealt in turn; what a way between two zones takes longer, one way; and the
+    /// price of such an attempt, as a part of the whole worth.
+    pub zones: usize,
+    /// See above.
+    pub cross_ms: [f64; 2],
+    /// See above.
+    pub cross_price: f64,
+    /// Period of the use meter, 0 for none, and how late it tells of a period.
+    pub meter_ms: f64,
+    /// See above.
+    pub meter_late_ms: [f64; 2],
+    /// Coefficient of variation of what is guessed against the true units, which an answer settles; 0 for no guess.
+    pub guess_cv: f64,
+    /// How long a dial into a partition takes to fail.
+    pub dial_ms: f64,
     /// Mean units of a request; they are drawn from 1 up to `most_units`.
     pub units: f64,
     /// See above.
@@ -183,6 +279,9 @@
     pub admission: Admission,
     /// Attempts for one request at most.
     pub attempts: u32,
+    /// Groups of customers by what they ask of their quotas; then `load` is what is asked for within quotas, all plans are scaled
+    /// by one factor to fit it, and `zipf` and `usage` are not used.
+    pub demand: Vec<DemandSpec>,
     /// Classes; the usual three if none is named.
     pub class: Vec<ClassSpec>,
     /// Plans; the usual three if none is named.
@@ -202,7 +301,8 @@
             worth,
             effect: effect.to_owned(),
         };
-        let plan = |share, rate, burst, price| PlanSpec { share, rate, burst, price };
+        let plan =
+            |share, rate, burst, price| PlanSpec { share, rate, burst, price, max_open: 0, ceiling: 0.0 };
         World {
             name: "world".to_owned(),
             seconds: 20.0,
@@ -224,6 +324,17 @@
             zipf: 0.8,
             load: 0.6,
             spread: 0,
+            uneven: 0.0,
+            shift_s: [0.0, 0.0],
+            sticky: 0.0,
+            honour: 1.0,
+            zones: 1,
+            cross_ms: [0.3, 0.8],
+            cross_price: 0.0,
+            meter_ms: 0.0,
+            meter_late_ms: [200.0, 1500.0],
+            guess_cv: 0.0,
+            dial_ms: 250.0,
             units: 3.0,
             most_units: 8.0,
             usage: 0.6,
@@ -232,6 +343,7 @@
             choice: Choice::Module,
             admission: Admission::Even,
             attempts: 3,
+            demand: Vec::new(),
             class: vec![
                 class(0.46, 600.0, 2500.0, 3.0, "safe"),
                 class(0.27, 750.0, 2000.0, 5.0, "keyed"),
@@ -266,13 +378,36 @@
         self.load * (self.backends * self.cores) as f64 * 1000.0 * share / work.max(1e-9)
     }
 
+    /// First tries of a run, roughly: the usual ones, those of floods and of customers that come once.
+    pub fn requests(&self) -> f64 {
+        let usual = self.requests_per_second();
+        let more = |trouble: &Trouble| match trouble {
+            Trouble::OneShots { for_s, share, .. } => share * usual * for_s,
+            Trouble::Flood { for_s, customers, times, .. } => {
+                let quota = usual / self.customers as f64 / self.usage.max(0.01);
+                *customers as f64 * times * quota * for_s
+            }
+            _ => 0.0,
+        };
+        let excess = |demand: &DemandSpec| {
+            let spikes =
+                if demand.every_s > 0.0 { demand.spike * demand.spike_s / demand.every_s } else { 0.0 };
+            demand.share * (demand.part[1] + spikes)
+        };
+        let shares: f64 = self.demand.iter().map(|demand| demand.share).sum();
+        let part: f64 = self.demand.iter().map(|demand| demand.share * demand.part[0].min(1.0)).sum();
+        let asked = self.demand.iter().map(excess).sum::<f64>() / part.max(0.001 * shares.max(1e-9));
+        let usual = if self.demand.is_empty() { usual } else { usual * asked.max(1.0) };
+        usual * self.seconds + self.trouble.iter().map(more).sum::<f64>()
+    }
+
     /// Bytes that a run needs, roughly.
     pub fn bytes(&self) -> f64 {
         let doors = self.doors as f64;
         let spread = if self.spread == 0 { doors } else { doors.min(self.spread as f64) };
         // Every door holds every backend, and each customer at as many doors as its requests come through, but no more than
         // there are requests.
-        let requests = self.requests_per_second() * self.seconds;
+        let requests = self.requests();
         doors * self.backends as f64 * 400.0
             + (self.customers as f64 * spread).min(requests) * 250.0
             + requests * 8.0
@@ -316,13 +451,27 @@
         within("most_units", self.most_units, 1.0, 1e6);
         within("units", self.units, 1.0, self.most_units.max(1.0));
         within("usage", self.usage, 0.0, 100.0);
+        within("uneven", self.uneven, 0.0, 1.0);
+        within("sticky", self.sticky, 0.0, 1.0);
+        within("honour", self.honour, 0.0, 1.0);
+        within("zones", self.zones as f64, 1.0, 64.0);
+        within("cross_price", self.cross_price, 0.0, 10.0);
+        within("meter_ms", self.meter_ms, 0.0, 1e6);
+        within("guess_cv", self.guess_cv, 0.0, 5.0);
+        within("dial_ms", self.dial_ms, 1.0, 1e5);
         within("retries", f64::from(self.retries), 0.0, 10.0);
         within("attempts", f64::from(self.attempts), 1.0, 10.0);
         if let Choice::Aperture(width) = self.choice {
             within("choice.aperture", width as f64, 1.0, 100_000.0);
         }
-        let ranges =
-            [("delay_ms", self.delay_ms), ("notice_ms", self.notice_ms), ("backoff_ms", self.backoff_ms)];
+        let ranges = [
+            ("delay_ms", self.delay_ms),
+            ("notice_ms", self.notice_ms),
+            ("backoff_ms", self.backoff_ms),
+            ("shift_s", self.shift_s),
+            ("cross_ms", self.cross_ms),
+            ("meter_late_ms", self.meter_late_ms),
+        ];
         for (field, range) in ranges {
             within(&format!("{field}.0"), range[0], 0.0, 1e6);
             within(&format!("{field}.1"), range[1], range[0].max(0.0), 1e6);
@@ -340,6 +489,17 @@
             within(&format!("plan.{at}.rate"), plan.rate, 0.001, 1e9);
             within(&format!("plan.{at}.burst"), plan.burst, 0.001, 1e9);
             within(&format!("plan.{at}.price"), plan.price, 0.0, 1e6);
+            within(&format!("plan.{at}.ceiling"), plan.ceiling, 0.0, 1e6);
+        }
+        for (at, demand) in self.demand.iter().enumerate() {
+            within(&format!("demand.{at}.share"), demand.share, 0.0, 1e6);
+            within(&format!("demand.{at}.part.0"), demand.part[0], 0.001, 1000.0);
+            within(&format!("demand.{at}.part.1"), demand.part[1], demand.part[0].max(0.001), 1000.0);
+            within(&format!("demand.{at}.spike"), demand.spike, 0.0, 1000.0);
+            if demand.spike > 0.0 {
+                within(&format!("demand.{at}.spike_s"), demand.spike_s, 0.01, 3600.0);
+                within(&format!("demand.{at}.every_s"), demand.every_s, demand.spike_s.max(0.01), 3600.0);
+            }
         }
         for (at, trouble) in self.trouble.iter().enumerate() {
             // What is drawn after the end would never be played.
@@ -360,6 +520,25 @@
                     within(&format!("trouble.{at}.speed"), *speed, 0.001, 10.0);
                     within(&format!("trouble.{at}.for_s"), *for_s, 0.0, 3600.0);
                 }
+                Trouble::Flood { for_s, customers, times, through, .. } => {
+                    within(&format!("trouble.{at}.for_s"), *for_s, 0.0, 3600.0);
+                    within(&format!("trouble.{at}.customers"), *customers as f64, 1.0, self.customers as f64);
+                    within(&format!("trouble.{at}.times"), *times, 0.0, 1000.0);
+                    within(&format!("trouble.{at}.through"), *through as f64, 0.0, 10_000.0);
+                }
+                Trouble::OneShots { for_s, share, .. } => {
+                    within(&format!("trouble.{at}.for_s"), *for_s, 0.0, 3600.0);
+                    within(&format!("trouble.{at}.share"), *share, 0.0, 100.0);
+                }
+                Trouble::Partition { for_s, doors, backends, .. } => {
+                    within(&format!("trouble.{at}.for_s"), *for_s, 0.0, 3600.0);
+                    within(&format!("trouble.{at}.doors"), *doors, 0.0, 1.0);
+                    within(&format!("trouble.{at}.backends"), *backends, 0.0, 1.0);
+                }
+                Trouble::LoseZone { for_s, zone, .. } => {
+                    within(&format!("trouble.{at}.for_s"), *for_s, 0.0, 3600.0);
+                    within(&format!("trouble.{at}.zone"), *zone as f64, 0.0, self.zones as f64 - 1.0);
+                }
             }
         }
         for (at, class) in self.class.iter().enumerate() {
@@ -373,8 +552,11 @@
         if self.plan.iter().map(|plan| plan.share).sum::<f64>() <= 0.0 {
             found.push("plan: one with a share above 0 was expected".to_owned());
         }
+        if !self.demand.is_empty() && self.demand.iter().map(|demand| demand.share).sum::<f64>() <= 0.0 {
+            found.push("demand: one with a share above 0 was expected".to_owned());
+        }
         if found.is_empty() {
-            let (requests, bytes) = (self.requests_per_second() * self.seconds, self.bytes());
+            let (requests, bytes) = (self.requests(), self.bytes());
             if requests > MOST_REQUESTS {
                 found.push(format!("load: {requests:.0} requests, {MOST_REQUESTS:.0} at most were expected"));
             }
--- a/crates/model/tests/closed_forms.rs
+++ b/crates/model/tests/closed_forms.rs
@@ -129,7 +129,14 @@
 #[test]
 fn one_store_for_all_lets_in_what_it_holds() {
     let mut world = queueing(8, 4, 0.5, 5.0, 0.0);
-    world.plan = vec![maplefall_model::world::PlanSpec { share: 1.0, rate: 100.0, burst: 50.0, price: 1.0 }];
+    world.plan = vec![maplefall_model::world::PlanSpec {
+        share: 1.0,
+        rate: 100.0,
+        burst: 50.0,
+        price: 1.0,
+        max_open: 0,
+        ceiling: 0.0,
+    }];
     world.admission = Admission::Whole;
     let one = play(&world, 1);
     assert_eq!((one.beyond, one.worth), (0.0, 1.0));
--- a/crates/model/tests/runs.rs
+++ b/crates/model/tests/runs.rs
@@ -145,3 +145,74 @@
     }
     assert_eq!(model(&["run", "/nowhere.toml"]).status.code(), Some(2));
 }
+
+/// A world with all that days have: uneven customers whose busiest door changes, groups of demand with spikes, guesses that are
+/// settled, a meter that is late, caps, ceilings, zones, clients that follow advice at times.
+fn days() -> World {
+    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../worlds/days.toml"));
+    let world = World::read(&text.expect("worlds/days.toml")).expect("a world");
+    World { seconds: 10.0, ..world }
+}
+
+/// The rules and the ceilings over fifty seeds of such days with floods, customers that come once, a partition and a lost zone.
+#[test]
+fn rules_and_ceilings_hold_on_uneven_days() {
+    let mut world = World { zones: 3, ..days() };
+    world.trouble = vec![
+        Trouble::Flood { at_s: 2.0, for_s: 4.0, customers: 3, times: 10.0, through: 2 },
+        Trouble::OneShots { at_s: 3.0, for_s: 3.0, share: 0.3 },
+        Trouble::Partition { at_s: 4.0, for_s: 2.0, doors: 0.5, backends: 0.3 },
+        Trouble::LoseZone { at_s: 5.0, for_s: 2.0, zone: 1 },
+    ];
+    for seed in 0..50 {
+        let one = play(&world, seed);
+        assert_eq!((one.doubled, one.ran_twice, one.late_sends, one.fell_over), (0, 0, 0, 0), "seed {seed}");
+        assert_eq!(one.over_ceiling, 0, "seed {seed}");
+        assert_eq!(one.tries, one.served + one.refused + one.failed + one.lost, "seed {seed}");
+        let by_reason: u64 = one.refusals.values().sum();
+        assert_eq!(by_reason, one.refused, "seed {seed}");
+        assert!(one.worth > 0.3, "seed {seed}: {}", one.worth);
+    }
+}
+
+/// Who knows no ceilings breaks them, so that keeping them is no empty word.
+#[test]
+fn a_policy_that_lets_all_in_breaks_ceilings() {
+    let mut world = World { choice: Choice::LeastOut, ..days() };
+    world.admission = maplefall_model::world::Admission::None;
+    world.trouble = vec![Trouble::Flood { at_s: 1.0, for_s: 8.0, customers: 30, times: 10.0, through: 0 }];
+    assert!((0..5).any(|seed| play(&world, seed).over_ceiling > 0));
+}
+
+/// What the new parts of a world are for can be seen in its figures.
+#[test]
+fn what_a_world_says_shows_in_its_figures() {
+    let mean = |world: &World, of: &dyn Fn(&maplefall_model::Outcome) -> f64| {
+        (0..6).map(|seed| of(&play(world, seed))).sum::<f64>() / 6.0
+    };
+    let worth = |world: &World| mean(world, &|one| one.worth);
+    // Even shares lose by unevenness, and one that sees all does not.
+    let even = World { choice: Choice::LeastOut, uneven: 0.0, ..days() };
+    let uneven = World { uneven: 0.9, ..even.clone() };
+    assert!(worth(&even) > worth(&uneven) + 0.05, "{} {}", worth(&even), worth(&uneven));
+    let seen = World { choice: Choice::Oracle, ..uneven };
+    assert!(worth(&seen) > 0.97, "{}", worth(&seen));
+    // The meter holds raised slices back.
+    let blind = World { meter_ms: 0.0, ..days() };
+    let over = |world: &World| mean(world, &|one| one.over);
+    assert!(over(&blind) > over(&days()) + 0.02, "{} {}", over(&blind), over(&days()));
+    // Backends of other zones are left alone where crossing has a price.
+    let free = World { zones: 2, cross_ms: [0.0, 0.0], ..days() };
+    let dear = World { cross_price: 0.05, ..free.clone() };
+    let crossings = |world: &World| mean(world, &|one| one.crossings);
+    assert!(crossings(&free) > 2.0 * crossings(&dear), "{} {}", crossings(&free), crossings(&dear));
+    // A partition costs attempts, not answers.
+    let mut cut = World { doors: 2, ..days() };
+    cut.trouble = vec![Trouble::Partition { at_s: 2.0, for_s: 4.0, doors: 1.0, backends: 0.5 }];
+    assert!(worth(&cut) > 0.5, "{}", worth(&cut));
+    assert!(mean(&cut, &|one| one.failed as f64) > mean(&days(), &|one| one.failed as f64));
+    // A lost zone comes back cold.
+    let mut lost = World { zones: 3, ..days() };
+    lost.trouble = vec![Trouble::LoseZone { at_s: 3.0, for_s: 2.0, zone: 0 }];
+    assert!(mean(&lost, &|one| one.dead as f64) > 0.0);
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -374,6 +374,59 @@
     },
 }
 
+/// Why a request is turned away, in the order in which it is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// Its plan or class is in no settings.
+    Unknown,
+    /// Its customer's recent average is over the limit: the box is shut.
+    Box,
+    /// Its quota is used up, as other gateways tell.
+    SoldOut,
+    /// It was not drawn: a part is let in, by how slow answers are and what use is known.
+    Share,
+    /// This gateway's slice of its quota is used up.
+    Slice,
+    /// Its customer is at its ceiling.
+    Ceiling,
+    /// Its customer has as many attempts out as it may.
+    Open,
+    /// No backend would answer it in time.
+    Backends,
+    /// It was sent on, and no attempt has served it or can.
+    Attempts,
+}
+
+impl Reason {
+    /// All, in their order.
+    pub const ALL: [Reason; 9] = [
+        Reason::Unknown,
+        Reason::Box,
+        Reason::SoldOut,
+        Reason::Share,
+        Reason::Slice,
+        Reason::Ceiling,
+        Reason::Open,
+        Reason::Backends,
+        Reason::Attempts,
+    ];
+
+    /// Its name in tables and results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Unknown => "unknown",
+            Reason::Box => "box",
+            Reason::SoldOut => "sold-out",
+            Reason::Share => "share",
+            Reason::Slice => "slice",
+            Reason::Ceiling => "ceiling",
+            Reason::Open => "open",
+            Reason::Backends => "backends",
+            Reason::Attempts => "attempts",
+        }
+    }
+}
+
 /// Something the front door is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -394,6 +447,8 @@
     Refuse {
         /// Which request.
         request: RequestId,
+        /// Why.
+        reason: Reason,
         /// When to come back, if advised.
         retry_after: Option<Millis>,
     },
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -119,8 +119,9 @@
 #[derive(Clone, Debug)]
 struct Customer {
     average: Cewma,
-    /// Units of its largest request so far.
+    /// Units of its largest request so far, and what its slice holds at most by it.
     largest: f64,
+    depth: f64,
     /// Units in this gateway's slice, and in its part of the ceiling, as of `t`.
     slice: f64,
     ceiling: f64,
@@ -326,7 +327,7 @@
 
     fn arrived(&mut self, now: Millis, mut request: Request, actions: &mut Vec<Action>) {
         if self.set.plans.get(request.plan.0).is_none() || self.set.classes.get(request.class.0).is_none() {
-            actions.push(Action::Refuse { request: request.id, retry_after: None });
+            actions.push(self.refusal(request.id, Reason::Unknown, None));
             return;
         }
         request.units = in_range(request.units, 0.0, self.set.max_units.max(1.0), 1.0);
@@ -354,7 +355,7 @@
                 self.requests.insert(request.id, live);
             }
             Ok(backend) => self.begin(now, live, backend, actions),
-            Err(wait) => actions.push(self.refusal(request.id, wait)),
+            Err((reason, wait)) => actions.push(self.refusal(request.id, reason, wait)),
         }
     }
 
@@ -385,7 +386,7 @@
             None => {
                 self.give_back(&request);
                 if passes {
-                    actions.push(self.refusal(id, None));
+                    actions.push(self.refusal(id, Reason::Backends, None));
                 }
             }
         }
@@ -435,7 +436,7 @@
     }
 
     /// Lets a request in and names its backend, or tells how long the reason to refuse it will last.
-    fn admit(&mut self, now: Millis, live: &Live) -> Result<BackendId, Option<Millis>> {
+    fn admit(&mut self, now: Millis, live: &Live) -> Result<BackendId, (Reason, Option<Millis>)> {
         let request = &live.request;
         let part = self.part(request);
         let born = self.born.unwrap_or(now);
@@ -451,6 +452,7 @@
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
             average: Cewma::default(),
             largest: 0.0,
+            depth: part.depth,
             slice: part.depth,
             ceiling: 0.0,
             t: born,
@@ -463,6 +465,12 @@
             held: 0.0,
             share: 1.0,
         });
+        // Guards against a sliver that a small request came to first: it would have started with room for
+        // this one, and hardly fills to it in a day. A slice that is a good part of the burst waits to fill.
+        if part.sliver {
+            customer.slice += (part.depth - customer.depth).max(0.0);
+        }
+        customer.depth = part.depth;
         customer.largest = customer.largest.max(request.units);
         let (asked, held) = customer.evidence(now, plan, &part, now - born, usual);
         let excess = asked / held;
@@ -476,11 +484,11 @@
             let sure = if part.sliver && left.is_none() { sure } else { 0.0 };
             let rate = rate.max(sure);
             if rate > part.limit {
-                return Err(Some((rate / part.limit).ln() / part.lambda));
+                return Err((Reason::Box, Some((rate / part.limit).ln() / part.lambda)));
             }
             let whole = left.is_some_and(|(least, _)| request.units <= least);
             if let Some((_, most)) = left.filter(|(_, most)| *most < request.units) {
-                return Err(Some(1000.0 * (request.units - most) / plan.rate));
+                return Err((Reason::SoldOut, Some(1000.0 * (request.units - most) / plan.rate)));
             }
             // Guards against slices too small to tell use past the quota from a few requests that happen to
             // meet at one of many gateways: a sliver lets in by chance, by what all evidence says.
@@ -495,20 +503,23 @@
             let spare = f64::from(plan.max_open) - f64::from(customer.open);
             let fits = if part.open < 1.0 && others > 0.0 { spare / (others + others.sqrt()) } else { 1.0 };
             if luck > customer.share.min(fits) {
-                return Err(None);
+                return Err((Reason::Share, None));
             }
             // Under pressure a slice keeps a reserve: those nearest the end of their quotas give way first.
             let reserve = pressure * (part.depth - request.units).max(0.0);
             let short = request.units + reserve - customer.slice;
             if short > 0.0 && !whole {
-                return Err(Some(1000.0 * short / part.even));
+                return Err((Reason::Slice, Some(1000.0 * short / part.even)));
             }
         }
         let short_of_ceiling = plan.ceiling.is_some() && customer.ceiling < request.units;
-        if !self.open_room(now, request, part.open) || short_of_ceiling {
-            return Err(None);
+        if !self.open_room(now, request, part.open) {
+            return Err((Reason::Open, None));
+        }
+        if short_of_ceiling {
+            return Err((Reason::Ceiling, None));
         }
-        let backend = self.room(now, live).ok_or(None)?;
+        let backend = self.room(now, live).ok_or((Reason::Backends, None))?;
         if let Some(customer) = self.customers.get_mut(&request.customer) {
             // By news it may let in more than its slice holds.
             customer.slice = (customer.slice - request.units).max(0.0);
@@ -605,9 +616,13 @@
         self.answer_at = now;
     }
 
-    fn refusal(&self, request: RequestId, wait: Option<Millis>) -> Action {
+    fn refusal(&self, request: RequestId, reason: Reason, wait: Option<Millis>) -> Action {
         let advised = if self.set.retry_after { wait } else { None };
-        Action::Refuse { request, retry_after: advised.map(|w| w.clamp(0.0, self.set.max_retry_after)) }
+        Action::Refuse {
+            request,
+            reason,
+            retry_after: advised.map(|w| w.clamp(0.0, self.set.max_retry_after)),
+        }
     }
 
     // ---- Choice of backend --------------------------------------------------------------------------
@@ -909,7 +924,7 @@
         }
         let safe = self.set.classes[live.request.class.0].effect == Effect::Safe;
         if safe || self.reach(now, &seen) == Reach::Anywhere {
-            self.refusal(live.request.id, None)
+            self.refusal(live.request.id, Reason::Attempts, None)
         } else {
             Action::Fail(live.request.id)
         }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -189,3 +189,93 @@
     }
     assert!((190..=210).contains(&later), "{later}");
 }
+
+/// A customer spread over a hundred gateways, whose part of the burst holds no request: a small request first, a large one next.
+fn large_after_small(spread: f64, later: Millis, seed: u64) -> Option<Reason> {
+    let plan = Plan { rate: 4.0, burst: 20.0, ..Plan::default() };
+    let mut set = settings(plan, 100);
+    set.max_units = 8.0;
+    let mut stage = Stage::seeded(set, seed, vec![ready(1, 0)]);
+    let small = Request { spread, ..request(1, 0, 0.0) };
+    if !stage.serve(0.0, small) {
+        return Some(Reason::Share);
+    }
+    let large = Request { id: RequestId(2), units: 8.0, deadline: later + 3000.0, ..small };
+    stage.serve(later, large);
+    stage.actions.iter().find_map(|action| match action {
+        Action::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
+
+/// Guards slices that were made for the first request: a larger one is let in or not by chance, never for want of a slice that
+/// would have held it. Where the slice is a part of the burst worth the name, it must still wait for it.
+#[test]
+fn a_sliver_grows_with_the_largest_request() {
+    let reasons: Vec<_> = (0..60).map(|seed| large_after_small(100.0, 20_000.0, seed)).collect();
+    assert!(!reasons.contains(&Some(Reason::Slice)), "{reasons:?}");
+    let served = reasons.iter().filter(|reason| reason.is_none()).count();
+    assert!((5..60).contains(&served), "{served} of 60");
+    let waits = (0..60).all(|seed| large_after_small(4.0, 100.0, seed) == Some(Reason::Slice));
+    assert!(waits, "a slice of a quarter of the burst is none that grows");
+}
+
+fn reason(stage: &Stage) -> Option<Reason> {
+    stage.actions.iter().find_map(|action| match action {
+        Action::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
+
+/// Each reason is told where it is the one, and each has a name of its own.
+#[test]
+fn a_refusal_tells_its_reason() {
+    let one = |plan: Plan| Stage::new(settings(plan, 1), vec![ready(1, 0)]);
+    let mut stage = one(plan());
+    stage.play(0.0, Event::Arrival(Request { plan: PlanId(7), ..request(0, 0, 0.0) }));
+    assert_eq!(reason(&stage), Some(Reason::Unknown));
+    for id in 1..30 {
+        stage.serve(1.0, request(id, 0, 1.0));
+    }
+    assert_eq!(reason(&stage), Some(Reason::Slice));
+    for id in 30..1000 {
+        stage.serve(1.0, request(id, 0, 1.0));
+    }
+    assert_eq!(reason(&stage), Some(Reason::Box));
+    let told = Elsewhere {
+        customer: CustomerId(1),
+        plan: PlanId(0),
+        units: 20.0,
+        as_of: 0.0,
+        error: 0.0,
+        heard: 1.0,
+    };
+    let mut stage = one(plan());
+    stage.play(0.0, Event::Elsewhere(told));
+    stage.play(0.0, Event::Arrival(request(1, 0, 0.0)));
+    assert_eq!(reason(&stage), Some(Reason::SoldOut));
+    let ceiling = Some(Ceiling { rate: 1.0, burst: 3.0, slack: 0.0 });
+    let mut stage = one(Plan { ceiling, ..plan() });
+    for id in 0..4 {
+        stage.serve(0.0, request(id, 0, 0.0));
+    }
+    assert_eq!(reason(&stage), Some(Reason::Ceiling));
+    let mut stage = one(Plan { max_open: 1, ..plan() });
+    for id in 0..2 {
+        stage.arrive(0.0, request(id, 0, 0.0));
+    }
+    assert_eq!(reason(&stage), Some(Reason::Open));
+    let mut stage = Stage::new(settings(plan(), 1), vec![]);
+    stage.play(0.0, Event::Arrival(request(1, 0, 0.0)));
+    assert_eq!(reason(&stage), Some(Reason::Backends));
+    let mut stage = one(plan());
+    let at = stage.arrive(0.0, request(1, 0, 0.0)).expect("sent");
+    stage.settle(10.0, 1, 0, at, Outcome::ConnectFailed);
+    for attempt in 1..4 {
+        let Some(again) = stage.sent() else { break };
+        stage.settle(10.0, 1, attempt, again, Outcome::ConnectFailed);
+    }
+    assert_eq!(reason(&stage), Some(Reason::Attempts));
+    let names: std::collections::BTreeSet<_> = Reason::ALL.iter().map(|reason| reason.name()).collect();
+    assert_eq!(names.len(), Reason::ALL.len());
+}
