--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -14,15 +14,19 @@
 const RISE_FACTOR: f64 = 2.0;
 /// Largest requests that a slice holds at least: the design's figure.
 const SLICE_LEAST: f64 = 2.0;
-/// Halflife of the recent average, in burst lengths (the design asks for one at least): a bunch of retries
-/// should not shut the box, a lasting flood should.
-const HALFLIFE_BURSTS: f64 = 4.0;
+/// Halflife of the recent average, in burst lengths (the design asks for one at least): a flood that lasts
+/// should shut the box. A spike with its retries should not: slices hold it to the quota already.
+const HALFLIFE_BURSTS: f64 = 16.0;
+/// Halflife of what else is known of a customer's use, in burst lengths.
+const RECENT_BURSTS: f64 = 4.0;
+/// The average counts as of this part of its memory at least, however young the gateway is.
+const COUNTED_LEAST: f64 = 0.05;
 /// Halflife where a plan has no burst length, in longest deadlines.
 const HALFLIFE_DEADLINES: f64 = 1.0;
 /// Entries of customers are looked through for eviction once in this many halflives.
-const EVICT_HALFLIVES: f64 = 8.0;
-/// A slice rises toward its target over this many halflives: slower than a spike, faster than a shift.
-const RISE_HALFLIVES: f64 = 0.5;
+const EVICT_HALFLIVES: f64 = 2.0;
+/// A slice rises toward its target over this many burst lengths: slower than a spike, faster than a shift.
+const RISE_BURSTS: f64 = 2.0;
 /// Longest wait at the chosen backend, as a part of the shortest aim, before a request is refused at once.
 const WAIT_LIMIT: f64 = 0.33;
 /// A client's patience must hold this many times the expected answer: half of the answers take longer.
@@ -41,7 +45,7 @@
 const OPENING_START: f64 = 0.6;
 /// Usual requests that the evidence of a new customer begins with; it is taken to ask for half of its quota.
 const PRIOR: f64 = 0.5;
-/// What the meter told is forgotten this many times as fast as the average.
+/// What the meter told is forgotten this many times as fast as what else is known.
 const RECALL: f64 = 2.0;
 /// Standard deviations of chance by which evidence must pass the box limit.
 const BOX_DOUBT: f64 = 3.0;
@@ -144,6 +148,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Part {
     lambda: f64,
+    /// Lambda of what else is known, of which slices rise.
+    recent: f64,
     /// Lambda with which what the meter told is forgotten: a sliver hears too seldom to forget sooner.
     recall: f64,
     limit: f64,
@@ -474,7 +480,7 @@
         customer.largest = customer.largest.max(request.units);
         let (asked, held) = customer.evidence(now, plan, &part, now - born, usual);
         let excess = asked / held;
-        customer.refill(now, plan, &part, pressure, excess > 1.0);
+        customer.refill(now, plan, &part, pressure, excess > 1.0, now - born);
         customer.average.feed(now, request.units, part.lambda);
         if plan.rate > 0.0 {
             // The box: beyond the limit everything is refused until the estimate has decayed.
@@ -564,13 +570,16 @@
         } else {
             HALFLIFE_DEADLINES * self.set.classes.iter().map(|c| c.deadline).fold(1000.0, f64::max)
         };
-        let lambda = std::f64::consts::LN_2 / halflife;
-        let least = (largest + 0.5 * HALFLIFE_BURSTS * plan.burst.max(largest) / request.spread)
+        let recent = std::f64::consts::LN_2 * HALFLIFE_BURSTS / RECENT_BURSTS / halflife;
+        let least = (largest + 0.5 * RECENT_BURSTS * plan.burst.max(largest) / request.spread)
             .min(SLICE_LEAST * largest);
         let sliver = request.spread > 1.0 && plan.burst / request.spread < self.usual;
+        // A sliver has too few requests to tell a lasting flood from chance by the long average alone.
+        let lambda = if sliver { recent } else { std::f64::consts::LN_2 / halflife };
         Part {
             lambda,
-            recall: if sliver { lambda } else { RECALL * lambda },
+            recent,
+            recall: if sliver { recent } else { RECALL * recent },
             limit: BOX_FACTOR * plan.rate + 1000.0 * lambda * plan.burst,
             even: plan.rate / request.spread,
             sliver,
@@ -590,7 +599,8 @@
         let age = EVICT_HALFLIVES * longest;
         self.evict_at = now + age / 4.0;
         let left = |c: &Customer| c.average.n * (-(now - c.t) * std::f64::consts::LN_2 / longest).exp();
-        self.customers.retain(|_, c| c.open > 0 || now - c.t < age || left(c) > 0.01);
+        let usual = self.usual;
+        self.customers.retain(|_, c| c.open > 0 || now - c.t < age || left(c) > usual);
         self.news.retain(|_, news| now - news.t < age);
     }
 
@@ -1126,11 +1136,23 @@
     }
 
     /// Brings slice and ceiling part up to now; their flow follows demand as the design says.
-    fn refill(&mut self, now: Millis, plan: &Plan, part: &Part, pressure: f64, past_quota: bool) {
+    fn refill(
+        &mut self,
+        now: Millis,
+        plan: &Plan,
+        part: &Part,
+        pressure: f64,
+        past_quota: bool,
+        age: Millis,
+    ) {
         let span = (now - self.t).max(0.0) / 1000.0;
-        let wanted = (RISE_FACTOR * self.average.rate(now, part.lambda)).min(plan.rate).max(part.even);
+        // The average starts at nought, so what a young gateway has counted is taken over the time it had.
+        let counted = (1.0 - (-part.lambda * age).exp()).max(COUNTED_LEAST);
+        let recent = self.average.rate(now, part.lambda) / counted;
+        let wanted = (RISE_FACTOR * recent).min(plan.rate).max(part.even);
         let target = if past_quota { part.even } else { part.even + (wanted - part.even) * (1.0 - pressure) };
-        let rise = 1.0 - (-part.lambda * 1000.0 * span / (RISE_HALFLIVES * std::f64::consts::LN_2)).exp();
+        let rises = RECENT_BURSTS / RISE_BURSTS / std::f64::consts::LN_2;
+        let rise = 1.0 - (-part.recent * 1000.0 * span * rises).exp();
         self.flow = target.min(self.flow + (target - self.flow).max(0.0) * rise).max(part.even);
         self.slice = (self.slice + self.flow * span).min(part.depth);
         if let Some(ceiling) = plan.ceiling {
