--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -88,6 +88,8 @@
 const SLACK_USED: f64 = 0.9;
 /// Part of the multiple that pushes a cold backend over which a gateway makes use of.
 const COLD_PART: f64 = 0.6;
+/// Part of the shortest aim after which a client is asked back where another gateway may hold its try.
+const ELSEWHERE_AIMS: f64 = 0.3;
 /// News of use elsewhere is good for this many shortest aims.
 const NEWS_AIMS: f64 = 6.0;
 /// Gateways by which each backend is chosen, on average: with fewer, some would get far more than others.
@@ -515,7 +517,10 @@
             let reserve = pressure * (part.depth - request.units).max(0.0);
             let short = request.units + reserve - customer.slice;
             if short > 0.0 && !whole {
-                return Err((Reason::Slice, Some(1000.0 * short / part.even)));
+                // Guards against advice that is of no use any more: the next try may come to another gateway,
+                // whose slice holds it; this one cannot know, and the time to ask there is short.
+                let elsewhere = if part.spread > 1.0 { ELSEWHERE_AIMS * self.aim } else { f64::INFINITY };
+                return Err((Reason::Slice, Some((1000.0 * short / part.even).min(elsewhere))));
             }
         }
         let short_of_ceiling = plan.ceiling.is_some() && customer.ceiling < request.units;
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -316,3 +316,30 @@
     let names: std::collections::BTreeSet<_> = Reason::ALL.iter().map(|reason| reason.name()).collect();
     assert_eq!(names.len(), Reason::ALL.len());
 }
+
+/// Alone, a gateway tells when its slice will hold the request; one of several asks the client back while another one's may, and
+/// an answer would still be in time.
+#[test]
+fn advice_is_short_where_another_gateway_may_have_room() {
+    let advised = |spread: f64| {
+        let set = Settings {
+            retry_after: true,
+            max_retry_after: 60_000.0,
+            max_units: 8.0,
+            ..settings(plan(), spread as u32)
+        };
+        let mut stage = Stage::new(set, vec![ready(1, 0)]);
+        let ask = |id: u32| Request { spread, units: 8.0, ..request(id, 0, 1.0) };
+        (0..9).find_map(|id| {
+            stage.serve(1.0, ask(id));
+            stage.actions.iter().find_map(|action| match action {
+                Action::Refuse { reason: Reason::Slice, retry_after, .. } => *retry_after,
+                _ => None,
+            })
+        })
+    };
+    // 20 units hold two requests of 8 and 4 units of a third; 4 more come within 400 ms.
+    assert!(advised(1.0).is_some_and(|wait| (wait - 400.0).abs() < 2.0), "{:?}", advised(1.0));
+    // The aim is a second.
+    assert!(advised(4.0).is_some_and(|wait| (wait - 300.0).abs() < 1.0), "{:?}", advised(4.0));
+}
