How much a fleet without talk can sell: a bound, the frontier, no rise without a meter

Change: crates/model/src/bound.rs, the most that any rule can earn which sees its own arrivals alone, as a linear programme (microlp); frontier, search and load as sub-commands; the module's slices stay at the even share where there is no meter, as nobody would ever tell that raised ones let in too much.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,8 @@
 //! | [`door`] | a front door: the decision module, or a plain policy beside it |
 //! | [`run`] | one run: the world's clock, the network, clients, troubles |
 //! | [`metrics`] | what is counted |
+//! | [`bound`], [`frontier`] | what any rule without talk can earn, and how near each policy comes |
+//! | [`search`] | the smallest seed and world at which a figure breaks a bound |
 //! | [`compare`] | whether two sets of runs differ: paired by seed, by bootstrap |
 //!
 //! A run has no I/O, clock or thread; one seed gives one run, byte for byte. Nothing of a bench is copied: the world follows the
@@ -18,12 +20,15 @@
 #![forbid(unsafe_code)]
 
 pub mod backend;
+pub mod bound;
 pub mod chance;
 pub mod compare;
 pub mod door;
+pub mod frontier;
 pub mod metrics;
 pub mod queue;
 pub mod run;
+pub mod search;
 pub mod world;
 
 pub use metrics::Outcome;
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -6,7 +6,8 @@
 
 use clap::{Parser, Subcommand};
 use maplefall_model::compare::paired;
-use maplefall_model::{play, Outcome, World};
+use maplefall_model::search::{search, Looked};
+use maplefall_model::{frontier, play, Outcome, World};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -74,6 +75,51 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Plays a world over doors and unevenness by each policy, beside the bound on all rules without talk; a table
+    Frontier {
+        /// The world, a TOML file: one plan, groups of demand that each ask for one part, no meter
+        world: PathBuf,
+        /// Numbers of doors
+        #[arg(long, value_delimiter = ',', default_value = "1,4,10,30,100,300")]
+        doors: Vec<usize>,
+        /// Parts of a customer's requests that come through its busiest door
+        #[arg(long, value_delimiter = ',', default_value = "0,0.3,0.6")]
+        uneven: Vec<f64>,
+        /// What a unit beyond a quota costs against one inside
+        #[arg(long, default_value_t = 0.8)]
+        cost: f64,
+        /// How many seeds
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+        /// Runs side by side; the output is the same
+        #[arg(long, default_value_t = 1)]
+        jobs: usize,
+        /// Lines of JSON in place of the table, which plot draws: --x over --y worth --by who
+        #[arg(long)]
+        json: bool,
+    },
+    /// Looks for the smallest seed at which a figure breaks a bound, then shrinks the world while it still does
+    Search {
+        /// The world, a TOML file
+        world: PathBuf,
+        /// What is looked for, as over_ceiling>0 or worth<0.6
+        #[arg(long)]
+        breaks: String,
+        /// How many seeds are tried of the world, and of each smaller one
+        #[arg(long, default_value_t = 50)]
+        seeds: u64,
+        /// Runs at most
+        #[arg(long, default_value_t = 2000)]
+        runs: usize,
+    },
+    /// Prints the first tries that a world draws, a line of JSON each
+    Load {
+        /// The world, a TOML file
+        world: PathBuf,
+        /// The seed
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Plays two worlds with the same seeds and tells whether a figure differs
     Compare {
         /// The first world
@@ -117,6 +163,78 @@
             let text = std::fs::read_to_string(&results).map_err(named)?;
             plot::draw(&text, &x, &y, by.as_deref(), &out).map_err(|error| vec![error])
         }
+        Command::Frontier { world, doors, uneven, cost, seeds, jobs, json } => {
+            let base = read(&world)?;
+            let named = |line: String| vec![format!("{}: {line}", world.display())];
+            let places: Vec<(usize, f64)> =
+                doors.iter().flat_map(|doors| uneven.iter().map(move |uneven| (*doors, *uneven))).collect();
+            let mut bounds = Vec::new();
+            let mut runs = Vec::new();
+            for (doors, uneven) in &places {
+                let here = World { doors: *doors, uneven: *uneven, ..base.clone() };
+                let found = here.mistakes();
+                if !found.is_empty() {
+                    return Err(found.into_iter().flat_map(named).collect());
+                }
+                bounds.push(frontier::bound_of(&here, cost).map_err(named)?);
+                for one in frontier::worlds(&base, *doors, *uneven) {
+                    runs.extend((1..=seeds.max(1)).map(|seed| (one.clone(), seed)));
+                }
+            }
+            let outcomes = all(&runs, jobs);
+            let mut groups = outcomes.chunks(seeds.max(1) as usize);
+            if !json {
+                println!("doors uneven | bound | module (worth, beyond) of bound | even | whole | oracle");
+            }
+            for bound in bounds {
+                let points = frontier::points(&bound, cost, &mut groups);
+                if json {
+                    for point in std::iter::once(&bound).chain(&points) {
+                        println!("{}", serde_json::to_string(point).unwrap_or_default());
+                    }
+                    continue;
+                }
+                let cells: Vec<String> = points
+                    .iter()
+                    .map(|point| format!("{:.3} ({:.3}, {:.3})", point.value, point.worth, point.over))
+                    .collect();
+                let part = points.first().map_or(0.0, |module| module.value / bound.value);
+                println!(
+                    "{} {} | {:.3} ({:.3}, {:.3}) | {} {:.3} | {}",
+                    bound.doors,
+                    bound.uneven,
+                    bound.value,
+                    bound.worth,
+                    bound.over,
+                    cells[0],
+                    part,
+                    cells[1..].join(" | ")
+                );
+            }
+            Ok(())
+        }
+        Command::Search { world, breaks, seeds, runs } => {
+            let base = read(&world)?;
+            let looked_for = Looked::read(&breaks).map_err(|line| vec![format!("--breaks: {line}")])?;
+            match search(&base, &looked_for, seeds, runs) {
+                Some(found) => {
+                    eprintln!("{} at seed {} after {} runs", found.what, found.seed, found.runs);
+                    print!("{}", toml::to_string(&found.world).map_err(|error| vec![error.to_string()])?);
+                }
+                None => println!("not seen in {seeds} seeds"),
+            }
+            Ok(())
+        }
+        Command::Load { world, seed } => {
+            for ask in maplefall_model::run::load(&read(&world)?, seed) {
+                let line = serde_json::to_string(&ask).unwrap_or_default();
+                // A reader that has gone needs no more lines.
+                if writeln!(std::io::stdout(), "{line}").is_err() {
+                    break;
+                }
+            }
+            Ok(())
+        }
         Command::Compare { first, second, figure, seeds, jobs } => {
             let worlds = [read(&first)?, read(&second)?];
             let runs = worlds
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -10,6 +10,7 @@
 use maplefall_policy::{
     Action, AlarmId, BackendEntry, BackendId, ClassId, CustomerId, Effect, Event, PlanId, RequestId,
 };
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Something that happens.
@@ -187,6 +188,43 @@
     run.close(seed)
 }
 
+/// A first try, with what the rehearsal kit's clients know of one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ask {
+    /// When it is made, in milliseconds from the start.
+    pub at: f64,
+    /// Whose it is.
+    pub customer: u64,
+    /// The customer's plan and the request's class, by number.
+    pub plan: usize,
+    /// See above.
+    pub class: usize,
+    /// Units that it counts.
+    pub units: f64,
+    /// Doors of the customer's set, in a row from `first`.
+    pub spread: u32,
+    /// See above.
+    pub first: u32,
+}
+
+/// The first tries that a world draws; which of them are asked does not go by what becomes of them.
+pub fn load(world: &World, seed: u64) -> Vec<Ask> {
+    let mut run = Run::new(world, seed);
+    run.begin();
+    run.go();
+    let ask = |one: &First| Ask {
+        at: one.asked,
+        customer: one.customer as u64,
+        plan: run.customers[one.customer].plan,
+        class: one.class,
+        units: one.units,
+        spread: run.spread(one.customer) as u32,
+        first: run.customers[one.customer].home as u32,
+    };
+    run.firsts.iter().map(ask).collect()
+}
+
 fn settings(world: &World) -> policy::Settings {
     let class = |class: &crate::world::ClassSpec| policy::Class {
         aim: class.aim_ms,
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -482,7 +482,9 @@
         customer.largest = customer.largest.max(request.units);
         let (asked, held) = customer.evidence(now, plan, &part, now - born, usual);
         let excess = asked / held;
-        customer.refill(now, plan, &part, pressure, excess > 1.0, now - born);
+        // Guards against slices that rise and are never told that they let in too much: no meter, no rise.
+        let past_quota = excess > 1.0 || self.set.meter_period <= 0.0;
+        customer.refill(now, plan, &part, pressure, past_quota, now - born);
         customer.average.feed(now, request.units, part.lambda);
         if plan.rate > 0.0 {
             // The box: beyond the limit everything is refused until the estimate has decayed.
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -343,3 +343,25 @@
     // The aim is a second.
     assert!(advised(4.0).is_some_and(|wait| (wait - 300.0).abs() < 1.0), "{:?}", advised(4.0));
 }
+
+/// Four times its quota through four gateways evenly, with nothing to tell them of each other: without a meter slices stay at their
+/// even shares; with one that has not spoken yet they rise.
+#[test]
+fn without_a_meter_slices_do_not_rise() {
+    let served = |meter_period: f64| {
+        let set = Settings { meter_period, ..settings(plan(), 4) };
+        let mut stage = Stage::new(set, vec![ready(1, 0), ready(2, 0)]);
+        // At each gateway as much as the whole quota, for twenty seconds.
+        (0..200)
+            .filter(|i| {
+                stage.serve(
+                    f64::from(*i) * 100.0,
+                    Request { spread: 4.0, ..request(*i, 0, f64::from(*i) * 100.0) },
+                )
+            })
+            .count()
+    };
+    // A quarter of the burst and of the rate: 5 + 20 s x 2.5.
+    assert!((50..=56).contains(&served(0.0)), "{}", served(0.0));
+    assert!(served(500.0) > 100, "{}", served(500.0));
+}
