A door with an agent of its own asks it at once: no broken drains on the full fleet

Cause: no call failed; the doors had not called. follow() waits pauses.at_the_start() where a list is known, and BackOff::new took the fleet's size: an eighth of 30 s, so up to 3.7 s, served from a list older than the release. Ruled out: a lost watch, 503s, a late roster.

Change: net/discovery.rs pauses(): pushed, as for one door (no wait at the start, 250 ms after a failure); on_request as before.

Seen to fail: with the old pauses the new test finds a first call 3.7 s late at 315 doors.

--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -6,6 +6,7 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplefall_back_off::BackOff;
+use maplefall_policy::{Discovery, Settings};
 use maplefall_protocol::Members;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -62,10 +63,20 @@
     Lost,
 }
 
+/// The pauses between calls to discovery. Where it pushes, it is an agent on this machine that answers at once and at no
+/// cost, and what it has been sent counts as told: it is asked at once and soon again, however large the fleet. Where it
+/// must be asked, it is one service for all doors, and the pauses go by how many these are.
+pub fn pauses(settings: &Settings, seed: u64) -> BackOff {
+    let sharing = match settings.discovery {
+        Discovery::Pushed => 1,
+        Discovery::OnRequest => settings.gateways,
+    };
+    BackOff::new(sharing, SHORTEST_PAUSE, seed)
+}
+
 /// Follows discovery for as long as the front door runs, from the `version` that it last had, and hands on what is
 /// told. When `agent` tells another address, the old watch is left at once and resumed there. Discovery that fails is
-/// asked again after a pause that goes by the size of the fleet: it serves all doors, and turns calls away where they
-/// are too many.
+/// asked again after one of the [`pauses`].
 pub async fn follow(
     take: impl Fn(Heard<'_>),
     mut agent: watch::Receiver<SocketAddr>,
@@ -173,6 +184,27 @@
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
 
+    /// Guards the rule on drains in a large fleet: a door that starts with an old list may send to no backend 500 ms after
+    /// the agent beside it has heard of the drain, so it cannot take turns with doors whose agents are their own.
+    #[test]
+    fn an_agent_of_its_own_is_asked_at_once_however_large_the_fleet() {
+        for gateways in [1, 4, 100, 315, u32::MAX] {
+            let pushed = Settings {
+                gateways,
+                discovery: Discovery::Pushed,
+                drain_grace: 500.0,
+                ..Settings::default()
+            };
+            let asked = Settings { discovery: Discovery::OnRequest, ..pushed.clone() };
+            let longest = |settings: &Settings, of: fn(&mut BackOff) -> f64| {
+                (0..50).map(|seed| of(&mut pauses(settings, seed))).fold(0.0, f64::max)
+            };
+            assert_eq!(longest(&pushed, BackOff::at_the_start), 0.0, "{gateways} doors");
+            assert!(longest(&pushed, BackOff::pause) < pushed.drain_grace, "{gateways} doors");
+            assert_eq!(longest(&asked, BackOff::at_the_start) > 1000.0, gateways >= 100, "{gateways} doors");
+        }
+    }
+
     /// Guards a discovery that has too much to do against being asked for more: turned away, a door goes on from the
     /// version that it has; only where that is unknown is the whole list asked for.
     #[test]
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -24,7 +24,6 @@
 use config::Config;
 use door::Door;
 use grpc::{Front, GrpcSettings};
-use maplefall_back_off::BackOff;
 use membership::Membership;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,7 +75,7 @@
     if membership.has_agent() {
         let told = membership.clone();
         let take = move |heard: discovery::Heard<'_>| told.agent_heard(heard);
-        let pauses = BackOff::new(config.told.settings.gateways, discovery::SHORTEST_PAUSE, config.seed);
+        let pauses = discovery::pauses(&config.told.settings, config.seed);
         tokio::task::spawn_local(discovery::follow(take, agent.subscribe(), version, pauses));
     }
     let clients = Clients::new(door.clone(), auth.clone(), config.limits.sockets);
