--- /dev/null
+++ b/crates/model/tests/mass.rs
@@ -0,0 +1,41 @@
+//! The full fleet without sockets: the decision module in 300 doors before 200 backends, on `worlds/mass.toml`, where seven in ten doors
+//! are killed at once, six in ten backends replaced within 7 s, a zone is lost and comes back cold, lists come late and customers flood.
+//! More seeds: `maplefall-model run worlds/mass.toml --seeds 20 --jobs 8`.
+
+use maplefall_model::world::{Admission, Choice, World};
+use maplefall_model::{play, Outcome};
+
+fn mass() -> World {
+    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../worlds/mass.toml"));
+    let world = World::read(&text.expect("worlds/mass.toml")).expect("a world");
+    assert_eq!((world.doors, world.backends, world.trouble.len()), (300, 200, 4), "the size that is meant");
+    world
+}
+
+/// What the rules count: second attempts while one is out, unsafe ones run twice, sends after a drain was told, cold backends pushed
+/// over, ceilings passed.
+fn broken(one: &Outcome) -> [u64; 5] {
+    [one.doubled, one.ran_twice, one.late_sends, one.fell_over, one.over_ceiling]
+}
+
+/// The rules over the sum of all doors, and enough of the worth served.
+#[test]
+fn the_rules_hold_over_the_sum_of_three_hundred_doors() {
+    let world = mass();
+    for seed in [1, 2] {
+        println!("seed {seed}");
+        let one = play(&world, seed);
+        assert_eq!(broken(&one), [0; 5], "seed {seed}");
+        assert_eq!(one.tries, one.served + one.refused + one.failed + one.lost, "seed {seed}");
+        assert!(one.dead > 0 && one.worth > 0.4, "seed {seed}: {} {}", one.dead, one.worth);
+        assert!(one.beyond < 0.35, "seed {seed}: {}", one.beyond);
+    }
+}
+
+/// The checks are no empty ones: doors that let all in, to backends of their own choice, break ceilings and push cold backends over.
+#[test]
+fn a_fleet_without_rules_breaks_them_there() {
+    let world = World { choice: Choice::Aperture(1), admission: Admission::None, load: 0.9, ..mass() };
+    let one = play(&world, 1);
+    assert!(one.fell_over > 0 && one.over_ceiling > 0, "{:?}", broken(&one));
+}
