--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -448,6 +448,8 @@
         let request = &live.request;
         let part = self.part(request);
         let born = self.born.unwrap_or(now);
+        // Guards the ceiling of a customer that was forgotten: its part may have been empty when last seen.
+        let unseen = born.max(now - EVICT_HALFLIVES * self.longest_halflife());
         let per_unit = self.common_pace() / 1000.0;
         self.feel_pressure(now);
         let left = self.left(now, request);
@@ -463,7 +465,7 @@
             depth: part.depth,
             slice: part.depth,
             ceiling: 0.0,
-            t: born,
+            t: unseen,
             flow: part.even,
             open: 0,
             spare: 0.0,
@@ -569,6 +571,11 @@
         HALFLIFE_BURSTS * 1000.0 * plan.burst / plan.rate
     }
 
+    fn longest_halflife(&self) -> Millis {
+        let rated = self.set.plans.iter().filter(|p| p.rate > 0.0);
+        rated.map(Self::halflife).fold(1000.0, f64::max)
+    }
+
     fn part(&self, request: &Request) -> Part {
         let plan = &self.set.plans[request.plan.0];
         let largest = self.customers.get(&request.customer).map_or(0.0, |c| c.largest).max(request.units);
@@ -601,8 +608,7 @@
         if now < self.evict_at {
             return;
         }
-        let rated = self.set.plans.iter().filter(|p| p.rate > 0.0);
-        let longest = rated.map(Self::halflife).fold(1000.0, f64::max);
+        let longest = self.longest_halflife();
         let age = EVICT_HALFLIVES * longest;
         self.evict_at = now + age / 4.0;
         let left = |c: &Customer| c.average.n * (-(now - c.t) * std::f64::consts::LN_2 / longest).exp();
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -163,6 +163,29 @@
     assert!(sent > 400.0, "a part is there to be used: {sent}");
 }
 
+/// Guards a ceiling that fills more slowly than customers are forgotten: one that comes back would else find it full again.
+#[test]
+fn the_part_of_a_ceiling_is_no_fuller_for_a_customer_that_was_forgotten() {
+    let ceiling = Ceiling { rate: 0.1, burst: 20.0, slack: 0.0 };
+    let plan = Plan { rate: 1000.0, burst: 300.0, ceiling: Some(ceiling), ..Plan::default() };
+    let mut stage = Stage::new(settings(plan, 1), vec![ready(1, 0)]);
+    let mut id = 0;
+    let mut tries = |stage: &mut Stage, now: Millis, count: u32, customer: u64| {
+        let sent = (0..count).filter(|i| {
+            id += 1;
+            let now = now + f64::from(*i) * 11.0;
+            stage.serve(now, Request { customer: CustomerId(customer), ..request(id, 0, now) })
+        });
+        sent.count()
+    };
+    // It uses all of its part, is forgotten while another comes, and comes back when six units have come in since.
+    let first = tries(&mut stage, 200_000.0, 60, 1);
+    (0..300u32).for_each(|i| _ = tries(&mut stage, 201_000.0 + f64::from(i) * 200.0, 1, 2));
+    assert_eq!(stage.gateway.customers_held(), 1, "forgotten");
+    let again = tries(&mut stage, 261_000.0, 60, 1);
+    assert!(first <= 20 && again <= 6 && again > 0, "{first}, then {again}");
+}
+
 #[test]
 fn attempts_open_at_once_keep_to_this_gateways_part_rounded_up_while_time_is_spare() {
     let plan = Plan { max_open: 3, ..plan() };
