A spoilt entry of the list spoils no other; a stopping door follows discovery

Mended is what the protocol allows and a test over sockets shows:

- net/mod.rs, run(): after SIGTERM the loop that reads SIGHUP was left while the door goes on serving for up to its longest deadline.
A discovery that moves then was not followed.
Now it is, to the last answer.
- net/discovery.rs, take_line(): one entry that could not be read made its whole line unreadable, so a drain beside it was heard only with the next whole list. crates/agent (no I/O) reads a line entry by entry where it must: the bad one is passed over and told, the rest holds, and an entry whose name and leaving state can be read still stops its backend.

Tests: crates/maplefall/tests/drains.rs, both seen to fail without (the second: no call at the new place in 30 s; the first: the old reader answers such a line with a call for the whole list); crates/agent/tests/lines.rs, by hand and at random.

--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -5,9 +5,9 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use maplefall_agent::{line, Line, Unreadable, Word};
 use maplefall_back_off::BackOff;
 use maplefall_policy::{Discovery, Settings};
-use maplefall_protocol::Members;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -35,8 +35,8 @@
     Status(StatusCode),
     #[error("silent")]
     Silent(#[from] tokio::time::error::Elapsed),
-    #[error("unreadable line: {0}")]
-    Unreadable(#[from] serde_json::Error),
+    #[error("{0}")]
+    Unreadable(#[from] Unreadable),
     #[error("a line of over {LONGEST_LINE} bytes")]
     TooLong,
 }
@@ -56,7 +56,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Heard<'a> {
     /// The list, or what changed in it.
-    Members(&'a Members),
+    Word(&'a Word),
     /// It is there, and nothing has changed.
     Alive,
     /// Its watch has ended.
@@ -167,14 +167,14 @@
 }
 
 /// Hands a line to the front door; an empty one only says that discovery is there.
-fn take_line(take: &impl Fn(Heard<'_>), line: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
-    if line.trim_ascii().is_empty() {
-        take(Heard::Alive);
-        return Ok(());
+fn take_line(take: &impl Fn(Heard<'_>), text: &[u8], version: &mut Option<u64>) -> Result<(), Ended> {
+    match line(text)? {
+        Line::Alive => take(Heard::Alive),
+        Line::Word(word) => {
+            take(Heard::Word(&word));
+            *version = Some(word.members.seq);
+        }
     }
-    let members: Members = serde_json::from_slice(line)?;
-    take(Heard::Members(&members));
-    *version = Some(members.seq);
     Ok(())
 }
 
--- a/crates/maplefall/src/net/membership.rs
+++ b/crates/maplefall/src/net/membership.rs
@@ -8,6 +8,7 @@
 use super::discovery::Heard;
 use super::door::Door;
 use super::sources::{Kind, Source, Sources};
+use maplefall_agent::{PassedOver, Spoilt, Word};
 use maplefall_etcd::client::{self, Place};
 use maplefall_etcd::{one_line, value, Output, Report, Told};
 use maplefall_policy::Millis;
@@ -214,22 +215,40 @@
     /// Takes in what the agent's watch said.
     pub fn agent_heard(&self, heard: Heard<'_>) {
         let Some(source) = self.agent else { return };
-        let members = match heard {
+        let Word { members, passed_over } = match heard {
             Heard::Lost => return self.take(Event::Lost { source }),
             Heard::Alive => return self.take(Event::Resumed { source }),
-            Heard::Members(members) => members,
+            Heard::Word(word) => word,
         };
         // An agent's stream is read in order, and one that counts anew is another agent: its word holds all the same.
         if members.seq <= self.agent_version.replace(members.seq) {
             self.take(Event::Reborn { source });
         }
-        let (members, whole) = (members.clone(), members.whole);
-        self.take(match whole {
-            true => Event::Snapshot { source, members, unread: Vec::new() },
+        let (mut members, mut unread) = (members.clone(), Vec::new());
+        for PassedOver { host, why } in passed_over {
+            let name = host.as_ref().map_or("an entry", |spoilt| spoilt.host.as_str());
+            self.say(&format_args!("discovery: {}: passed over: {}", one_line(name), one_line(why)));
+            let Some(spoilt) = host else { continue };
+            // What was said of it stands, but for a stop, which needs no more than the name.
+            match self.stopped(source, spoilt) {
+                Some(stopped) => members.hosts.push(stopped),
+                None => unread.push(spoilt.host.clone()),
+            }
+        }
+        self.take(match members.whole {
+            true => Event::Snapshot { source, members, unread },
             false => Event::Change { source, members },
         });
     }
 
+    /// The entry of a backend that is said to be leaving by one that cannot be used otherwise.
+    fn stopped(&self, source: usize, spoilt: &Spoilt) -> Option<Member> {
+        let health = spoilt.stop?;
+        let roster = self.roster.borrow();
+        let had = roster.said(source, &spoilt.host)?;
+        Some(Member { health, born_ms: spoilt.born_ms.unwrap_or(had.born_ms), ..had.clone() })
+    }
+
     fn etcd_said(&self, at: usize, output: Output) {
         let name = &self.sources[at].settings.name;
         match output {
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -86,24 +86,31 @@
         Some(settings) => Some(listen_for_calls(&config.name, &door, &auth, settings).await?),
         None => None,
     };
-    loop {
-        tokio::select! {
-            _ = stop.recv() => break,
-            _ = reload.recv() => {
-                take_up(&config.name, &agent, &membership);
-                if let Some(auth) = &auth {
-                    auth.forget();
-                }
+    // For as long as anything is served, so also while the program stops: discovery may move in that time, and what it
+    // tells of backends that leave binds the last request as it binds the first.
+    let reloads = async {
+        while reload.recv().await.is_some() {
+            take_up(&config.name, &agent, &membership);
+            if let Some(auth) = &auth {
+                auth.forget();
             }
         }
-    }
-    eprintln!("{}: stopping", config.name);
-    let calls = async {
-        if let Some(front) = &front {
-            front.stop().await;
-        }
+        std::future::pending().await
     };
-    tokio::join!(clients.stop(), calls);
+    let stopped = async {
+        stop.recv().await;
+        eprintln!("{}: stopping", config.name);
+        let calls = async {
+            if let Some(front) = &front {
+                front.stop().await;
+            }
+        };
+        tokio::join!(clients.stop(), calls);
+    };
+    tokio::select! {
+        () = reloads => {}
+        () = stopped => {}
+    }
     Ok(())
 }
 
