A second call to an agent that is refused at once is made again after a pause

Seen: the fleet model, given agents that move and watches that die unseen, ran without end. Cause: crates/agent/src/follower.rs, tick(): a watch that had missed its heartbeat was asked beside at once whenever no second call was open; where the place takes no new connection (the old one after a move), each second call ended in the same instant and was made again, for 4 s, until the first was given up. In the daemon that is a busy loop of refused connects.

Test: a_second_call_that_is_refused_is_made_again_after_a_pause, seen to fail without (due again at once).

--- a/crates/agent/src/follower.rs
+++ b/crates/agent/src/follower.rs
@@ -95,8 +95,9 @@
     unordered: bool,
     /// Versions of the events for the roster: they count up whatever the agent's do.
     events: u64,
-    /// Second calls in a row that were not answered.
+    /// Second calls in a row that were not answered, and when the next may be made.
     unanswered: u32,
+    again_at: Millis,
     /// When the last line came, and whether a call has ended since.
     last_line: Millis,
     broken_off: bool,
@@ -130,6 +131,7 @@
             unordered: false,
             events: 0,
             unanswered: 0,
+            again_at: now,
             last_line: now,
             broken_off: false,
             down: false,
@@ -141,7 +143,7 @@
         let main = self.main.as_ref().map(|call| call.sign + self.patience(call));
         let given_up = self.main.as_ref().map(|call| call.sign + GIVEN_UP);
         let beside = self.beside.as_ref().map(|call| call.sign + self.patience(call));
-        let first = if self.own && self.beside.is_none() { main } else { None };
+        let first = main.filter(|_| self.own && self.beside.is_none()).map(|due| due.max(self.again_at));
         [self.ask_at, first, given_up, beside].into_iter().flatten().min_by(f64::total_cmp)
     }
 
@@ -168,7 +170,7 @@
                 }
             }
         }
-        if self.own && self.beside.is_none() {
+        if self.own && self.beside.is_none() && now >= self.again_at {
             if let Some(call) = self.main.filter(|call| now - call.sign >= self.patience(call)) {
                 if !call.spoke {
                     self.next_place();
@@ -209,6 +211,8 @@
                 // The head alone says nothing of the list.
                 Heard::Begun => return out,
                 Heard::Ended(_) => {
+                    // One that is refused takes no time: without a pause it would be made again and again.
+                    self.again_at = now + self.answers_within();
                     self.beside = None;
                     self.unanswered += 1;
                     self.next_place();
@@ -265,10 +269,15 @@
         match (self.own, call.begun) {
             (false, _) => GIVEN_UP,
             (true, true) => MISSED,
-            (true, false) => (ANSWERS_WITHIN * 2f64.powi(self.unanswered.min(8) as i32)).min(HEARTBEAT),
+            (true, false) => self.answers_within(),
         }
     }
 
+    /// How long a call is waited for, after so many that were not answered.
+    fn answers_within(&self) -> Millis {
+        (ANSWERS_WITHIN * 2f64.powi(self.unanswered.min(8) as i32)).min(HEARTBEAT)
+    }
+
     fn next_place(&mut self) {
         self.place = (self.place + 1) % self.places.len().max(1);
     }
--- a/crates/agent/tests/follower.rs
+++ b/crates/agent/tests/follower.rs
@@ -234,6 +234,27 @@
     assert_eq!(played.reports, ["watch ended: silent"]);
 }
 
+/// Guards the processor: a second call that is refused at once is not made again at once. (A watch that is silent while its
+/// place takes no new connection: the fleet model ran without end here.)
+#[test]
+fn a_second_call_that_is_refused_is_made_again_after_a_pause() {
+    let mut played = known();
+    let first = played.call();
+    played.beat(first);
+    let mut made = 0;
+    for _ in 0..60 {
+        played.pass(100.0);
+        for (call, _, _) in played.open.clone() {
+            if call != first {
+                made += 1;
+                played.end(call, End::Broken("refused".into()));
+                assert!(played.follower.next_due().is_none_or(|due| due > played.now), "due again at once");
+            }
+        }
+    }
+    assert!((2..=6).contains(&made), "{made} calls in six seconds");
+}
+
 /// Guards a discovery that all doors share: it is not asked a second time while a call is open.
 #[test]
 fn a_shared_agent_is_asked_again_only_once_its_call_is_given_up() {
