What is due by next_due is due by tick too, whatever a difference rounds to

Need: next_due() gave the sum of a call's last sign and its patience, tick() compared a difference with the patience; where rounding puts the two on different sides, a caller whose clock stands still until all that is due is done (a simulated one) never goes on. Both now use the same sum.

--- a/crates/agent/src/follower.rs
+++ b/crates/agent/src/follower.rs
@@ -151,8 +151,8 @@
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
         let mut out = Vec::new();
         let over =
-            |call: &Option<Call>, patience: Millis| call.as_ref().is_some_and(|c| now - c.sign >= patience);
-        if let Some(call) = self.beside.filter(|call| now - call.sign >= self.patience(call)) {
+            |call: &Option<Call>, patience: Millis| call.as_ref().is_some_and(|c| now >= c.sign + patience);
+        if let Some(call) = self.beside.filter(|call| now >= call.sign + self.patience(call)) {
             out.push(Output::HangUp(call.id));
             self.beside = None;
             self.unanswered += 1;
@@ -171,7 +171,7 @@
             }
         }
         if self.own && self.beside.is_none() && now >= self.again_at {
-            if let Some(call) = self.main.filter(|call| now - call.sign >= self.patience(call)) {
+            if let Some(call) = self.main.filter(|call| now >= call.sign + self.patience(call)) {
                 if !call.spoke {
                     self.next_place();
                 }
