Rehearsed: agents that are behind, half, spoilt or gone, in a release with restarts

The played agent could only be silent, break off, repeat and move.

Change: the played agent lapses (knows no more than some time ago, breaks lists off in their middle, spoils entries and the addresses of draining nodes) and vanishes from open watches. The record has versions of what was told, and what there was to tell (Due). `drains` prints the time from having it to telling it. Scenarios leaving (a release, all doors stopped, a move to agents 2.5 to 4 s behind, half of the watches vanished) and leaving-spoilt; breakages older-list-holds and spoilt-line.

Not made: a breakage "a stopping door deaf to SIGHUP".

--- a/crates/judge/src/drain_times.rs
+++ b/crates/judge/src/drain_times.rs
@@ -13,6 +13,8 @@
     pub node: u32,
     /// From the commit to the front door's learning of it; `None` where nothing was committed (an agent tells by itself).
     pub learned: Option<Millis>,
+    /// From the moment at which its source had it to tell to the telling; `None` where that is not in the record.
+    pub late: Option<Millis>,
     /// From the commit to the last byte of new work; 0 if there was none after it, `None` as above.
     pub from_commit: Option<Millis>,
     /// From learning to the last byte of new work; 0 if there was none after it.
@@ -59,6 +61,13 @@
         found.push(DrainTime {
             door: telling.door,
             node: telling.node,
+            late: view
+                .due
+                .iter()
+                .filter(|due| (due.door, due.node) == key && due.health != Health::Up)
+                .map(|due| due.at - record.header.rules.told_within_ms)
+                .rfind(|at| *at <= telling.at)
+                .map(|at| telling.at - at),
             learned: commit.map(|commit| telling.at - commit),
             from_commit: commit.map(last),
             from_learning: last(telling.at),
@@ -79,10 +88,11 @@
 
     #[test]
     fn new_work_after_the_commit_counts_and_work_begun_before_does_not() {
-        let told = |health| Entry::Told { door: 0, node: 1, health, born: None, source: 1 };
+        let told = |health| Entry::Told { door: 0, node: 1, health, born: None, source: 1, version: 0 };
         let lines = [
             (0.0, told(Health::Up)),
             (100.0, Entry::Committed { node: 1, health: Health::Draining }),
+            (105.0, Entry::Due { door: 0, node: 1, health: Health::Draining, version: 2 }),
             (130.0, told(Health::Draining)),
             (140.0, came(2, 1, 125.0)),
             (150.0, came(3, 1, 145.0)),
@@ -106,8 +116,14 @@
         };
         let lines = lines.into_iter().map(|(at, entry)| Line { at, entry }).collect();
         let found = drain_times(&Record { header, lines });
-        let expected =
-            DrainTime { door: 0, node: 1, learned: Some(30.0), from_commit: Some(50.0), from_learning: 20.0 };
+        let expected = DrainTime {
+            door: 0,
+            node: 1,
+            learned: Some(30.0),
+            late: Some(25.0),
+            from_commit: Some(50.0),
+            from_learning: 20.0,
+        };
         assert_eq!(found, [expected]);
     }
 }
--- a/crates/judge/src/drains.rs
+++ b/crates/judge/src/drains.rs
@@ -1,17 +1,26 @@
 //! Rule 3: nothing new goes to a node later than the stated grace after the front door was told that it drains or is
-//! gone. A send counts from its first byte, whole or not.
+//! gone. A send counts from its first byte, whole or not. What a source had to tell counts as told some seconds later, if it
+//! was not told before; a word of a lower version than the stop's takes no stop back, whenever it comes.
 
 use crate::ruling::Ruling;
-use crate::view::View;
+use crate::view::{Telling, View};
 use maplefall_record::{DoorState, Health, Millis};
 use std::collections::BTreeMap;
 
 /// How recently a front door must have sent to a node for its drain to be a test.
 const RECENT: Millis = 10_000.0;
 
-/// What a front door knows of a node by each source: since when it is to be left alone, and by which line. One source's
-/// drain holds whatever another says, until the one that told it takes it back.
-type Stopped = BTreeMap<(u32, u32), BTreeMap<u32, (Millis, usize)>>;
+/// A stop that holds: since when a node is to be left alone, by which line, and by which version of the list.
+#[derive(Clone, Copy)]
+struct Stop {
+    at: Millis,
+    line: usize,
+    version: u64,
+}
+
+/// What a front door knows of a node by each source. One source's drain holds whatever another says, until the one that
+/// told it takes it back.
+type Stopped = BTreeMap<(u32, u32), BTreeMap<u32, Stop>>;
 
 /// Judges it.
 pub fn judge(view: &View<'_>) -> Ruling {
@@ -21,7 +30,9 @@
     let grace = rules.drain_grace_ms + rules.socket_slack_ms;
     let mut stopped: Stopped = BTreeMap::new();
     let mut sent: BTreeMap<(u32, u32), Millis> = BTreeMap::new();
-    let mut tellings = view.tellings.iter().peekable();
+    let mut told: Vec<_> = view.tellings.iter().chain(&view.due).collect();
+    told.sort_by(|a, b| a.at.total_cmp(&b.at));
+    let mut tellings = told.into_iter().peekable();
     let starts = view.doors.iter().filter(|(_, _, state, _)| *state == DoorState::Started);
     let mut starts = starts.peekable();
     let mut sends: Vec<_> = view.attempts.iter().collect();
@@ -46,11 +57,15 @@
                     let first = entry.is_empty();
                     if telling.health == Health::Up {
                         // Its own stop is taken back; anybody's, by a newer life of the node.
-                        entry.retain(|source, (at, _)| {
-                            *source != telling.source && !telling.born.is_some_and(|born| born > *at)
+                        entry.retain(|source, stop| {
+                            let older = telling.version < stop.version;
+                            (*source != telling.source || older)
+                                && !telling.born.is_some_and(|born| born > stop.at)
                         });
                     } else {
-                        entry.entry(telling.source).or_insert((telling.at, telling.line));
+                        let Telling { at, line, version, .. } = *telling;
+                        let stop = entry.entry(telling.source).or_insert(Stop { at, line, version });
+                        stop.version = stop.version.max(version);
                     }
                     if first && !entry.is_empty() {
                         let recent = sent.get(&key).is_some_and(|at| telling.at - at < RECENT);
@@ -60,8 +75,9 @@
             }
         }
         let key = (attempt.door, attempt.node);
-        let earliest = stopped.get(&key).and_then(|stops| stops.values().min_by(|a, b| a.0.total_cmp(&b.0)));
-        if let Some((since, line)) = earliest {
+        let earliest =
+            stopped.get(&key).and_then(|stops| stops.values().min_by(|a, b| a.at.total_cmp(&b.at)));
+        if let Some(Stop { at: since, line, .. }) = earliest {
             let after = attempt.first - since;
             ruling.margin(attempt.first, grace - after);
             if after > grace {
--- a/crates/judge/src/view.rs
+++ b/crates/judge/src/view.rs
@@ -139,6 +139,8 @@
     pub born: Option<Millis>,
     /// By which source.
     pub source: u32,
+    /// The version of that source's list; 0 where it is not known.
+    pub version: u64,
     /// The line.
     pub line: usize,
 }
@@ -159,6 +161,8 @@
     pub lives: Vec<Life>,
     /// What front doors were told.
     pub tellings: Vec<Telling>,
+    /// What front doors' sources had to tell, and since when: counted as told at the latest, in the order of that.
+    pub due: Vec<Telling>,
     /// When a node's change was committed where front doors watch, and to which state.
     pub committed: Vec<(Millis, u32, Health)>,
     /// What happened to front doors.
@@ -180,6 +184,7 @@
             whole_by_id: BTreeMap::new(),
             lives: Vec::new(),
             tellings: Vec::new(),
+            due: Vec::new(),
             committed: Vec::new(),
             doors: Vec::new(),
             surplus: Vec::new(),
@@ -284,13 +289,24 @@
                 }
             }
             Entry::Node { node, state } => self.take_node(line, at, *node, *state),
-            Entry::Told { door, node, health, born, source } => self.tellings.push(Telling {
+            Entry::Told { door, node, health, born, source, version } => self.tellings.push(Telling {
                 at,
                 door: *door,
                 node: *node,
                 health: *health,
                 born: *born,
                 source: *source,
+                version: *version,
+                line,
+            }),
+            Entry::Due { door, node, health, version } => self.due.push(Telling {
+                at: at + self.record.header.rules.told_within_ms,
+                door: *door,
+                node: *node,
+                health: *health,
+                born: None,
+                source: 0,
+                version: *version,
                 line,
             }),
             Entry::Committed { node, health } => self.committed.push((at, *node, *health)),
--- a/crates/judge/tests/rules.rs
+++ b/crates/judge/tests/rules.rs
@@ -302,6 +302,40 @@
     assert_eq!(newer.rule(3).verdict, Kept);
 }
 
+/// Guards the rule against an agent that is behind: a word of a lower version than the drain's takes it back as little as no
+/// word, and one of a higher version takes it back.
+#[test]
+fn a_drain_is_not_taken_back_by_an_older_list() {
+    let told = |tale: Tale, at, health, version| {
+        tale.line(at, Entry::Told { door: 0, node: 3, health, born: None, source: 0, version })
+    };
+    let drained = || told(tale().served(0.0, 1, "a", SAFE, 3), 1000.0, Health::Draining, 9);
+    let sent = |tale: Tale| tale.served(2000.0, 2, "b", SAFE, 3).rule(3).verdict;
+    assert_eq!(sent(told(drained(), 1200.0, Health::Up, 8)), Broken);
+    assert_eq!(sent(told(drained(), 1200.0, Health::Up, 10)), Kept);
+    // Told again by a later version, it takes a word above that one.
+    let again = || told(drained(), 1100.0, Health::Draining, 12);
+    assert_eq!(sent(told(again(), 1200.0, Health::Up, 11)), Broken);
+}
+
+/// Guards what counts as told though it never came: what a source has to tell binds a front door 6 s later at the latest.
+#[test]
+fn what_there_is_to_tell_counts_as_told_in_the_end() {
+    let due = |health, version| Entry::Due { door: 0, node: 3, health, version };
+    let drained = || tale().served(0.0, 1, "a", SAFE, 3).line(1000.0, due(Health::Draining, 2));
+    let sent = |tale: Tale, after| tale.served(7000.0 + after - 2.0, 2, "b", SAFE, 3).rule(3).verdict;
+    assert_eq!(sent(drained(), DRAIN_GRACE), Kept);
+    assert_eq!(sent(drained(), DRAIN_GRACE + 1.0), Broken);
+    // Told earlier, it binds from then on; taken back before it counted, it never does.
+    let told = Entry::Told { door: 0, node: 3, health: Health::Draining, born: None, source: 0, version: 2 };
+    assert_eq!(sent(drained().line(5000.0, told), 0.0), Broken);
+    let back = Entry::Told { door: 0, node: 3, health: Health::Up, born: None, source: 0, version: 3 };
+    assert_eq!(
+        sent(drained().line(5000.0, due(Health::Up, 3)).line(7200.0, back), DRAIN_GRACE + 500.0),
+        Kept
+    );
+}
+
 #[test]
 fn a_drain_of_a_node_that_was_not_used_puts_nothing_to_the_test() {
     assert_eq!(tale().told(1000.0, 0, 3, Health::Draining, None).rule(3).verdict, NotExercised);
--- a/crates/judge/tests/tale/mod.rs
+++ b/crates/judge/tests/tale/mod.rs
@@ -139,7 +139,7 @@
         health: Health,
         born: Option<Millis>,
     ) -> Tale {
-        self.line(at, Entry::Told { door, node, health, born, source })
+        self.line(at, Entry::Told { door, node, health, born, source, version: 0 })
     }
 
     pub fn door(self, at: Millis, state: DoorState) -> Tale {
--- a/crates/maplefall/src/net/breakages.rs
+++ b/crates/maplefall/src/net/breakages.rs
@@ -3,12 +3,14 @@
 //! the driver and the decision module or the sockets: the module itself is played unchanged.
 
 use hyper::Uri;
+use maplefall_agent::{line, Heard, Line, Output, Word};
 use maplefall_etcd::client::Seam;
 use maplefall_etcd::{Command, Input};
 use maplefall_policy::{Action, BackendEntry, Effect, Millis, Reason, Settings};
 use maplefall_protocol::{Health, Member, Order};
 use maplefall_roster::{Event, Roster, Update};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 
 /// The variable that names the breakage.
@@ -73,10 +75,14 @@
     CountsAdded,
     /// News of use elsewhere never grow old.
     NewsNeverOld,
+    /// What an agent says holds, whatever its version.
+    OlderListHolds,
+    /// A line with an entry that cannot be used is not taken.
+    SpoiltLine,
 }
 
 /// Their names.
-const NAMES: [(&str, Breakage); 26] = [
+const NAMES: [(&str, Breakage); 28] = [
     ("second-answer", Breakage::SecondAnswer),
     ("drops-on-term", Breakage::DropsOnTerm),
     ("sent-after-answer", Breakage::SentAfterAnswer),
@@ -103,6 +109,8 @@
     ("checked-again", Breakage::CheckedAgain),
     ("counts-added", Breakage::CountsAdded),
     ("news-never-old", Breakage::NewsNeverOld),
+    ("older-list-holds", Breakage::OlderListHolds),
+    ("spoilt-line", Breakage::SpoiltLine),
 ];
 
 /// Whether the program is to be broken in this way.
@@ -211,6 +219,36 @@
     Some(Update { changes, reports: Vec::new() })
 }
 
+/// What an agent said as its follower hears it.
+pub fn as_heard(heard: Heard) -> Heard {
+    match &heard {
+        Heard::Line(text) if is(Breakage::SpoiltLine) => match line(text) {
+            Ok(Line::Word(word)) if !word.passed_over.is_empty() => Heard::Line(Vec::new()),
+            _ => heard,
+        },
+        _ => heard,
+    }
+}
+
+/// What comes of it: in place of what the follower makes of a word, the word as it came.
+pub fn as_told(heard: &Heard, out: Vec<Output>) -> Vec<Output> {
+    static WORDS: AtomicU64 = AtomicU64::new(1);
+    let word = match heard {
+        Heard::Line(text) if is(Breakage::OlderListHolds) => line(text).ok(),
+        _ => None,
+    };
+    let Some(Line::Word(Word { mut members, .. })) = word else { return out };
+    // Versions of events for the roster count up, whatever the agent's do.
+    members.seq = WORDS.fetch_add(1, Ordering::Relaxed);
+    let unread = Vec::new();
+    let event = match members.whole {
+        true => Event::Snapshot { source: 0, members, unread },
+        false => Event::Change { source: 0, members },
+    };
+    let calls = out.into_iter().filter(|output| !matches!(output, Output::Tell(_)));
+    calls.chain([Output::Tell(event)]).collect()
+}
+
 /// Between etcd's follower and its sockets.
 #[derive(Default)]
 pub struct EtcdSeam {
--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -1,5 +1,7 @@
 //! The platform's agent: carries out the calls that `maplefall-agent` asks for, and hands on what comes of them.
 
+#[cfg(feature = "breakages")]
+use super::breakages;
 use super::clock::Clock;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
@@ -47,7 +49,14 @@
                 if let Heard::Ended(_) = heard {
                     calls.remove(&call);
                 }
-                follower.heard_of(clock.now(), call, heard)
+                #[cfg(feature = "breakages")]
+                let heard = breakages::as_heard(heard);
+                #[cfg(feature = "breakages")]
+                let as_it_came = heard.clone();
+                let out = follower.heard_of(clock.now(), call, heard);
+                #[cfg(feature = "breakages")]
+                let out = breakages::as_told(&as_it_came, out);
+                out
             }
             Ok(()) = moved.changed() => {
                 let place = *moved.borrow_and_update();
--- a/crates/record/src/lines.rs
+++ b/crates/record/src/lines.rs
@@ -86,11 +86,18 @@
     /// For how long after a credential is revoked its requests may go on: kept verdicts, and checks that are out.
     #[serde(default)]
     pub revoked_ms: Millis,
+    /// How long after a source has something to tell it counts as told, whether or not it came (protocol page: 6 s).
+    #[serde(default = "told_within_ms")]
+    pub told_within_ms: Millis,
     /// Where front doors share counts: by how much of a quota's time use may pass it, beside its burst; 0 where they do not.
     #[serde(default)]
     pub shared_ms: Millis,
 }
 
+fn told_within_ms() -> Millis {
+    6000.0
+}
+
 impl Rules {
     /// The figures of the platform (BRIEF, "The rules in figures"; PROTOCOL, "The rules on sockets"), with what chance may
     /// add to a cold node's budget in milliseconds of a warm core.
@@ -104,6 +111,7 @@
             most_attempts: 3,
             socket_slack_ms: 50.0,
             revoked_ms: 0.0,
+            told_within_ms: told_within_ms(),
             shared_ms: 0.0,
         }
     }
@@ -247,6 +255,20 @@
         /// By which source of the list: 0 for its agent, and what it was started with.
         #[serde(default)]
         source: u32,
+        /// The version of that source's list; 0 where it is not known. A word of a lower one is older, whenever it comes.
+        #[serde(default)]
+        version: u64,
+    },
+    /// A front door's source has this to tell, whether or not it can: it counts as told some seconds later at the latest.
+    Due {
+        /// Which front door.
+        door: u32,
+        /// Which node.
+        node: u32,
+        /// What there is to tell.
+        health: Health,
+        /// The version of the list.
+        version: u64,
     },
     /// A change of a node's state was committed to a store that front doors watch, before any was told.
     Committed {
--- a/crates/rehearsal/src/drains.rs
+++ b/crates/rehearsal/src/drains.rs
@@ -21,8 +21,8 @@
 }
 
 /// The head of the table.
-pub const HEAD: &str = "scenario          drains  at doors | commit to learning ms | commit to last new work | learning to last new work\n\
-                        \u{20}                                |   p50     p99    most |    p50     p99    most |    p50     p99    most";
+pub const HEAD: &str = "scenario          drains  at doors | had to tell to telling | commit to learning ms  | commit to last new work | learning to last new work\n\
+                        \u{20}                                |   p50     p99    most |    p50     p99    most |    p50     p99    most |    p50     p99    most";
 
 /// One row: a scenario and what came of its drains.
 pub fn row(name: &str, times: &[DrainTime]) -> String {
@@ -30,9 +30,10 @@
     nodes.sort_unstable();
     nodes.dedup();
     format!(
-        "{name:<18}{:>6} {:>9} | {} | {} | {}",
+        "{name:<18}{:>6} {:>9} | {} | {} | {} | {}",
         nodes.len(),
         times.len(),
+        three(times.iter().filter_map(|time| time.late)),
         three(times.iter().filter_map(|time| time.learned)),
         three(times.iter().filter_map(|time| time.from_commit)),
         three(times.iter().map(|time| time.from_learning)),
--- a/crates/rehearsal/src/etcd_world.rs
+++ b/crates/rehearsal/src/etcd_world.rs
@@ -202,6 +202,13 @@
         if health == Health::Removed && !lock(&self.gone).insert((member, node)) {
             return;
         }
-        self.recorder.note(Entry::Told { door: member as u32, node, health, born, source: SOURCE });
+        self.recorder.note(Entry::Told {
+            door: member as u32,
+            node,
+            health,
+            born,
+            source: SOURCE,
+            version: 0,
+        });
     }
 }
--- a/crates/rehearsal/src/library.rs
+++ b/crates/rehearsal/src/library.rs
@@ -21,6 +21,8 @@
     "errors",
     "neighbours",
     "rolling",
+    "leaving",
+    "leaving-spoilt",
     "silent",
     "connections",
     "counts-back",
--- a/crates/rehearsal/src/play.rs
+++ b/crates/rehearsal/src/play.rs
@@ -608,6 +608,8 @@
                     agents[door].tell(&member(places[place].address(door), node, health, born_ms));
                 }
                 WorldAct::Silence { door, silent } => agents[door].silence(silent),
+                WorldAct::Lapse { door, lapse } => agents[door].lapse(lapse),
+                WorldAct::Vanish { door } => agents[door].vanish(),
                 WorldAct::BreakOff => agents.iter().for_each(|agent| agent.break_off()),
                 WorldAct::Repeat => agents.iter().for_each(|agent| agent.repeat()),
                 WorldAct::Commit { place, node, health } => match &mut etcd {
--- a/crates/rehearsal/src/prove.rs
+++ b/crates/rehearsal/src/prove.rs
@@ -22,7 +22,7 @@
 }
 
 /// All of them, by rule.
-pub const PROOFS: [Proof; 26] = [
+pub const PROOFS: [Proof; 28] = [
     proof("second-answer", "short", 1, "a served answer is written twice"),
     proof("stale-body", "short", 1, "a request is answered with what was made for the one before"),
     proof("sent-after-answer", "short", 1, "a served request is sent on once more"),
@@ -35,6 +35,8 @@
     proof("key-for-ever", "forgetful", 2, "a key is taken to be remembered for ever"),
     proof("drain-ignored", "rolling", 3, "drains and removals are not heard"),
     proof("drain-late", "rolling", 3, "drains are heard 650 ms late"),
+    proof("older-list-holds", "leaving", 3, "an agent that is behind takes drains back"),
+    proof("spoilt-line", "leaving-spoilt", 3, "a line with an entry that cannot be used is not taken"),
     proof("resumes-at-current", "etcd-rolling", 3, "etcd's watch goes on at the current revision"),
     proof("compaction-ignored", "etcd-compacted", 3, "what went with etcd's history is not read anew"),
     proof("last-word-holds", "disagreement", 3, "whoever speaks last is believed"),
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -276,6 +276,34 @@
         /// For how long.
         for_ms: Range,
     },
+    /// Agents know no more than what was known some time ago, also of what they had told.
+    BehindAgents {
+        /// Part of the front doors, rounded up.
+        part: f64,
+        /// How long ago.
+        behind_ms: Range,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Agents break off each list in its middle.
+    HalfAgents {
+        /// Part of the front doors, rounded up.
+        part: f64,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Agents tell lists in which entries cannot be used.
+    SpoiltAgents {
+        /// Part of the front doors, rounded up.
+        part: f64,
+        /// For how long.
+        for_ms: Range,
+    },
+    /// Open watches lose their other end without a word; new ones are served.
+    VanishedWatches {
+        /// Part of the front doors, rounded up.
+        part: f64,
+    },
     /// Agents break off their watches.
     BrokenAgents,
     /// Agents tell again what they know of every node, now and then.
@@ -583,7 +611,12 @@
                 }
                 let of_agent = matches!(
                     event.what,
-                    What::RepeatingAgents { .. } | What::ReplaceNodes { told_by: Teller::Agent, .. }
+                    What::RepeatingAgents { .. }
+                        | What::BehindAgents { .. }
+                        | What::HalfAgents { .. }
+                        | What::SpoiltAgents { .. }
+                        | What::VanishedWatches { .. }
+                        | What::ReplaceNodes { told_by: Teller::Agent, .. }
                 );
                 if (of_etcd && scenario.sources == Sources::Agent)
                     || (of_agent && scenario.sources == Sources::Etcd)
@@ -644,7 +677,7 @@
 }
 
 /// The events that a file may name, and what each is.
-pub const EVENTS: [(&str, &str); 31] = [
+pub const EVENTS: [(&str, &str); 35] = [
     ("kill_doors", "part, down_ms: front doors die outright and come back"),
     ("stop_doors", "part, down_ms: front doors are told to stop, one after the other"),
     ("reload_doors", "front doors get a new configuration, in which their agent has moved"),
@@ -664,6 +697,10 @@
     ),
     ("crash_nodes", "part, down_ms: nodes die without a word and start again, cold"),
     ("silent_agents", "part, for_ms: agents say nothing"),
+    ("behind_agents", "part, behind_ms, for_ms: agents know no more than what was known some time ago"),
+    ("half_agents", "part, for_ms: agents break off each list in its middle"),
+    ("spoilt_agents", "part, for_ms: agents tell lists in which entries cannot be used"),
+    ("vanished_watches", "part: open watches lose their other end without a word"),
     ("broken_agents", "agents break off their watches"),
     ("repeating_agents", "every_ms, for_ms: agents tell again what they know of every node"),
     ("etcd_cut", "every_ms, for_ms: watches are cut between two answers, within one, before they have begun"),
@@ -729,6 +766,14 @@
         },
         "crash_nodes" => What::CrashNodes { part: part(), down_ms: down_ms() },
         "silent_agents" => What::SilentAgents { part: part(), for_ms: for_ms() },
+        "behind_agents" => What::BehindAgents {
+            part: part(),
+            behind_ms: table.range("behind_ms", Some([1000.0, 4000.0]), 0.0, 60_000.0),
+            for_ms: for_ms(),
+        },
+        "half_agents" => What::HalfAgents { part: part(), for_ms: for_ms() },
+        "spoilt_agents" => What::SpoiltAgents { part: part(), for_ms: for_ms() },
+        "vanished_watches" => What::VanishedWatches { part: part() },
         "broken_agents" => What::BrokenAgents,
         "repeating_agents" => What::RepeatingAgents { every_ms: every_ms(), for_ms: for_ms() },
         "etcd_cut" => What::EtcdCut { every_ms: every_ms(), for_ms: for_ms() },
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -4,12 +4,14 @@
 use crate::scenario::{AuthTrouble, Range, Scenario, Sources, Strike, Teller, What};
 use maplefall_record as record;
 use maplefall_record::{Ceiling, Header, Millis, Rules};
+use maplefall_stand_ins::agent::Lapse;
 use maplefall_stand_ins::client::Ask;
 use maplefall_stand_ins::etcd::Cut;
 use maplefall_stand_ins::node::USUAL_UNITS;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::fmt::Write;
+use std::time::Duration;
 
 /// Units that a request may count, each with its part of the requests.
 const UNITS: [(f64, f64); 6] = [(1.0, 0.40), (2.0, 0.25), (3.0, 0.15), (4.0, 0.10), (6.0, 0.06), (8.0, 0.04)];
@@ -88,6 +90,18 @@
         /// Whether it is silent from now on.
         silent: bool,
     },
+    /// An agent does this wrong from now on, or nothing.
+    Lapse {
+        /// Which front door's agent.
+        door: usize,
+        /// What.
+        lapse: Option<Lapse>,
+    },
+    /// An agent's end of its open connections vanishes.
+    Vanish {
+        /// Which front door's agent.
+        door: usize,
+    },
     /// All agents break off their watches.
     BreakOff,
     /// All agents tell again what they know of every node.
@@ -390,6 +404,28 @@
                 let end = on_and_off(&mut script, &mut dice, at, *for_ms, (doors, *part), act);
                 ("agents silent".to_owned(), end)
             }
+            What::BehindAgents { part, behind_ms, for_ms } => {
+                let ago = Duration::from_secs_f64(dice.within(*behind_ms) / 1000.0);
+                let act = |door, on| WorldAct::Lapse { door, lapse: Some(Lapse::Behind(ago)).filter(|_| on) };
+                let end = on_and_off(&mut script, &mut dice, at, *for_ms, (doors, *part), act);
+                ("agents behind".to_owned(), end)
+            }
+            What::HalfAgents { part, for_ms } => {
+                let act = |door, on| WorldAct::Lapse { door, lapse: Some(Lapse::Half).filter(|_| on) };
+                let end = on_and_off(&mut script, &mut dice, at, *for_ms, (doors, *part), act);
+                ("lists break off".to_owned(), end)
+            }
+            What::SpoiltAgents { part, for_ms } => {
+                let act = |door, on| WorldAct::Lapse { door, lapse: Some(Lapse::Spoilt).filter(|_| on) };
+                let end = on_and_off(&mut script, &mut dice, at, *for_ms, (doors, *part), act);
+                ("entries spoilt".to_owned(), end)
+            }
+            What::VanishedWatches { part } => {
+                for door in dice.part(doors, *part) {
+                    script.world.push((at, WorldAct::Vanish { door }));
+                }
+                ("watches vanish".to_owned(), at)
+            }
             What::BrokenAgents => {
                 script.world.push((at, WorldAct::BreakOff));
                 ("watches broken off".to_owned(), at)
--- a/crates/stand-ins/src/agent.rs
+++ b/crates/stand-ins/src/agent.rs
@@ -5,16 +5,18 @@
 use maplefall_protocol::{Health as Wire, Member, Members};
 use maplefall_record::{Entry, Health, Millis, Recorder};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::TcpListener as StdListener;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// While nothing changes, an empty line comes this often.
 const HEARTBEAT: Duration = Duration::from_secs(2);
+/// How often one that is behind looks whether it has come to know more.
+const STEP: Duration = Duration::from_millis(20);
 /// Changes that are kept; a watch from before them begins with the whole list.
 const MOST_CHANGES: usize = 4096;
 
@@ -26,14 +28,33 @@
 struct Held {
     seq: u64,
     members: BTreeMap<String, Member>,
-    changes: Vec<(u64, Member)>,
+    changes: VecDeque<Change>,
+    /// The list as it was before the oldest change that is kept.
+    before: BTreeMap<String, Member>,
+}
+
+#[derive(Debug)]
+struct Change {
+    seq: u64,
+    at: Instant,
+    member: Member,
+}
+
+fn put(members: &mut BTreeMap<String, Member>, member: &Member) {
+    if member.health == Wire::Removed {
+        members.remove(&member.host);
+    } else {
+        members.insert(member.host.clone(), member.clone());
+    }
 }
 
 impl List {
     /// A list that begins with these entries.
     pub fn new(members: impl IntoIterator<Item = Member>) -> List {
-        let members = members.into_iter().map(|member| (member.host.clone(), member)).collect();
-        List(Arc::new(Mutex::new(Held { seq: 1, members, changes: Vec::new() })))
+        let members: BTreeMap<String, Member> =
+            members.into_iter().map(|member| (member.host.clone(), member)).collect();
+        let before = members.clone();
+        List(Arc::new(Mutex::new(Held { seq: 1, members, changes: VecDeque::new(), before })))
     }
 
     fn held(&self) -> MutexGuard<'_, Held> {
@@ -46,34 +67,48 @@
         Members { seq: held.seq, whole: true, hosts: held.members.values().cloned().collect() }
     }
 
-    fn change(&self, member: &Member) {
+    /// Takes a change in; tells its version.
+    fn change(&self, member: &Member) -> u64 {
         let mut held = self.held();
         held.seq += 1;
         let seq = held.seq;
-        if member.health == Wire::Removed {
-            held.members.remove(&member.host);
-        } else {
-            held.members.insert(member.host.clone(), member.clone());
-        }
-        held.changes.push((seq, member.clone()));
+        put(&mut held.members, member);
+        held.changes.push_back(Change { seq, at: Instant::now(), member: member.clone() });
         if held.changes.len() > MOST_CHANGES {
-            held.changes.remove(0);
+            if let Some(oldest) = held.changes.pop_front() {
+                put(&mut held.before, &oldest.member);
+            }
         }
+        seq
     }
 
-    /// What changed after this version, or the whole list where that is not known any more.
-    fn since(&self, from: Option<u64>) -> Members {
+    /// The version that was the last one so long ago.
+    fn version(&self, ago: Duration) -> u64 {
         let held = self.held();
-        let oldest = held.changes.first().map_or(held.seq, |(seq, _)| seq - 1);
-        let Some(from) = from.filter(|from| (oldest..=held.seq).contains(from)) else {
-            drop(held);
-            return self.whole();
-        };
-        let mut last: BTreeMap<&str, &Member> = BTreeMap::new();
-        for (_, member) in held.changes.iter().filter(|(seq, _)| *seq > from) {
-            last.insert(&member.host, member);
+        let oldest = held.changes.front().map_or(held.seq, |change| change.seq - 1);
+        let now = Instant::now();
+        let known = held.changes.iter().rev().find(|change| now.saturating_duration_since(change.at) >= ago);
+        known.map_or(oldest, |change| change.seq)
+    }
+
+    /// What changed after a version and up to what is known, or the whole list as it is known where the former is not.
+    fn since(&self, from: Option<u64>, known: u64) -> Members {
+        let held = self.held();
+        let oldest = held.changes.front().map_or(held.seq, |change| change.seq - 1);
+        let from = from.filter(|from| (oldest..=known).contains(from));
+        let mut last = if from.is_some() { BTreeMap::new() } else { held.before.clone() };
+        for Change { member, .. } in
+            held.changes.iter().filter(|c| (from.unwrap_or(0) + 1..=known).contains(&c.seq))
+        {
+            match from {
+                // Among changes a removal is told.
+                Some(_) => {
+                    last.insert(member.host.clone(), member.clone());
+                }
+                None => put(&mut last, member),
+            }
         }
-        Members { seq: held.seq, whole: false, hosts: last.into_values().cloned().collect() }
+        Members { seq: known, whole: from.is_none(), hosts: last.into_values().collect() }
     }
 }
 
@@ -95,6 +130,21 @@
     silent: bool,
     /// Counts up with each time that all watches are broken off.
     broken: u64,
+    /// Counts up with each time that open connections lose this end without a word.
+    vanished: u64,
+    /// What else is wrong with it.
+    lapse: Option<Lapse>,
+}
+
+/// What an agent that speaks may do wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lapse {
+    /// It knows no more than what was known so long ago, also of what it had told before.
+    Behind(Duration),
+    /// Each list breaks off in its middle.
+    Half,
+    /// Each list has an entry that cannot be used, and the addresses of draining nodes cannot be read.
+    Spoilt,
 }
 
 /// One front door's agent.
@@ -127,7 +177,11 @@
 
     /// It hears of a change, and hands it on unless it is silent.
     pub fn tell(&self, member: &Member) {
-        self.list.change(member);
+        let version = self.list.change(member);
+        if let Some(node) = number(&member.host) {
+            let (door, health) = (self.door, health(member.health));
+            self.recorder.note(Entry::Due { door, node, health, version });
+        }
         self.state.send_modify(|state| state.version += 1);
     }
 
@@ -141,6 +195,16 @@
         self.state.send_modify(|state| state.silent = silent);
     }
 
+    /// Does this wrong from now on, or nothing.
+    pub fn lapse(&self, lapse: Option<Lapse>) {
+        self.state.send_modify(|state| state.lapse = lapse);
+    }
+
+    /// Its end of all open connections vanishes without a word; new ones are served.
+    pub fn vanish(&self) {
+        self.state.send_modify(|state| state.vanished += 1);
+    }
+
     /// Breaks off all watches.
     pub fn break_off(&self) {
         self.state.send_modify(|state| state.broken += 1);
@@ -163,13 +227,22 @@
     async fn serve(self: Rc<Self>, stream: TcpStream, mut here: watch::Receiver<()>, grace: Duration) {
         let mut link = Link::over(stream);
         let mut state = self.state.subscribe();
-        let broken = state.borrow_and_update().broken;
+        let State { broken, vanished, .. } = *state.borrow_and_update();
+        let mut gone = self.state.subscribe();
         let moved = async {
             while here.changed().await.is_ok() {}
             tokio::time::sleep(grace).await;
         };
+        let speaks = async {
+            tokio::select! {
+                () = self.talk(&mut link) => return,
+                _ = gone.wait_for(|state| state.vanished != vanished) => {}
+            }
+            // Nothing is heard of this end again, and it hears nothing.
+            std::future::pending().await
+        };
         tokio::select! {
-            () = self.talk(&mut link) => {}
+            () = speaks => {}
             () = moved => {}
             _ = state.wait_for(|state| state.broken != broken) => link.reset(),
         }
@@ -189,10 +262,12 @@
                 let from = message.query("from").and_then(|text| text.parse().ok());
                 return self.watch(link, from, state).await;
             } else {
-                let members = self.list.whole();
-                let body = line(&members);
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-                if link.write(head.as_bytes()).await.is_err() {
+                let members = self.list.since(None, self.known());
+                let lapse = self.state.borrow().lapse;
+                let body = line(&members, lapse);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let text = if lapse == Some(Lapse::Half) { &body[..body.len() / 2] } else { &body[..] };
+                if link.write((head + text).as_bytes()).await.is_err() || lapse == Some(Lapse::Half) {
                     return;
                 }
                 self.told(&members);
@@ -207,20 +282,43 @@
         let mut first = true;
         loop {
             state.borrow_and_update();
-            let news = self.list.since(from);
-            if first || !news.hosts.is_empty() || news.whole {
+            let lapse = state.borrow().lapse;
+            let known = self.known();
+            // What it has told here it does not take back: one that has fallen behind has nothing to add.
+            if first || from.is_some_and(|from| from < known) {
+                let news = self.list.since(from, known);
                 first = false;
                 from = Some(news.seq);
-                if chunk(link, &line(&news)).await.is_err() {
+                let text = line(&news, lapse);
+                if lapse == Some(Lapse::Half) {
+                    // Its first half as a chunk, and then nothing: the answer has not ended as it should.
+                    let _ = chunk(link, &text[..text.len() / 2]).await;
+                    return;
+                }
+                if chunk(link, &text).await.is_err() {
                     return;
                 }
                 self.told(&news);
             }
-            tokio::select! {
-                changed = state.changed() => if changed.is_err() { return },
-                () = tokio::time::sleep(HEARTBEAT) => {
-                    if !state.borrow().silent && chunk(link, "\n").await.is_err() {
-                        return;
+            let behind = matches!(lapse, Some(Lapse::Behind(_)));
+            let beat = tokio::time::Instant::now() + HEARTBEAT;
+            loop {
+                tokio::select! {
+                    changed = state.changed() => match changed {
+                        Ok(()) => break,
+                        Err(_) => return,
+                    },
+                    // What is known grows with time alone.
+                    () = tokio::time::sleep(STEP), if behind => {
+                        if from.is_some_and(|from| from < self.known()) {
+                            break;
+                        }
+                    }
+                    () = tokio::time::sleep_until(beat) => {
+                        if !state.borrow().silent && chunk(link, "\n").await.is_err() {
+                            return;
+                        }
+                        break;
                     }
                 }
             }
@@ -230,6 +328,14 @@
         }
     }
 
+    /// The version up to which it knows the list.
+    fn known(&self) -> u64 {
+        match self.state.borrow().lapse {
+            Some(Lapse::Behind(ago)) => self.list.version(ago),
+            _ => self.list.version(Duration::ZERO),
+        }
+    }
+
     /// Notes what has been written to the front door.
     fn told(&self, members: &Members) {
         told(&self.recorder, self.door, members, self.unix_start);
@@ -240,23 +346,42 @@
 pub fn told(recorder: &Recorder, door: u32, members: &Members, unix_start: Millis) {
     for member in &members.hosts {
         let Some(node) = number(&member.host) else { continue };
-        let health = match member.health {
-            Wire::Up => Health::Up,
-            Wire::Draining => Health::Draining,
-            Wire::Removed => Health::Removed,
-        };
+        let (health, version) = (health(member.health), members.seq);
         let born = (member.born_ms > 0.0).then_some(member.born_ms - unix_start);
-        recorder.note(Entry::Told { door, node, health, born, source: 0 });
+        recorder.note(Entry::Told { door, node, health, born, source: 0, version });
+    }
+}
+
+fn health(of: Wire) -> Health {
+    match of {
+        Wire::Up => Health::Up,
+        Wire::Draining => Health::Draining,
+        Wire::Removed => Health::Removed,
     }
 }
 
-fn line(members: &Members) -> String {
+fn line(members: &Members, lapse: Option<Lapse>) -> String {
     // Figures of a list are finite and its names are text: this cannot fail, and an empty line says nothing.
-    let mut text = serde_json::to_string(members).unwrap_or_default();
+    let mut text = match lapse {
+        Some(Lapse::Spoilt) => spoilt(members).to_string(),
+        _ => serde_json::to_string(members).unwrap_or_default(),
+    };
     text.push('\n');
     text
 }
 
+/// A list in which one entry is nobody's, and draining nodes have no address that could be read.
+fn spoilt(members: &Members) -> serde_json::Value {
+    let mut list = serde_json::to_value(members).unwrap_or_default();
+    if let Some(hosts) = list.get_mut("hosts").and_then(serde_json::Value::as_array_mut) {
+        for entry in hosts.iter_mut().filter(|entry| entry["health"] == "draining") {
+            entry["dial"] = "nowhere".into();
+        }
+        hosts.push(serde_json::json!({"host": "nobody", "health": "up", "dial": 7}));
+    }
+    list
+}
+
 async fn chunk(link: &mut Link, text: &str) -> std::io::Result<()> {
     link.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
 }
--- a/crates/stand-ins/tests/played.rs
+++ b/crates/stand-ins/tests/played.rs
@@ -3,7 +3,7 @@
 
 use maplefall_protocol::{Health, Member};
 use maplefall_record::{Effect, End, Entry, Line, Lost, Millis, NodeState, Recorder};
-use maplefall_stand_ins::agent::{host, Agent, List};
+use maplefall_stand_ins::agent::{host, Agent, Lapse, List};
 use maplefall_stand_ins::client::{Ask, Backoff, Board, Clients, Crowd, DoorSeen, Habits, Kind};
 use maplefall_stand_ins::counter::Counter;
 use maplefall_stand_ins::lateness::Lateness;
@@ -374,6 +374,63 @@
     });
 }
 
+/// Guards what an agent that is behind gives: a whole list that is older, as the protocol allows for a version that it does
+/// not know, then what it comes to know; what it has told on an open watch it does not take back.
+#[test]
+fn an_agent_that_is_behind_gives_an_older_list_and_catches_up() {
+    play(async {
+        let recorder = Recorder::new();
+        let list = List::new([member(0, Health::Up), member(1, Health::Up)]);
+        let agent = Agent::new(0, list, recorder.clone(), 0.0);
+        let (here, address) = listener();
+        agent.listen(here, Duration::ZERO);
+        let mut open = Watch::open(address, 1).await;
+        agent.tell(&member(1, Health::Draining));
+        assert!(open.reads(&["\"seq\":2", "draining"]).await);
+        agent.lapse(Some(Lapse::Behind(Duration::from_secs(3600))));
+        let mut late = Watch::open(address, 2).await;
+        assert!(late.reads(&["\"seq\":1", "\"whole\":true", "node-0", "node-1"]).await);
+        assert!(!String::from_utf8_lossy(late.0.pending_bytes()).contains("draining"));
+        agent.tell(&member(0, Health::Removed));
+        agent.lapse(Some(Lapse::Behind(Duration::ZERO)));
+        assert!(late.reads(&["\"seq\":3", "\"whole\":false", "draining", "removed"]).await);
+        assert!(open.reads(&["\"seq\":3", "removed"]).await);
+        // What there is to tell stands in the record when it is there, not when it is told.
+        let due =
+            |line: &maplefall_record::Line| matches!(line.entry, Entry::Due { door: 0, version: 2.., .. });
+        assert_eq!(recorder.take().iter().filter(|line| due(line)).count(), 2);
+    });
+}
+
+#[test]
+fn an_agent_breaks_lists_off_spoils_entries_and_vanishes() {
+    play(async {
+        let agent = Agent::new(0, List::new([member(0, Health::Up)]), Recorder::new(), 0.0);
+        let (here, address) = listener();
+        agent.listen(here, Duration::ZERO);
+        agent.tell(&member(0, Health::Draining));
+        agent.lapse(Some(Lapse::Half));
+        let mut half = Watch::open(address, 1).await;
+        assert!(!half.reads(&["}]}"]).await, "it ends in the middle of a line");
+        let mut link = Link::open(address).await.unwrap();
+        link.write(b"GET /catalog/members HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+        assert!(link.message().await.is_err(), "so does the whole list");
+        agent.lapse(Some(Lapse::Spoilt));
+        let mut spoilt = Watch::open(address, 1).await;
+        assert!(spoilt.reads(&["nobody", "\"dial\":\"nowhere\"", "draining"]).await);
+        agent.lapse(None);
+        let mut watch = Watch::open(address, 2).await;
+        assert!(watch.reads(&["200 OK"]).await);
+        agent.vanish();
+        agent.tell(&member(0, Health::Removed));
+        let mut fresh = Watch::open(address, 2).await;
+        assert!(fresh.reads(&["removed"]).await);
+        // The other one would have been told by now, and has not ended either.
+        let heard = tokio::time::timeout(Duration::from_millis(60), watch.reads(&["removed"])).await;
+        assert!(heard.is_err(), "it spoke or ended");
+    });
+}
+
 /// Guards the counter's protocol on its sockets: totals in the order of the calls, also of calls written one behind
 /// another, and a fresh one in its place begins at nought.
 #[test]
