--- a/crates/stand-ins/src/agent.rs
+++ b/crates/stand-ins/src/agent.rs
@@ -235,17 +235,21 @@
         };
         let speaks = async {
             tokio::select! {
-                () = self.talk(&mut link) => return,
+                // What is told in the moment in which this end vanishes is not told here.
+                biased;
                 _ = gone.wait_for(|state| state.vanished != vanished) => {}
+                () = self.talk(&mut link) => return,
             }
             // Nothing is heard of this end again, and it hears nothing.
             std::future::pending().await
         };
         tokio::select! {
-            () = speaks => {}
-            () = moved => {}
-            _ = state.wait_for(|state| state.broken != broken) => link.reset(),
+            biased;
+            _ = state.wait_for(|state| state.broken != broken) => {}
+            () = speaks => return,
+            () = moved => return,
         }
+        link.reset();
     }
 
     async fn talk(&self, link: &mut Link) {
