Lists of 2,048 backends taken to the last entry; what a list of the agent costs, measured

Only the etcd source could be measured, and no test went past a few backends over sockets. Change: tests/drains.rs starts the whole daemon in a fleet of 350 doors with 2,048 backends, the only one that is up last in the list and then last in the agent's; `maplefall-rehearse members` takes `--teller agent` and `--doors`. Seen to fail: with the roster's bound (20,000) taken down to 2,000 the test finds no backend and ends red.

--- a/crates/maplefall/tests/drains.rs
+++ b/crates/maplefall/tests/drains.rs
@@ -148,3 +148,34 @@
     moved.asked("?watch=1&from=7");
     scene.watch.expect_end();
 }
+
+/// Guards size: no list of doors or backends is cut short. A fleet of 350 doors with 2,048 backends, of which all but one drain; the
+/// one that is up stands last, in the list that the front door starts with and in the agent's.
+#[test]
+fn a_list_of_two_thousand_backends_is_taken_to_its_last_entry() {
+    const COUNT: usize = 2048;
+    let backends = [Place::new(), Place::new()];
+    // Nobody listens there, and nobody is to be asked there.
+    let elsewhere = |n: usize| std::net::SocketAddr::from(([127, 9, (n >> 8) as u8, n as u8], 9));
+    let hosts = |last: &Place, health: &str| {
+        let mut hosts: Vec<_> =
+            (1..COUNT).map(|n| member(&format!("a-{n}"), elsewhere(n), "draining")).collect();
+        hosts.push(member("z", last.address(), health));
+        hosts
+    };
+    let mut settings = settings();
+    settings["fleet_size"] = json!(350);
+    settings["me"] = json!(349);
+    let discovery = Place::new();
+    let known = members(7, true, &hosts(&backends[0], "up"));
+    let program = Program::start(settings, discovery.address(), known);
+    let mut watch = Watch::begin(discovery.asked("?watch=1&from=7"));
+    let mut asking = Asking::new(&program, &backends);
+    assert!(asking.only(0).is_empty());
+    let mut list = hosts(&backends[0], "draining");
+    list.push(member("zz", backends[1].address(), "up"));
+    watch.line(&members(8, true, &list).to_string());
+    asking.only(1);
+    watch.line(&members(9, false, &[member("zz", backends[1].address(), "draining")]).to_string());
+    assert!(asking.refused().iter().all(|at| *at == 1));
+}
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -118,9 +118,15 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
-    /// Measures what a large list, told by a played etcd, costs one front door: memory, and processor time for each change.
+    /// Measures what a large list, told by a played etcd or agent, costs one front door: memory, and processor time for each change.
     Members {
-        /// Nodes under the prefix.
+        /// Who tells of the nodes.
+        #[arg(long, value_enum, default_value = "etcd")]
+        teller: members::Teller,
+        /// Front doors that the settings name.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=100_000))]
+        doors: u32,
+        /// Nodes in the list.
         #[arg(long, default_value_t = 5000, value_parser = clap::value_parser!(u32).range(1..=i64::from(members::MOST)))]
         nodes: u32,
         /// Changes of their state a second.
@@ -193,8 +199,8 @@
         Command::Prove { options, broken, only, seed, jobs } => {
             prove(&options, broken.as_deref(), &only, seed, jobs)
         }
-        Command::Members { nodes, rate, seconds, options } => {
-            membered(members::Load { nodes, rate, seconds }, &options)
+        Command::Members { teller, doors, nodes, rate, seconds, options } => {
+            membered(members::Load { teller, doors, nodes, rate, seconds }, &options)
         }
         Command::Etcd { listen, user, notices } => played_etcd(listen, user.as_deref(), notices),
         Command::Drains { scenarios, options, seed } => drained(&scenarios, &options, seed),
