A program that a socket test cannot use is ended with the test, not left to run

Seen: with the roster's bound taken down to 2,000 the new test of 2,048 backends ended red as it should ("no address in \"membership: agent: 48 nodes left out; 2000 are held at most\""), but the command that ran it never came back: the daemon went on and held its output open. Cause: `Program::start_with` (tests/sockets/mod.rs) panicked on the first line before there was a `Program` whose drop ends the child. Change: there is one from the moment of the start.

--- a/crates/maplefall/tests/sockets/mod.rs
+++ b/crates/maplefall/tests/sockets/mod.rs
@@ -361,12 +361,14 @@
         let mut variables = vec![("BALANCER_DISCOVERY", config["discovery"].as_str().unwrap())];
         variables.extend_from_slice(more);
         let (mut child, path) = spawn(&config.to_string(), &variables);
-        let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
-        let mut line = String::new();
-        log.read_line(&mut line).expect("a line");
-        let address = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
-        let address = address.unwrap_or_else(|| panic!("no address in {line:?}"));
-        Program { child, address, log, config, path }
+        let log = BufReader::new(child.stderr.take().expect("a pipe"));
+        // From here on it is ended with the test, also where it says something else than where it listens.
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut program = Program { child, address, log, config, path };
+        let line = program.log_line();
+        let told = line.trim().rsplit(' ').next().and_then(|text| text.parse().ok());
+        program.address = told.unwrap_or_else(|| panic!("no address in {line:?}"));
+        program
     }
 
     pub fn client(&self) -> Wire {
