Backends are indexed by what a choice asks: few are looked at, actions stay the same

Each request walked all backends about four times: `last_chosen` (with a vector for each request), `feel_pressure`, `cold_turn` and `choose`, and `list_changed` once more for each change. Change: `crates/choice` keeps by steps who is ready, in which place, who may be cold or distrusted, who is idle, the least pace. The module looks only at the backends that it prefers; where their best costs more than any other could, at all. The generator of chance leaps over those not looked at, so decisions are the same byte for byte.

--- /dev/null
+++ b/crates/policy/benches/decision.rs
@@ -0,0 +1,101 @@
+//! What a decision costs by the number of backends: a gateway that looks at few of them, beside one that looks at all for each
+//! choice; and what a change of the list costs. `cargo bench -p maplefall-policy --bench decision`.
+
+use maplefall_policy::*;
+use std::time::Instant;
+
+const REQUESTS: u32 = 2_000;
+const CHANGES: u32 = 2_000;
+
+fn entry(id: u32, availability: Availability) -> BackendEntry {
+    BackendEntry {
+        id: BackendId(id),
+        zone: ZoneId(0),
+        cell: CellId(0),
+        availability,
+        started: None,
+        size: 1.0,
+    }
+}
+
+fn gateway(gateways: u32, backends: u32, walking: bool) -> Gateway {
+    let settings = Settings {
+        gateways,
+        classes: vec![Class { aim: 600.0, deadline: 2500.0, ..Class::default() }],
+        plans: vec![Plan { rate: 1000.0, burst: 3000.0, ..Plan::default() }],
+        ..Settings::default()
+    };
+    let gateway = Gateway::new(settings, 5);
+    let mut gateway = if walking { gateway.walking() } else { gateway };
+    let list = (0..backends).map(|id| entry(id, Availability::Ready)).collect();
+    gateway.handle(0.0, Event::Backends(ListKind::Cached, list), &mut Vec::new());
+    gateway
+}
+
+/// Microseconds a request with its answer.
+fn requests(mut gateway: Gateway) -> f64 {
+    let mut actions = Vec::new();
+    let begun = Instant::now();
+    for id in 0..REQUESTS {
+        let now = f64::from(id) * 20.0;
+        let request = Request {
+            id: RequestId(id),
+            customer: CustomerId(u64::from(id % 50)),
+            plan: PlanId(0),
+            class: ClassId(0),
+            units: 1.0,
+            deadline: now + 2500.0,
+            checked: true,
+            spread: 1.0,
+        };
+        actions.clear();
+        gateway.handle(now, Event::Arrival(request), &mut actions);
+        let sent = actions.iter().find_map(|action| match action {
+            Action::Send { backend, .. } => Some(*backend),
+            _ => None,
+        });
+        let Some(backend) = sent else { continue };
+        let settled = Settled {
+            request: RequestId(id),
+            attempt: 0,
+            backend,
+            outcome: Outcome::Ok,
+            elapsed: 80.0,
+            closed: true,
+            use_of_quota: None,
+            true_units: None,
+            report: Report::default(),
+            broken: 0,
+        };
+        gateway.handle(now + 10.0, Event::Settled(settled), &mut actions);
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(REQUESTS)
+}
+
+/// Microseconds a change of one entry.
+fn changes(mut gateway: Gateway, backends: u32) -> f64 {
+    let begun = Instant::now();
+    for at in 0..CHANGES {
+        let state = if at % 2 == 0 { Availability::Draining } else { Availability::Ready };
+        let line = vec![entry(at / 2 * 7919 % backends, state)];
+        gateway.handle(f64::from(at), Event::Backends(ListKind::Changes, line), &mut Vec::new());
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(CHANGES)
+}
+
+/// The least of three: what else the machine does only adds.
+fn least(mut one: impl FnMut() -> f64) -> f64 {
+    (0..3).map(|_| one()).fold(f64::INFINITY, f64::min)
+}
+
+fn main() {
+    println!("gateways  backends  us a request  choices by walking  us a change of the list");
+    for gateways in [4, 100, 300] {
+        for backends in [10, 60, 200, 1000, 20_000] {
+            let index = least(|| requests(gateway(gateways, backends, false)));
+            let walk = least(|| requests(gateway(gateways, backends, true)));
+            let change = least(|| changes(gateway(gateways, backends, false), backends));
+            println!("{gateways:8}  {backends:8}  {index:12.2}  {walk:18.2}  {change:23.2}");
+        }
+    }
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -537,3 +537,12 @@
         }
     }
 }
+
+/// What a gateway holds, and what its choices took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Figures {
+    /// Customers of which it holds an entry.
+    pub customers: usize,
+    /// Backends that its choices have looked at one by one so far.
+    pub looked_at: u64,
+}
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -4,6 +4,7 @@
 //! (ceiling, cold start), choice of backend, attempts and answers, the list of backends.
 
 use crate::interface::*;
+use maplefall_choice::{Index, Is, Standing};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
@@ -122,7 +123,7 @@
 }
 
 /// What a gateway holds of one customer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Customer {
     average: Cewma,
     /// Units of its largest request so far, and what its slice holds at most by it.
@@ -192,6 +193,23 @@
     at: Millis,
 }
 
+impl Distrust {
+    /// What is left of it, where it halves in `half` milliseconds.
+    fn faded(&self, now: Millis, half: Millis) -> f64 {
+        if self.value == 0.0 {
+            return 0.0;
+        }
+        self.value * (-((now - self.at) / half) * std::f64::consts::LN_2).exp()
+    }
+}
+
+/// What a choice found: the cost, of whom, and the wait expected there.
+type Cost = (f64, BackendId, Millis);
+type Found = (Option<Cost>, Option<Cost>, Pcg32);
+
+/// The last place among the chosen, and the cold backend whose turn it is.
+type Chosen = (f64, Option<BackendId>);
+
 /// What a gateway holds of one backend for one class.
 #[derive(Clone, Copy, Debug)]
 struct ForClass {
@@ -260,6 +278,8 @@
     news: BTreeMap<CustomerId, News>,
     evict_at: Millis,
     backends: BTreeMap<BackendId, Backend>,
+    /// The backends by what is asked of them all; follows every change of one.
+    index: Index<BackendId>,
     requests: BTreeMap<RequestId, Live>,
     time: f64,
     load: f64,
@@ -290,6 +310,7 @@
             news: BTreeMap::new(),
             evict_at: 0.0,
             backends: BTreeMap::new(),
+            index: Index::default(),
             requests: BTreeMap::new(),
             time: 0.0,
             load: 0.0,
@@ -313,9 +334,7 @@
             Event::Checked { request, passes } => self.checked(now, request, passes, actions),
             Event::Elsewhere(told) => self.used_elsewhere(now, &told),
             Event::StreamStarted(id) => {
-                if let Some(live) = self.requests.get_mut(&id) {
-                    live.started = true;
-                }
+                self.requests.entry(id).and_modify(|live| live.started = true);
             }
             Event::Settled(settled) => self.settled(now, &settled, actions),
             Event::ClientGone(id) => self.abandon(id, actions),
@@ -326,9 +345,14 @@
         }
     }
 
-    /// How many customers the gateway holds an entry of.
-    pub fn customers_held(&self) -> usize {
-        self.customers.len()
+    /// The same gateway, looking at all backends for each choice: it does the same, and takes longer.
+    pub fn walking(self) -> Self {
+        Gateway { index: Index::walking(), ..self }
+    }
+
+    /// What it holds, and what its choices took.
+    pub fn figures(&self) -> Figures {
+        Figures { customers: self.customers.len(), looked_at: self.index.looked_at() }
     }
 
     // ---- Admission: the design's recent average, box and slice --------------------------------------
@@ -460,20 +484,14 @@
         self.usual += (request.units - self.usual) / USUAL_MEMORY;
         let usual = self.usual;
         let customer = self.customers.entry(request.customer).or_insert_with(|| Customer {
-            average: Cewma::default(),
-            largest: 0.0,
             depth: part.depth,
             slice: part.depth,
-            ceiling: 0.0,
             t: unseen,
             flow: part.even,
-            open: 0,
-            spare: 0.0,
             opened: now,
             metered: now,
-            asked: 0.0,
-            held: 0.0,
             share: 1.0,
+            ..Customer::default()
         });
         // Guards against a sliver that a small request came to first: it would have started with room for
         // this one, and hardly fills to it in a day. A slice that is a good part of the burst waits to fill.
@@ -620,7 +638,8 @@
     /// How short of capacity the gateway finds the backends, from nought to one.
     fn feel_pressure(&mut self, now: Millis) {
         let keep = (-(now - self.pressure_at) / (PRESSURE_AIMS * self.aim)).exp();
-        let best = self.ready().map(|b| self.wait(b)).fold(f64::INFINITY, f64::min);
+        let busy = self.index.all_busy().iter().filter_map(|id| self.backends.get(id));
+        let best = busy.map(|b| self.wait(b)).fold(f64::INFINITY, f64::min);
         let felt = if best.is_finite() { (best / (WAIT_LIMIT * self.aim)).min(1.0) } else { 0.0 };
         let felt = (2.0 * felt - 1.0).clamp(0.0, 1.0);
         self.pressure = self.pressure * keep + felt * (1.0 - keep);
@@ -653,21 +672,51 @@
     /// The backend with the least expected time, and the wait expected there.
     fn choose(&mut self, now: Millis, live: &Live, reach: Reach) -> Option<(BackendId, Millis)> {
         let last = self.last_chosen(now);
-        let cold = self.cold_turn(now, last);
-        let mut drawn: Option<(f64, BackendId, Millis)> = None;
-        let mut best: Option<(f64, BackendId, Millis)> = None;
-        let mut rng = self.rng.clone();
-        for (id, backend) in &self.backends {
+        let mut of = self.index.placed_up_to(if reach == Reach::Anywhere { last } else { 1.0 });
+        let by = (last, self.cold_turn(now, last, &of));
+        let mut found = self.least(now, live, reach, by, &of);
+        // Each of the others costs this at least: the detour, and the time of the fastest.
+        let pace = self.index.least_pace().unwrap_or(f64::INFINITY).min(self.common_pace());
+        let others = (STRANGE_AIMS * self.aim + pace * live.request.units) * (1.0 - 1e-9);
+        if of.len() < self.index.ready().len() && found.1.is_none_or(|(cost, _, _)| cost >= others) {
+            self.index.done_with(of);
+            of = self.index.placed_up_to(1.0);
+            found = self.least(now, live, reach, by, &of);
+        }
+        self.index.done_with(of);
+        let (drawn, best, rng) = found;
+        self.rng = rng;
+        // A cold one in its turn goes first, unless it is distrusted or has too much of this gateway's own.
+        let best = match (drawn, best) {
+            (Some(cold), Some(warm)) if cold.0 > warm.0 + WAIT_LIMIT * self.aim => Some(warm),
+            (drawn, best) => drawn.or(best),
+        };
+        best.map(|(_, id, wait)| (id, wait))
+    }
+
+    /// The cold one in its turn and the least cost of the others, among these backends in the order of ids.
+    /// Chance is drawn for each that could be had, also where only some are looked at.
+    fn least(&self, now: Millis, live: &Live, reach: Reach, by: Chosen, of: &[BackendId]) -> Found {
+        let (last, cold) = by;
+        let (mut drawn, mut best, mut rng): (_, Option<Cost>, _) = (None, None, self.rng.clone());
+        let (first, span) = (self.set.start_capacity, self.set.warm_up);
+        let some = of.len() < self.index.ready().len();
+        let mut draws = 0;
+        for (id, backend) in of.iter().filter_map(|id| Some((id, self.backends.get(id)?))) {
             let fits = match reach {
                 Reach::Anywhere => true,
                 Reach::Zone(zone) => backend.entry.zone == zone,
                 Reach::Cell(cell) => backend.entry.cell == cell,
                 Reach::Nowhere => false,
             };
-            let ready = backend.entry.availability == Availability::Ready;
-            if !fits || !ready || (self.warmth(now, backend) < 1.0 && cold != Some(*id)) {
+            if !fits || (cold != Some(*id) && backend.warmth(now, first, span) < 1.0) {
                 continue;
             }
+            if some {
+                let before = self.index.warm_before(*id, cold);
+                rng.advance(before - draws);
+                draws = before + 1;
+            }
             let wait = self.wait(backend);
             let strange = if backend.place > last { STRANGE_AIMS * self.aim } else { 0.0 };
             let cost = self.cost(now, live, backend, wait) * (1.0 + 0.05 * chance(&mut rng)) + strange;
@@ -677,13 +726,10 @@
                 best = Some((cost, *id, wait));
             }
         }
-        self.rng = rng;
-        // A cold one in its turn goes first, unless it is distrusted or has too much of this gateway's own.
-        let best = match (drawn, best) {
-            (Some(cold), Some(warm)) if cold.0 > warm.0 + WAIT_LIMIT * self.aim => Some(warm),
-            (drawn, best) => drawn.or(best),
-        };
-        best.map(|(_, id, wait)| (id, wait))
+        if some {
+            rng.advance(self.index.warm(cold) - draws);
+        }
+        (drawn, best, rng)
     }
 
     /// What sending a request to a backend is expected to cost, as time.
@@ -699,10 +745,6 @@
         cost
     }
 
-    fn ready(&self) -> impl Iterator<Item = &Backend> {
-        self.backends.values().filter(|b| b.entry.availability == Availability::Ready)
-    }
-
     /// Time per unit of load at all backends.
     fn common_pace(&self) -> f64 {
         if self.load > 0.0 {
@@ -745,7 +787,7 @@
 
     fn hangs(&self, now: Millis, backend: &Backend, class: ClassId) -> bool {
         let known = backend.classes.get(&class);
-        known.is_some_and(|known| self.faded(now, known.hanging, HANGING_AIMS) > FORGOTTEN)
+        known.is_some_and(|known| known.hanging.faded(now, HANGING_AIMS * self.aim) > FORGOTTEN)
     }
 
     /// How long an attempt is overdue without news of its class from its backend.
@@ -758,34 +800,27 @@
         backend.classes.get(&flight.class).map_or(flight.at, |known| known.answered)
     }
 
-    fn faded(&self, now: Millis, distrust: Distrust, aims: f64) -> f64 {
-        let age = (now - distrust.at) / (aims * self.aim);
-        distrust.value * (-age * std::f64::consts::LN_2).exp()
-    }
-
     fn distrust(&self, now: Millis, backend: &Backend, request: &Request) -> f64 {
-        let full = backend.full.get(&request.plan).map_or(0.0, |d| self.faded(now, *d, DISTRUST_AIMS));
+        let full = backend.full.get(&request.plan).map_or(0.0, |d| d.faded(now, DISTRUST_AIMS * self.aim));
         let known = backend.classes.get(&request.class);
-        let hanging = known.map_or(0.0, |known| self.faded(now, known.hanging, HANGING_AIMS));
-        self.faded(now, backend.distrust, DISTRUST_AIMS).max(full).max(hanging)
-    }
-
-    fn warmth(&self, now: Millis, backend: &Backend) -> f64 {
-        backend.warmth(now, self.set.start_capacity, self.set.warm_up)
+        let hanging = known.map_or(0.0, |known| known.hanging.faded(now, HANGING_AIMS * self.aim));
+        backend.distrust.faded(now, DISTRUST_AIMS * self.aim).max(full).max(hanging)
     }
 
     /// The last place of a backend that is among the chosen. Guards against a connection for each pair: where
     /// a hundred gateways have few requests each, nearly every one would pay for a handshake. Others stand in
     /// for those that are distrusted, or slower by far. All are chosen where there are few gateways.
-    fn last_chosen(&self, now: Millis) -> f64 {
-        let trusted = |b: &&Backend| self.faded(now, b.distrust, DISTRUST_AIMS) <= FORGOTTEN;
-        let mut places: Vec<f64> = self.ready().filter(trusted).map(|b| b.place).collect();
-        let most = (CHOSEN_BY * places.len() as f64 / f64::from(self.set.gateways.max(1))).ceil() as usize;
+    fn last_chosen(&mut self, now: Millis) -> f64 {
+        let (backends, fades) = (&self.backends, DISTRUST_AIMS * self.aim);
+        let doubted = |b: &Backend| b.distrust.faded(now, fades) > FORGOTTEN;
+        self.index.keep_doubted(|id| backends.get(&id).is_some_and(doubted));
+        let trusted = self.index.trusted();
+        let most = (CHOSEN_BY * trusted as f64 / f64::from(self.set.gateways.max(1))).ceil() as usize;
         let most = most.max(CHOSEN_LEAST);
-        if most >= places.len() {
+        if most >= trusted {
             return 1.0;
         }
-        *places.select_nth_unstable_by(most - 1, f64::total_cmp).1
+        self.index.place_of(most).unwrap_or(1.0)
     }
 
     /// The cold backend whose turn this request is, if it is one's. Guards cold backends: each gets its
@@ -793,28 +828,29 @@
     /// a part of the multiple that pushes it over. Turns come evenly from a drawn start: so shares hold
     /// over the fleet though each of hundreds of gateways has few requests for many backends, and no first
     /// requests come in step.
-    fn cold_turn(&mut self, now: Millis, last: f64) -> Option<BackendId> {
-        let weights = self
-            .ready()
-            .filter(|b| b.place <= last)
-            .map(|b| (b.entry.size * self.warmth(now, b), b.entry.size));
+    fn cold_turn(&mut self, now: Millis, last: f64, of: &[BackendId]) -> Option<BackendId> {
+        let (first, span) = (self.set.start_capacity, self.set.warm_up);
+        let backends = &self.backends;
+        let cold = |id: &BackendId| backends.get(id).filter(|b| b.warmth(now, first, span) < 1.0);
+        self.index.keep_cold(|id| cold(&id).is_some());
+        if !self.index.cold().any(|id| cold(&id).is_some_and(|b| b.place <= last)) {
+            return None;
+        }
+        let chosen = of.iter().filter_map(|id| backends.get(id)).filter(|b| b.place <= last);
+        let weights = chosen.map(|b| (b.entry.size * b.warmth(now, first, span), b.entry.size));
         let (warm, size) = weights.fold((0.0, 0.0), |sum, (w, s)| (sum.0 + w, sum.1 + s));
         if warm >= size {
             return None;
         }
         let most = (COLD_PART * self.set.overload_factor).max(1.0);
         let per_weight = (1.0 / warm.max(0.01)).min(most / size);
-        let (first, span) = (self.set.start_capacity, self.set.warm_up);
         let mut next: Option<(f64, BackendId)> = None;
-        for backend in self.backends.values_mut() {
+        for id in self.index.cold() {
+            let Some(backend) = self.backends.get_mut(&id).filter(|b| b.place <= last) else { continue };
             let warmth = backend.warmth(now, first, span);
-            let ready = backend.entry.availability == Availability::Ready;
-            if warmth >= 1.0 || !ready || backend.place > last {
-                continue;
-            }
             backend.turn = (backend.turn + warmth * backend.entry.size * per_weight).min(2.0);
             if backend.turn >= 1.0 && next.is_none_or(|(turn, _)| backend.turn > turn) {
-                next = Some((backend.turn, backend.entry.id));
+                next = Some((backend.turn, id));
             }
         }
         next.map(|(_, id)| id)
@@ -849,6 +885,7 @@
             backend.out.insert(id, Flight { at: now, class: live.request.class, load, units });
             backend.turn = (backend.turn - 1.0).max(0.0);
         }
+        self.follow(to);
         let Some(live) = self.requests.get_mut(&id) else { return };
         live.sends += 1;
         live.out = Some(to);
@@ -1056,7 +1093,7 @@
             Outcome::Full => backend.full.entry(request.plan).or_default(),
             _ => &mut backend.distrust,
         };
-        let before = self.faded(now, *known, DISTRUST_AIMS);
+        let before = known.faded(now, DISTRUST_AIMS * self.aim);
         // Guards against trouble on the way taken for sick backends: where connections break everywhere, each
         // would be set aside in turn and the rest be crowded. It costs some requests at a backend that takes
         // connections and breaks every one; a process that died refuses the next one, and that tells enough.
@@ -1074,7 +1111,7 @@
             Outcome::Cancelled | Outcome::NotSent => before,
         };
         *known = Distrust { value, at: now };
-        let after = self.faded(now, backend.distrust, DISTRUST_AIMS);
+        let after = backend.distrust.faded(now, DISTRUST_AIMS * self.aim);
         if !backend.set_aside && after > SET_ASIDE {
             backend.set_aside = true;
             actions
@@ -1084,28 +1121,41 @@
             actions.push(Action::Log(format!("backend {} taken back", settled.backend.0)));
         }
         self.backends.insert(settled.backend, backend);
+        self.follow(settled.backend);
+    }
+
+    /// Has the index follow a backend that has changed.
+    fn follow(&mut self, id: BackendId) {
+        let standing = self.backends.get(&id).map(|b| Standing {
+            is: match b.entry.availability {
+                Availability::Ready => Is::Ready,
+                Availability::Gone if b.out.is_empty() => Is::Over,
+                _ => Is::Leaving,
+            },
+            place: b.place,
+            cold: b.entry.started,
+            doubted: (b.distrust.value > FORGOTTEN).then_some(b.distrust.at),
+            busy: !b.out.is_empty(),
+            pace: (b.load > 0.0).then(|| b.time / b.load),
+        });
+        self.index.set(id, standing);
     }
 
     // ---- The list of backends -----------------------------------------------------------------------
 
-    fn list_changed(
-        &mut self,
-        now: Millis,
-        kind: ListKind,
-        entries: &[BackendEntry],
-        actions: &mut Vec<Action>,
-    ) {
+    fn list_changed(&mut self, now: Millis, kind: ListKind, entries: &[BackendEntry], out: &mut Vec<Action>) {
         if self.set.discovery == Discovery::OnRequest {
             match kind {
-                ListKind::Cached => actions.push(Action::Subscribe),
+                ListKind::Cached => out.push(Action::Subscribe),
                 ListKind::Failed => {
                     let pause = self.set.ask_within / 8.0 * (0.5 + chance(&mut self.rng));
-                    actions.push(Action::SetAlarm { at: now + pause, alarm: LIST_ALARM });
+                    out.push(Action::SetAlarm { at: now + pause, alarm: LIST_ALARM });
                 }
                 ListKind::Full | ListKind::Changes => {}
             }
         }
-        if matches!(kind, ListKind::Full | ListKind::Cached) {
+        let whole = matches!(kind, ListKind::Full | ListKind::Cached);
+        if whole {
             for backend in self.backends.values_mut() {
                 backend.entry.availability = Availability::Gone;
             }
@@ -1117,12 +1167,17 @@
             let fresh = Backend::new(entry, now, turn, place);
             let known = self.backends.entry(entry.id).or_insert_with(|| fresh.clone());
             if known.entry.started != entry.started {
-                let (out, place) = (std::mem::take(&mut known.out), known.place);
-                *known = Backend { out, place, ..fresh };
+                let (flights, place) = (std::mem::take(&mut known.out), known.place);
+                *known = Backend { out: flights, place, ..fresh };
             }
             known.entry = entry;
         }
-        self.backends.retain(|_, b| b.entry.availability != Availability::Gone || !b.out.is_empty());
+        let all: Vec<BackendId> = if whole { self.backends.keys().copied().collect() } else { Vec::new() };
+        all.into_iter().chain(entries.iter().map(|e| e.id)).for_each(|id| self.follow(id));
+        for id in self.index.over().collect::<Vec<_>>() {
+            self.backends.remove(&id);
+            self.follow(id);
+        }
     }
 }
 
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -139,7 +139,7 @@
         let once = Request { customer: CustomerId(u64::from(i) + 10), ..request(i + 100, 0, now) };
         assert!(stage.serve(now, once));
     }
-    assert!(stage.gateway.customers_held() < 1000);
+    assert!(stage.gateway.figures().customers < 1000);
     // The first customer is back: its slice is full, as it would have been.
     let now = 302_000.0;
     let served = (0..40).filter(|i| stage.serve(now + f64::from(*i), request(i + 9000, 0, now))).count();
@@ -181,7 +181,7 @@
     // It uses all of its part, is forgotten while another comes, and comes back when six units have come in since.
     let first = tries(&mut stage, 200_000.0, 60, 1);
     (0..300u32).for_each(|i| _ = tries(&mut stage, 201_000.0 + f64::from(i) * 200.0, 1, 2));
-    assert_eq!(stage.gateway.customers_held(), 1, "forgotten");
+    assert_eq!(stage.gateway.figures().customers, 1, "forgotten");
     let again = tries(&mut stage, 261_000.0, 60, 1);
     assert!(first <= 20 && again <= 6 && again > 0, "{first}, then {again}");
 }
