--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,8 @@
+//! The core of the system. [`Core`] decides and does no I/O; [`net`] carries out what it returns; [`store`] is its disk.
+
+mod beat;
+pub mod core;
+pub mod net;
+pub mod store;
+
+pub use crate::core::{Answer, Call, Core, Output};
--- /dev/null
+++ b/crates/exchange/src/main.rs
@@ -0,0 +1,73 @@
+//! `exchange`: keeps the operator's configuration and the list of backends, and lends doors their shares of quotas.
+
+use clap::{Parser, Subcommand};
+use maplefall_exchange::net;
+use maplefall_mainframe::Settings;
+use std::hash::{BuildHasher, Hasher};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The core of the system: configuration, list of backends, shares of quotas.
+#[derive(Parser)]
+#[command(version)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves; the same as no command.
+    Run,
+    /// Reads a settings file and tells whether it can be used.
+    Check {
+        /// The file; by default the one that MAPLEFALL_CONFIG names.
+        file: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    let result = match line.command.unwrap_or(Command::Run) {
+        Command::Run => run(),
+        Command::Check { file } => check(&file.unwrap_or_else(Settings::path)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("event=ended {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(path: &std::path::Path) -> Result<(), String> {
+    let settings = Settings::load(path).map_err(|error| error.to_string())?;
+    settings.bind.control.ok_or("step=check missing=Bind.Control")?;
+    settings.data_dir.as_ref().ok_or("step=check missing=DataDir")?;
+    println!("event=checked node={} file={}", settings.node, path.display());
+    Ok(())
+}
+
+fn run() -> Result<(), String> {
+    let logger = flexi_logger::Logger::try_with_env_or_str("info").map_err(|error| error.to_string())?;
+    let _logger = logger.log_to_stderr().format(line).start().map_err(|error| error.to_string())?;
+    let settings = Settings::load(&Settings::path()).map_err(|error| error.to_string())?;
+    // The standard library's hashers are keyed from the system's source of chance.
+    let seed = std::collections::hash_map::RandomState::new().build_hasher().finish();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| format!("step=runtime error={:?}", error.kind()))?;
+    let local = tokio::task::LocalSet::new();
+    runtime.block_on(local.run_until(net::run(settings, seed))).map_err(|error| error.to_string())
+}
+
+/// One line of key=value pairs for each event.
+fn line(
+    to: &mut dyn std::io::Write,
+    _: &mut flexi_logger::DeferredNow,
+    record: &log::Record<'_>,
+) -> Result<(), std::io::Error> {
+    write!(to, "level={} {}", record.level().as_str().to_ascii_lowercase(), record.args())
+}
--- /dev/null
+++ b/crates/exchange/src/net.rs
@@ -0,0 +1,420 @@
+//! Sockets, time and the disk's thread round [`Core`].
+
+use crate::core::{Answer, Call, Core, Output, TICK};
+use crate::store::{Kept, Store, Stored};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use maplefall_cord::{carry, dial, End, QUEUE};
+use maplefall_mainframe::Settings;
+use maplefall_signalling::{write, Frame, Hello, VERSION};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, oneshot, Semaphore};
+
+/// Longest body of a call.
+const LONGEST_BODY: usize = 32 << 20;
+/// Calls that are worked on at a time; what comes beyond waits in the system's queue.
+const MOST_CALLERS: usize = 1024;
+/// How long a caller's connection may be without a request.
+const CALLER_IDLE: Duration = Duration::from_secs(10);
+/// A connection on which nothing comes for this long has ended.
+const SILENCE: Duration = Duration::from_millis(2000);
+/// Pause before another exchange is dialled again.
+const REDIAL: Duration = Duration::from_millis(300);
+/// Records that wait for the disk at most.
+const MOST_RECORDS: usize = 65_536;
+/// How long a planned stop takes: who is connected finds another exchange, and somebody else leads.
+const LAST: Duration = Duration::from_millis(400);
+
+/// Why an exchange ends.
+#[derive(Debug)]
+pub enum Error {
+    /// It cannot listen there.
+    Listen(SocketAddr, std::io::Error),
+    /// The settings lack this.
+    Missing(&'static str),
+    /// Signals cannot be had.
+    Signals(std::io::Error),
+    /// Its disk.
+    Store(crate::store::Error),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Error::Listen(address, error) => write!(f, "step=listen address={address} error={:?}", error.kind()),
+            Error::Missing(field) => write!(f, "step=settings missing={field}"),
+            Error::Signals(error) => write!(f, "step=signals error={:?}", error.kind()),
+            Error::Store(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// An exchange and all its connections.
+struct Exchange {
+    core: RefCell<Core>,
+    started: Instant,
+    hello: Hello,
+    port: u16,
+    control: SocketAddr,
+    /// What goes to other exchanges, by address.
+    peers: RefCell<HashMap<String, mpsc::Sender<Bytes>>>,
+    doors: RefCell<HashMap<u64, mpsc::Sender<Bytes>>>,
+    last_door: Cell<u64>,
+    calls: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
+    last_call: Cell<u64>,
+    disk: std::sync::mpsc::SyncSender<Stored>,
+}
+
+/// Runs an exchange until a SIGTERM has been carried out.
+pub async fn run(settings: Settings, seed: u64) -> Result<(), Error> {
+    let mut term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(Error::Signals)?;
+    let control = settings.bind.control.ok_or(Error::Missing("Bind.Control"))?;
+    let data = settings.data_dir.clone().ok_or(Error::Missing("DataDir"))?;
+    let inner = SocketAddr::new(settings.ip, settings.internal_ports.0);
+    let listen = |address| async move {
+        TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
+    };
+    let (callers, exchanges) = (listen(control).await?, listen(inner).await?);
+    let (store, kept) = Store::open(&data).map_err(Error::Store)?;
+    log::info!(
+        "event=start node={} control={control} inner={inner} bootstrap={} term={} snapshot={} log={} trusted={}",
+        settings.node,
+        settings.bootstrap,
+        kept.tandem.term,
+        kept.tandem.snapshot.index,
+        kept.tandem.log.len(),
+        kept.tandem.trusted,
+    );
+    let (disk, incoming) = std::sync::mpsc::sync_channel(MOST_RECORDS);
+    let (told, mut written) = mpsc::unbounded_channel();
+    // One word for each batch that was sent in: no more than there are batches.
+    std::thread::spawn(move || store.run(&incoming, |result| told.send(result).is_ok()));
+    let exchange = start(&settings, seed, kept, (control, disk));
+    tokio::task::spawn_local(exchange.clone().accept_callers(callers));
+    tokio::task::spawn_local(exchange.clone().accept_inner(exchanges));
+    let mut tick = tokio::time::interval(Duration::from_secs_f64(TICK / 1000.0));
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut last = None;
+    loop {
+        tokio::select! {
+            biased;
+            _ = term.recv(), if last.is_none() => {
+                log::info!("event=stop node={}", settings.node);
+                exchange.drive(|core, now, out| core.stop(now, out));
+                last = Some(tokio::time::Instant::now() + LAST);
+            }
+            _ = hup.recv() => log::info!("event=reload node={}", settings.node),
+            result = written.recv() => match result {
+                Some(Ok(number)) => exchange.drive(|core, now, out| core.written(now, number, out)),
+                // What is on disk now only a new start can tell.
+                Some(Err(error)) => return Err(Error::Store(error)),
+                None => return Ok(()),
+            },
+            _ = tick.tick() => {
+                exchange.drive(|core, now, out| core.tick(now, out));
+                exchange.dial_voters();
+                if last.is_some_and(|last| tokio::time::Instant::now() >= last) {
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+fn start(
+    settings: &Settings,
+    seed: u64,
+    kept: Kept,
+    (control, disk): (SocketAddr, std::sync::mpsc::SyncSender<Stored>),
+) -> Rc<Exchange> {
+    let mut out = Vec::new();
+    let core = Core::new(settings, 0.0, seed, kept, &mut out);
+    let hello = Hello {
+        version: VERSION,
+        ip: settings.ip.to_string(),
+        node: settings.node.clone(),
+        life: seed.max(1),
+        exchange: true,
+        index: 0,
+    };
+    let exchange = Rc::new(Exchange {
+        core: RefCell::new(core),
+        started: Instant::now(),
+        hello,
+        port: settings.internal_ports.0,
+        control,
+        peers: RefCell::default(),
+        doors: RefCell::default(),
+        last_door: Cell::new(0),
+        calls: RefCell::default(),
+        last_call: Cell::new(0),
+        disk,
+    });
+    exchange.clone().carry_out(out);
+    for seed in &settings.seeds {
+        exchange.clone().dial_peer(seed.ip());
+    }
+    exchange
+}
+
+impl Exchange {
+    fn now(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn drive(self: &Rc<Self>, step: impl FnOnce(&mut Core, f64, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        step(&mut self.core.borrow_mut(), self.now(), &mut out);
+        self.clone().carry_out(out);
+    }
+
+    fn carry_out(self: Rc<Self>, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Write(number, stored) => {
+                    // A disk that has let this much pile up is none: the process ends with the thread's error.
+                    if self.disk.try_send(Stored { number, ..stored }).is_err() {
+                        log::error!("event=disk_gone step=queue number={number}");
+                    }
+                }
+                Output::Peer(ip, bytes) => self.to_peer(&ip, bytes),
+                Output::Peers(bytes) => {
+                    let all: Vec<String> = self.peers.borrow().keys().cloned().collect();
+                    all.iter().for_each(|ip| self.to_peer(ip, bytes.clone()));
+                }
+                Output::Door(conn, bytes) => {
+                    let full = self.doors.borrow().get(&conn).is_some_and(|door| door.try_send(bytes).is_err());
+                    if full {
+                        // Its task sees the end of the queue and closes the connection.
+                        self.doors.borrow_mut().remove(&conn);
+                    }
+                }
+                Output::Answer(number, answer) => {
+                    if let Some(call) = self.calls.borrow_mut().remove(&number) {
+                        // The caller may have gone.
+                        let _ = call.send(answer);
+                    }
+                }
+                Output::Log(line) => log::info!("{line}"),
+            }
+        }
+    }
+
+    // ---- Other exchanges ----------------------------------------------------------------------------
+
+    fn to_peer(&self, ip: &str, bytes: Bytes) {
+        let full = self.peers.borrow().get(ip).is_some_and(|peer| peer.try_send(bytes).is_err());
+        if full {
+            if let Some(peer) = self.peers.borrow_mut().get_mut(ip) {
+                // The connection ends with its queue, and is dialled anew.
+                *peer = mpsc::channel(1).0;
+            }
+        }
+    }
+
+    fn dial_voters(self: &Rc<Self>) {
+        let missing: Vec<IpAddr> = {
+            let (core, peers) = (self.core.borrow(), self.peers.borrow());
+            let strangers = core.voters().iter().filter(|ip| !peers.contains_key(*ip));
+            strangers.filter_map(|ip| ip.parse().ok()).collect()
+        };
+        missing.into_iter().for_each(|ip| self.clone().dial_peer(ip));
+    }
+
+    /// Keeps a connection to another exchange, for as long as this one runs.
+    fn dial_peer(self: Rc<Self>, ip: IpAddr) {
+        let name = ip.to_string();
+        if name == self.hello.ip || self.peers.borrow().contains_key(&name) {
+            return;
+        }
+        self.peers.borrow_mut().insert(name.clone(), mpsc::channel(1).0);
+        tokio::task::spawn_local(async move {
+            let address = SocketAddr::new(ip, self.port);
+            let mut known = true;
+            loop {
+                let end = match dial(address).await {
+                    Ok(stream) => {
+                        let (sender, outgoing) = mpsc::channel(QUEUE);
+                        let _ = sender.try_send(write(Frame::Hello(self.hello.clone())));
+                        self.peers.borrow_mut().insert(name.clone(), sender);
+                        log::info!("event=peer_up peer={name}");
+                        known = true;
+                        self.drive(|core, now, out| core.peer_up(now, &name, out));
+                        // Nothing is said on it by the other side.
+                        carry(stream, outgoing, None, |_| true).await
+                    }
+                    Err(end) => end,
+                };
+                if std::mem::take(&mut known) {
+                    log::info!("event=peer_down peer={name} {end}");
+                }
+                self.peers.borrow_mut().insert(name.clone(), mpsc::channel(1).0);
+                tokio::time::sleep(REDIAL).await;
+            }
+        });
+    }
+
+    async fn accept_inner(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, from)) => {
+                    tokio::task::spawn_local(self.clone().serve_inner(stream, from));
+                }
+                Err(_) => tokio::time::sleep(REDIAL).await,
+            }
+        }
+    }
+
+    /// Serves a door or another exchange.
+    async fn serve_inner(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
+        let (sender, outgoing) = mpsc::channel(QUEUE);
+        let mut peer: Option<String> = None;
+        let mut door: Option<u64> = None;
+        let sender = RefCell::new(Some(sender));
+        let (exchange, mine) = (&self, &sender);
+        let end = carry(stream, outgoing, Some(SILENCE), |frame| {
+            match (frame, &peer, door) {
+                (Frame::Hello(hello), None, None) if hello.version == VERSION && hello.life != 0 => {
+                    // A machine speaks for itself alone.
+                    if hello.ip != from.ip().to_string() {
+                        return false;
+                    }
+                    if hello.exchange {
+                        if let Ok(ip) = hello.ip.parse() {
+                            exchange.clone().dial_peer(ip);
+                        }
+                        peer = Some(hello.ip);
+                    } else {
+                        let conn = exchange.last_door.get() + 1;
+                        exchange.last_door.set(conn);
+                        door = Some(conn);
+                        if let Some(sender) = mine.borrow_mut().take() {
+                            exchange.doors.borrow_mut().insert(conn, sender);
+                        }
+                        exchange.drive(|core, now, out| core.door_up(now, conn, &hello, out));
+                    }
+                    true
+                }
+                (Frame::Hello(_), _, _) | (_, None, None) => false,
+                (frame, Some(ip), _) => {
+                    exchange.drive(|core, now, out| core.peer(now, ip, frame, out));
+                    true
+                }
+                (frame, None, Some(conn)) => {
+                    exchange.drive(|core, now, out| core.door(now, conn, frame, out));
+                    true
+                }
+            }
+        })
+        .await;
+        if let Some(conn) = door {
+            self.doors.borrow_mut().remove(&conn);
+            self.drive(|core, _, out| core.door_down(conn, out));
+        }
+        log::debug!("event=inner_down from={from} {end}");
+        if let End::Frame(broken) = end {
+            log::warn!("event=stranger from={from} {broken}");
+        }
+    }
+
+    // ---- Callers ------------------------------------------------------------------------------------
+
+    async fn accept_callers(self: Rc<Self>, listener: TcpListener) {
+        let room = std::sync::Arc::new(Semaphore::new(MOST_CALLERS));
+        loop {
+            let Ok(place) = room.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let exchange = self.clone();
+                    tokio::task::spawn_local(async move {
+                        let _place = place;
+                        let _ = stream.set_nodelay(true);
+                        let service = service_fn(|request| {
+                            let exchange = exchange.clone();
+                            async move { Ok::<_, Infallible>(exchange.answer(request).await) }
+                        });
+                        let connection = hyper::server::conn::http1::Builder::new()
+                            .timer(TokioTimer::new())
+                            .header_read_timeout(CALLER_IDLE)
+                            .serve_connection(TokioIo::new(stream), service);
+                        // A caller that goes or writes no HTTP is no event here.
+                        let _ = connection.await;
+                    });
+                }
+                Err(_) => tokio::time::sleep(REDIAL).await,
+            }
+        }
+    }
+
+    async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let target = request.uri().path_and_query().map(|p| p.as_str().to_owned()).unwrap_or_default();
+        let (head, body) = request.into_parts();
+        let body = match Limited::new(body, LONGEST_BODY).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(_) => return plain(StatusCode::BAD_REQUEST, "step=read field=body".to_owned()),
+        };
+        let query = head.uri.query().unwrap_or_default();
+        let field = |name: &str| {
+            let values = query.split('&').filter_map(|pair| pair.split_once('='));
+            values.into_iter().find(|(known, _)| *known == name).map(|(_, value)| value.to_owned())
+        };
+        if head.uri.path() != "/api/rpc" {
+            return plain(StatusCode::NOT_FOUND, "step=route".to_owned());
+        }
+        if head.method != Method::POST {
+            return plain(StatusCode::METHOD_NOT_ALLOWED, "step=route field=method".to_owned());
+        }
+        let call = match (field("call").as_deref(), field("of")) {
+            (Some("instances.beat"), Some(id)) if !id.is_empty() => Call::Beat(id, body),
+            (Some("instances.leave"), Some(id)) if !id.is_empty() => Call::Leave(id),
+            (Some("config.amend"), _) => Call::Amend(body),
+            (Some("config.read"), _) => Call::Read,
+            _ => return plain(StatusCode::BAD_REQUEST, "step=route field=call".to_owned()),
+        };
+        let (sender, receiver) = oneshot::channel();
+        let number = self.last_call.get() + 1;
+        self.last_call.set(number);
+        self.calls.borrow_mut().insert(number, sender);
+        self.drive(|core, now, out| core.call(now, number, call, out));
+        match receiver.await.unwrap_or(Answer::Unknown) {
+            Answer::Done(text) => {
+                let mut response = plain(StatusCode::OK, text);
+                response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                response
+            }
+            Answer::Refused(status, why) => {
+                plain(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST), why)
+            }
+            Answer::Elsewhere(ip) => {
+                let mut response = plain(StatusCode::TEMPORARY_REDIRECT, String::new());
+                let location = format!("http://{ip}:{}{target}", self.control.port());
+                if let Ok(location) = HeaderValue::try_from(location) {
+                    response.headers_mut().insert(LOCATION, location);
+                }
+                response
+            }
+            Answer::Unknown => plain(StatusCode::SERVICE_UNAVAILABLE, "step=agree".to_owned()),
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/maplefall/src/net/auth.rs
+++ b/crates/maplefall/src/net/auth.rs
@@ -4,9 +4,9 @@
 use super::auth_settings::{AuthSettings, Part};
 #[cfg(feature = "breakages")]
 use super::breakages::{self, Breakage};
-use super::clock::Clock;
+use maplefall_trunk::Clock;
 use super::door::Door;
-use super::pool::{NoConnection, Pools};
+use maplefall_trunk::{NoConnection, Pools};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming as IncomingBody};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
--- a/crates/maplefall/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -1,6 +1,6 @@
 //! Attempts: what goes on to a backend, what comes back, and what the end of an attempt means.
 
-use super::pool::{Line, NoConnection, Pools};
+use maplefall_trunk::{carry, Line, Pools};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -13,7 +13,6 @@
 use maplefall_settings::{self as settings, Metric, Told};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
 
 /// Longest body of an answer at all. Backends are met that send far more than the agreed 64 KiB, and their good
 /// answers are worth passing on; one that is said to be longer than this is none.
@@ -124,57 +123,17 @@
     care: Care,
     line: &Line,
 ) -> Ended {
-    let begun = Instant::now();
-    let mut broken = 0;
-    let Some(dial) = pools.dial_address(backend) else { return Ended::of(Outcome::NotSent) };
-    loop {
-        let pooled = pools.take_idle(backend, care);
-        let idle = pooled.as_ref().map(|connection| connection.idle(Instant::now()));
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => match pools.fresh(dial).await {
-                Ok(connection) => connection,
-                Err(NoConnection::Own) => return Ended { broken, ..Ended::of(Outcome::NotSent) },
-                // Refused: that says more than what broke before.
-                Err(NoConnection::Theirs) => return Ended::of(Outcome::ConnectFailed),
-            },
-        };
-        // The wait for a connection may have outlasted the backend's place in the list, or its life: what is up by that name
-        // now may listen elsewhere, and who listened here may be leaving.
-        if pools.dial_address(backend) != Some(dial) {
-            return Ended { broken, ..Ended::of(Outcome::NotSent) };
-        }
-        line.hold(&connection.wire);
-        connection.wire.begin(order.body.len(), care != Care::Usual);
-        let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
-        let sent = match connection.sender.ready().await {
-            Ok(()) => connection.sender.send_request(request(order, left.max(1.0))).await.ok(),
-            Err(_) => None,
-        };
-        if let Some(idle) = idle {
-            pools.learn(idle, sent.is_none());
-        }
-        let answer = match sent {
-            Some(answer) => read(reading, answer).await,
-            None => None,
-        };
-        let whole = connection.wire.whole();
-        // What is answered before it was written whole was answered unseen, and its connection is of no more use.
-        if let Some(ended) = answer.filter(|ended| whole || ended.outcome == Outcome::Full) {
-            if whole {
-                pools.put_back(backend, dial, connection);
-            }
-            return Ended { broken, ..ended };
-        }
-        broken += 1;
-        // A connection from the pool that broke before the request was whole tells little of the backend, and
-        // nothing ran: the next one stands in. Each turn takes one out of the pool, so this ends.
-        if !whole && idle.is_some() {
-            continue;
-        }
-        // Only what was written whole may have run.
-        return Ended { broken, ..Ended::of(if whole { Outcome::Reset } else { Outcome::ConnectFailed }) };
-    }
+    let carried = carry(
+        pools,
+        backend,
+        (care, limit),
+        line,
+        (order.body.len(), |left| request(order, left)),
+        async |answer| read(reading, answer).await,
+        |ended: &Ended| ended.outcome == Outcome::Full,
+    )
+    .await;
+    Ended { broken: carried.broken, ..carried.end.unwrap_or_else(Ended::of) }
 }
 
 /// Reads a whole answer; `None` if the connection ends before it does, or if nobody could tell that it is whole: an
--- a/crates/maplefall/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -4,7 +4,7 @@
 #[cfg(feature = "breakages")]
 use super::breakages;
 use super::door::Door;
-use super::pool::{client_budget, BUFFER};
+use maplefall_trunk::{client_budget, BUFFER};
 use super::request::{read_body, read_head, Bad};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming as IncomingBody};
--- a/crates/maplefall/src/net/counts.rs
+++ b/crates/maplefall/src/net/counts.rs
@@ -3,7 +3,7 @@
 //! Nothing is decided here. What customers use is counted by [`Counts::used`]; what others tell of them is handed to the
 //! decision module as it comes, and how old that is by now with each request ([`Counts::elsewhere`]).
 
-use super::clock::Clock;
+use maplefall_trunk::Clock;
 use super::counts_settings::CountsSettings;
 use super::door::Door;
 use maplefall_policy::{CustomerId, Elsewhere, Millis, PlanId};
--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -2,7 +2,7 @@
 
 #[cfg(feature = "breakages")]
 use super::breakages;
-use super::clock::Clock;
+use maplefall_trunk::Clock;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::header::HOST;
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -7,11 +7,11 @@
 use super::backends::{self, Reading};
 #[cfg(feature = "breakages")]
 use super::breakages;
-use super::clock::Clock;
+use maplefall_trunk::Clock;
 use super::config::Config;
 use super::counts::Counts;
 use super::grpc::{self, GrpcSettings, Passage};
-use super::pool::{self, Line, Pools};
+use maplefall_trunk::{self as pool, Line, Pools};
 use hyper::header::{HeaderName, HeaderValue};
 use maplefall_policy::*;
 use maplefall_protocol::{Answer, Ended, Health, Incoming, Member, Order};
--- a/crates/maplefall/src/net/grpc/back.rs
+++ b/crates/maplefall/src/net/grpc/back.rs
@@ -1,8 +1,7 @@
 //! Attempts of calls: connections to backends, many calls on each, and what comes back on them.
 
 use super::super::backends::{number, MOST_USAGE};
-use super::super::clock::Clock;
-use super::super::pool::{Line, NoConnection, Pools};
+use maplefall_trunk::{Clock, Line, NoConnection, Pools};
 use super::passage::Passage;
 use h2::client::{self, SendRequest};
 use h2::{Ping, PingPong, RecvStream, SendStream};
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -7,7 +7,6 @@
 mod breakages;
 pub mod check;
 mod clients;
-mod clock;
 pub mod config;
 mod counts;
 pub mod counts_settings;
@@ -15,7 +14,6 @@
 mod door;
 mod grpc;
 mod membership;
-mod pool;
 mod request;
 mod sources;
 
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -259,6 +259,7 @@
         late_worth: 0.0,
         effect: World::effect(class).unwrap_or(Effect::Unsafe),
         streaming: false,
+        ..policy::Class::default()
     };
     let plan = |plan: &crate::world::PlanSpec| policy::Plan {
         rate: plan.rate,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -79,6 +79,8 @@
     pub effect: Effect,
     /// Whether its answer is a stream.
     pub streaming: bool,
+    /// Most attempts for one of its requests, besides [`Settings::max_attempts`].
+    pub max_attempts: u32,
 }
 
 /// A hard ceiling on what all gateways send on for one customer.
@@ -154,6 +156,12 @@
     pub reports: Reports,
     /// Most attempts for one request.
     pub max_attempts: u32,
+    /// Further attempts earned with each first one; so many are there at the start, and saved up at most.
+    pub retry_share: f64,
+    /// See above.
+    pub retry_start: f64,
+    /// See above.
+    pub retry_depth: f64,
     /// Whether one request may have two attempts out at a time.
     pub second_copies: bool,
     /// Whether attempts may be called off.
@@ -489,6 +497,7 @@
             late_worth: 0.0,
             effect: Effect::Unsafe,
             streaming: false,
+            max_attempts: u32::MAX,
         }
     }
 }
@@ -521,6 +530,9 @@
             discovery: Discovery::Pushed,
             reports: Reports::Off,
             max_attempts: 1,
+            retry_share: 0.2,
+            retry_start: 10.0,
+            retry_depth: 10.0,
             second_copies: false,
             cancel: false,
             probes: false,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,8 @@
 
 mod interface;
 mod rules;
+mod tenants;
 
 pub use interface::*;
 pub use rules::{Cewma, Gateway};
+pub use tenants::{Quota, Tenants, Turned};
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -81,10 +81,6 @@
 const SET_ASIDE: f64 = 0.5;
 /// A crossing between zones is worth this many times its price of the aim in waiting.
 const CROSSING_AIMS: f64 = 10.0;
-/// Further attempts allowed for each first attempt.
-const RETRY_SHARE: f64 = 0.2;
-/// Further attempts saved up at most.
-const RETRY_DEPTH: f64 = 10.0;
 /// Part of a ceiling's slack that the parts make use of; the rest is for rounding.
 const SLACK_USED: f64 = 0.9;
 /// Part of the multiple that pushes a cold backend over which a gateway makes use of.
@@ -298,14 +294,13 @@
 impl Gateway {
     /// A gateway with these settings; `seed` is its only source of chance.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let aim = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
-        let aim = if aim.is_finite() { aim.max(1.0) } else { 1000.0 };
         let gateways = f64::from(settings.gateways.max(1));
-        Gateway {
+        let retries = settings.retry_start;
+        let mut gateway = Gateway {
             set: settings,
             rng: Pcg32::seed_from_u64(seed),
             born: None,
-            aim,
+            aim: 1000.0,
             customers: BTreeMap::new(),
             news: BTreeMap::new(),
             evict_at: 0.0,
@@ -316,13 +311,15 @@
             load: 0.0,
             pressure: 0.0,
             pressure_at: 0.0,
-            retries: RETRY_DEPTH,
+            retries,
             broke_at: f64::NEG_INFINITY,
             // One of many does not see what all let in at once, so it begins part open; one alone, open.
             opening: OPENING_START + (1.0 - OPENING_START) / gateways,
             usual: 1.0,
             answer_at: 0.0,
-        }
+        };
+        gateway.amend(|_| {});
+        gateway
     }
 
     /// Takes one event that happened at `now` and appends what is to be done.
@@ -345,6 +342,13 @@
         }
     }
 
+    /// Goes by other settings from now on: classes and plans may be added and changed, and stay at their places.
+    pub fn amend(&mut self, change: impl FnOnce(&mut Settings)) {
+        change(&mut self.set);
+        let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        self.aim = if aim.is_finite() { aim.max(1.0) } else { 1000.0 };
+    }
+
     /// The same gateway, looking at all backends for each choice: it does the same, and takes longer.
     pub fn walking(self) -> Self {
         Gateway { index: Index::walking(), ..self }
@@ -393,7 +397,7 @@
 
     /// Sends a request on for the first time.
     fn begin(&mut self, now: Millis, live: Live, backend: BackendId, actions: &mut Vec<Action>) {
-        self.retries = (self.retries + RETRY_SHARE).min(RETRY_DEPTH);
+        self.retries = (self.retries + self.set.retry_share).min(self.set.retry_depth);
         let id = live.request.id;
         let alarm = AlarmId(u64::from(id.0));
         actions.push(Action::SetAlarm { at: self.slow_mark(&live).min(self.cut(&live)), alarm });
@@ -904,6 +908,11 @@
         actions.push(Action::Send { request: id, backend: to, limit: Some(limit), care });
     }
 
+    /// Most attempts for a request.
+    fn attempts(&self, live: &Live) -> u32 {
+        self.set.max_attempts.min(self.set.classes[live.request.class.0].max_attempts)
+    }
+
     /// How long an attempt is waited for that should take `expected`. Guards against one that hangs and eats
     /// the whole of its request's time: what may be repeated is given up while another attempt still has the
     /// time that this one had. The last attempt gets all that is left.
@@ -915,7 +924,7 @@
             _ => false,
         };
         let limit = (HUNG * expected).max(HUNG_AIMS * class.aim);
-        let fits = 2.0 * limit <= self.cut(live) - now && live.sends + 1 < self.set.max_attempts;
+        let fits = 2.0 * limit <= self.cut(live) - now && live.sends + 1 < self.attempts(live);
         // Where answers are slow everywhere a repeat would only add to the queues.
         let calm = self.opening > CALM && self.pressure < 1.0 - CALM;
         if again && fits && calm && self.retries >= 1.0 {
@@ -950,7 +959,7 @@
         }
         let reach = self.reach(now, &live);
         let time_left = self.cut(&live) - now > self.set.tick;
-        if !live.started && time_left && self.retries >= 1.0 && live.sends < self.set.max_attempts {
+        if !live.started && time_left && self.retries >= 1.0 && live.sends < self.attempts(&live) {
             if let Some((backend, _)) = self.choose(now, &live, reach) {
                 self.retries -= 1.0;
                 let id = live.request.id;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -207,6 +207,7 @@
         warm_up: facts.number("rules.warm_up", base.warm_up),
         overload_factor: facts.number("rules.overload_factor", base.overload_factor),
         overload_window: facts.number("rules.fall", base.overload_window),
+        ..Settings::default()
     };
     Told {
         settings,
@@ -235,6 +236,7 @@
         late_worth: facts.number(&path("late_worth"), base.late_worth),
         effect: facts.choice(&path("idempotency"), base.effect, &effects),
         streaming: facts.get(&path("streaming"), base.streaming),
+        max_attempts: u32::MAX,
     }
 }
 
--- /dev/null
+++ b/crates/switchboard/src/core.rs
@@ -0,0 +1,662 @@
+//! What a door decides.
+
+use crate::services::{Pool, Services};
+use crate::timers::Timers;
+use maplefall_directory::{Brought, Directory, Word};
+use maplefall_mainframe::{Bounds, Settings};
+use maplefall_numbering::{Board, Kind, Plan as Numbers, Route, Tenant, Way};
+use maplefall_policy::*;
+use maplefall_signalling::{Frame, Plans};
+use maplefall_toll::{Demand, Purse};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+/// How often [`Core::tick`] wants to be called.
+pub const TICK: Millis = 500.0;
+/// Shortest time between two reports for one lender beyond those of the ticks.
+const URGENT: Millis = 60.0;
+/// Backends that somebody who knows all does not name are lost if nobody has spoken of them for this long.
+const UNNAMED: Millis = 10_000.0;
+/// What is kept free of a client's time for the answer's way back.
+const WAY_BACK: Millis = 4.0;
+/// When a client is told to come back where nothing else is known, as a part of the aim.
+const COME_BACK_AIMS: f64 = 0.2;
+/// The same for a door that has no configuration yet.
+const COME_BACK: Millis = 300.0;
+/// Advice is this at least: a client that comes back at once finds the same.
+const SOONEST: Millis = 10.0;
+/// Requests at most that wait for their answers.
+const MOST_REQUESTS: usize = 4096;
+
+/// A request as it came.
+pub struct Arrival<'a> {
+    /// The value of `Host`.
+    pub host: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// The key, if one came.
+    pub key: Option<&'a str>,
+    /// How long the client waits from now on.
+    pub remaining: Option<Millis>,
+    /// When its first byte came.
+    pub at: Millis,
+}
+
+/// The final answer of a request that no backend answers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Final {
+    /// The status.
+    pub status: u16,
+    /// When to come back, where it has not run.
+    pub retry_after: Option<Millis>,
+    /// A backend's own answer is to be passed on in its place, if there is one.
+    pub backends: bool,
+}
+
+impl Final {
+    fn of(status: u16) -> Final {
+        Final { status, retry_after: None, backends: false }
+    }
+
+    fn not_run(status: u16, retry_after: Millis) -> Final {
+        Final { status, retry_after: Some(retry_after.max(SOONEST)), backends: false }
+    }
+}
+
+/// A request that was let in.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// Its number.
+    pub id: RequestId,
+    /// The tenant for the backend to see.
+    pub tenant: Option<Rc<str>>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// Connections that had come up and broke under it.
+    pub broken: u32,
+    /// Somebody else is at the backend's address.
+    pub stranger: bool,
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Output {
+    /// Start an attempt.
+    Send {
+        /// Of this request.
+        request: RequestId,
+        /// Its number.
+        attempt: u32,
+        /// To this backend.
+        backend: BackendId,
+        /// Whose id is this.
+        instance: Rc<str>,
+        /// The backend is told this as its time.
+        limit: Millis,
+        /// What is done lest a broken connection takes the request along.
+        care: Care,
+    },
+    /// Pass on the answer that an attempt has brought.
+    Pass(RequestId),
+    /// Answer a request.
+    Answer(RequestId, Final),
+    /// Close the connection of an attempt; tell [`Core::ended`] how far it was.
+    GiveUp(RequestId, u32),
+    /// Connections of a backend.
+    Pool(Pool),
+    /// Close idle connections to a backend.
+    CloseIdle(BackendId),
+    /// Say something to an exchange.
+    Say(String, Frame),
+    /// These exchanges there are.
+    Exchanges(Vec<String>),
+    /// A line for the log.
+    Log(String),
+}
+
+enum Due {
+    Alarm(RequestId),
+    TimeOut(RequestId, u32),
+}
+
+struct Entry {
+    service: usize,
+    tenant: Option<Rc<str>>,
+    aim: Millis,
+    deadline: Millis,
+    attempts: u32,
+    out: Option<(u32, BackendId, Millis)>,
+    may_have_run: bool,
+    answered: bool,
+    sent: bool,
+}
+
+/// The decisions of one door.
+pub struct Core {
+    bounds: Bounds,
+    rng: Pcg32,
+    board: Board,
+    index: u64,
+    numbers: Rc<Numbers>,
+    tenants: Tenants<Rc<str>>,
+    names: HashMap<String, Rc<str>>,
+    purse: Purse,
+    connected: BTreeSet<String>,
+    exchanges: BTreeSet<String>,
+    urgent: Millis,
+    directory: Directory,
+    services: Services,
+    requests: HashMap<RequestId, Entry>,
+    last: u32,
+    timers: Timers<Due>,
+    stopping: bool,
+    was_ready: bool,
+    /// What happened since the last line about it.
+    counts: Counts,
+}
+
+#[derive(Default)]
+struct Counts {
+    arrived: u64,
+    passed: u64,
+    quota: u64,
+    boxed: u64,
+    no_backend: u64,
+    failed: u64,
+    repeats: u64,
+    unknown: u64,
+}
+
+impl Core {
+    /// A door that knows nothing yet. `seed` is its only source of chance.
+    pub fn new(settings: &Settings, seed: u64) -> Core {
+        Core {
+            bounds: settings.bounds,
+            rng: Pcg32::seed_from_u64(seed),
+            board: Board::default(),
+            index: 0,
+            numbers: Rc::default(),
+            tenants: Tenants::new(settings.bootstrap),
+            names: HashMap::new(),
+            purse: Purse::default(),
+            connected: BTreeSet::new(),
+            exchanges: settings.seeds.iter().map(|seed| seed.ip().to_string()).collect(),
+            urgent: 0.0,
+            directory: Directory::default(),
+            services: Services::new(settings.bounds, &settings.zone, seed),
+            requests: HashMap::new(),
+            last: 0,
+            timers: Timers::default(),
+            stopping: false,
+            was_ready: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// The index of the configuration that holds here.
+    pub fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// What clients may send.
+    pub fn limits(&self) -> maplefall_numbering::Limits {
+        self.numbers.limits
+    }
+
+    /// Whether new clients may come.
+    pub fn ready(&self) -> bool {
+        !self.stopping && self.index > 0 && self.services.any()
+    }
+
+    /// A planned stop begins.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Whether requests wait for their answers.
+    pub fn busy(&self) -> bool {
+        self.requests.values().any(|entry| !entry.answered)
+    }
+
+    // ---- Requests -----------------------------------------------------------------------------------
+
+    /// Takes a request in, or answers it at once.
+    pub fn arrive(
+        &mut self,
+        now: Millis,
+        arrival: &Arrival<'_>,
+        out: &mut Vec<Output>,
+    ) -> Result<Accepted, Final> {
+        self.counts.arrived += 1;
+        if self.index == 0 {
+            // Without a configuration nothing is known: neither that there is no route nor that a key is wrong.
+            return Err(Final::not_run(503, COME_BACK));
+        }
+        let numbers = self.numbers.clone();
+        let (route, tenant) = match numbers.way(arrival.host, arrival.path, arrival.key) {
+            Way::Route(route, tenant) => (route, tenant),
+            Way::Nowhere => {
+                self.counts.unknown += 1;
+                return Err(Final::of(404));
+            }
+            Way::Stranger => {
+                self.counts.unknown += 1;
+                return Err(Final::of(401));
+            }
+        };
+        let wait = arrival.remaining.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrival.at + wait - WAY_BACK;
+        if self.requests.len() >= MOST_REQUESTS || deadline <= now {
+            return Err(Final::not_run(503, COME_BACK_AIMS * route.aim));
+        }
+        let who = tenant.map(|tenant| self.name(&tenant.name));
+        if let (Some(tenant), Some(who)) = (tenant, &who) {
+            let quota = self.quota(now, tenant);
+            match self.tenants.arrived(now, who, 1.0, quota) {
+                Ok(()) => {}
+                Err(turned) => {
+                    let (wait, count) = match turned {
+                        Turned::Box(wait) => (wait, &mut self.counts.boxed),
+                        Turned::Bucket(wait) => (wait, &mut self.counts.quota),
+                    };
+                    *count += 1;
+                    self.ask_now(now, out);
+                    return Err(Final::not_run(429, wait.min(route.timeout)));
+                }
+            }
+        }
+        let place = self.choose_service(route);
+        let class = self.services.class(place, route);
+        let id = self.new_request();
+        let entry = Entry {
+            service: place,
+            tenant: who.clone(),
+            aim: route.aim,
+            deadline,
+            attempts: 0,
+            out: None,
+            may_have_run: false,
+            answered: false,
+            sent: false,
+        };
+        self.requests.insert(id, entry);
+        let request = Request {
+            id,
+            customer: CustomerId(0),
+            plan: PlanId(0),
+            class,
+            units: 1.0,
+            deadline,
+            checked: true,
+            spread: 1.0,
+        };
+        self.post(now, place, Event::Arrival(request), out);
+        Ok(Accepted { id, tenant: who })
+    }
+
+    /// A client has gone away before its answer.
+    pub fn client_gone(&mut self, now: Millis, id: RequestId, out: &mut Vec<Output>) {
+        let Some(entry) = self.requests.get_mut(&id).filter(|entry| !entry.answered) else { return };
+        entry.answered = true;
+        let service = entry.service;
+        self.post(now, service, Event::ClientGone(id), out);
+        self.forget_if_over(id);
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, now: Millis, id: RequestId, number: u32, ended: Ended, out: &mut Vec<Output>) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let Some((_, backend, sent)) = entry.out.take_if(|(attempt, _, _)| *attempt == number) else { return };
+        let never = matches!(ended.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
+        entry.may_have_run |= !never;
+        if ended.outcome == Outcome::Ok && !entry.answered {
+            entry.answered = true;
+            self.counts.passed += 1;
+            out.push(Output::Pass(id));
+        }
+        let (service, closed) = (entry.service, entry.answered);
+        if ended.stranger {
+            let instance = self.services.backend(backend).map(|backend| backend.instance.clone());
+            if let Some(word) = instance.and_then(|instance| self.directory.lost(now, &instance)) {
+                out.push(Output::Log(format!("event=stranger backend={} service={}", word.id, word.service)));
+                self.apply(now, &word, out);
+            }
+        }
+        let settled = Settled {
+            request: id,
+            attempt: number,
+            backend,
+            outcome: ended.outcome,
+            elapsed: now - sent,
+            closed,
+            use_of_quota: None,
+            true_units: None,
+            report: Report::default(),
+            broken: ended.broken,
+        };
+        self.post(now, service, Event::Settled(settled), out);
+        self.forget_if_over(id);
+    }
+
+    fn post(&mut self, now: Millis, place: usize, event: Event, out: &mut Vec<Output>) {
+        let mut actions = Vec::new();
+        let Some(service) = self.services.get(place) else { return };
+        service.gateway.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { request, backend, limit, care } => {
+                    self.send(now, request, backend, limit, care, out);
+                }
+                Action::Refuse { request, reason, retry_after } => {
+                    self.refuse(request, reason, retry_after, out);
+                }
+                Action::Fail(request) => self.fail(now, request, out),
+                Action::CallOff { request, attempt } => out.push(Output::GiveUp(request, attempt)),
+                Action::SetAlarm { at, alarm } => {
+                    if let Ok(id) = u32::try_from(alarm.0) {
+                        self.timers.set(at, Due::Alarm(RequestId(id)));
+                    }
+                }
+                Action::CloseIdle(backend) => out.push(Output::CloseIdle(backend)),
+                Action::Log(text) => out.push(Output::Log(format!("event=judged text={text:?}"))),
+                // Callers are checked by their keys, the list comes unasked, and nobody is probed.
+                Action::Check(_) | Action::Subscribe | Action::FetchList | Action::Probe(_) => {}
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Millis,
+        id: RequestId,
+        backend: BackendId,
+        limit: Option<Millis>,
+        care: Care,
+        out: &mut Vec<Output>,
+    ) {
+        let instance = self.services.backend(backend).map(|backend| backend.instance.clone());
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        let attempt = entry.attempts;
+        entry.attempts += 1;
+        self.counts.repeats += u64::from(attempt > 0);
+        let limit = limit.unwrap_or(f64::INFINITY).min(entry.deadline - now);
+        entry.out = Some((attempt, backend, now));
+        match instance.filter(|_| limit > 0.0) {
+            Some(instance) => {
+                entry.sent = true;
+                self.timers.set(now + limit, Due::TimeOut(id, attempt));
+                let left = entry.deadline - now;
+                out.push(Output::Send { request: id, attempt, backend, instance, limit: left, care });
+            }
+            None => {
+                let ended = Ended { outcome: Outcome::NotSent, broken: 0, stranger: false };
+                self.ended(now, id, attempt, ended, out);
+            }
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, reason: Reason, wait: Option<Millis>, out: &mut Vec<Output>) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        if !entry.answered {
+            entry.answered = true;
+            let answer = if entry.may_have_run {
+                self.counts.failed += 1;
+                Final { status: 502, retry_after: None, backends: true }
+            } else {
+                self.counts.no_backend += 1;
+                Final::not_run(503, wait.unwrap_or(COME_BACK_AIMS * entry.aim))
+            };
+            if let (Some(tenant), false, Reason::Backends) = (&entry.tenant, entry.sent, reason) {
+                self.tenants.give_back(tenant, 1.0);
+            }
+            out.push(Output::Answer(id, answer));
+        }
+        self.forget_if_over(id);
+    }
+
+    fn fail(&mut self, now: Millis, id: RequestId, out: &mut Vec<Output>) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        if !entry.answered {
+            entry.answered = true;
+            self.counts.failed += 1;
+            let status = if now + 2.0 * WAY_BACK >= entry.deadline { 504 } else { 502 };
+            out.push(Output::Answer(id, Final { status, retry_after: None, backends: true }));
+        }
+        self.forget_if_over(id);
+    }
+
+    fn forget_if_over(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|entry| entry.answered && entry.out.is_none()) {
+            self.requests.remove(&id);
+        }
+    }
+
+    fn new_request(&mut self) -> RequestId {
+        loop {
+            self.last = self.last.wrapping_add(1);
+            let id = RequestId(self.last);
+            if !self.requests.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    /// The service that a request goes to, drawn by the weights of a split.
+    fn choose_service(&mut self, route: &Route) -> usize {
+        let all: f64 = route.to.iter().map(|(_, weight)| weight).sum();
+        let mut drawn = f64::from(self.rng.next_u32()) / 4_294_967_296.0 * all;
+        let mut chosen = "";
+        for (name, weight) in route.to.iter().filter(|(_, weight)| *weight > 0.0) {
+            chosen = name;
+            drawn -= weight;
+            if drawn < 0.0 {
+                break;
+            }
+        }
+        self.services.place(chosen)
+    }
+
+    // ---- Time ---------------------------------------------------------------------------------------
+
+    /// When something comes due.
+    pub fn next_due(&mut self) -> Option<Millis> {
+        let requests = &self.requests;
+        self.timers.next(|due| match due {
+            Due::Alarm(id) => !requests.contains_key(id),
+            Due::TimeOut(id, number) => {
+                let out = requests.get(id).and_then(|entry| entry.out);
+                out.is_none_or(|(attempt, _, _)| attempt != *number)
+            }
+        })
+    }
+
+    /// Does what is due.
+    pub fn fire(&mut self, now: Millis, out: &mut Vec<Output>) {
+        while let Some(due) = self.timers.take(now) {
+            match due {
+                Due::Alarm(id) => {
+                    if let Some(place) = self.requests.get(&id).map(|entry| entry.service) {
+                        self.post(now, place, Event::Alarm(AlarmId(u64::from(id.0))), out);
+                        self.forget_if_over(id);
+                    }
+                }
+                Due::TimeOut(id, number) => {
+                    let out_now = self.requests.get(&id).and_then(|entry| entry.out);
+                    if out_now.is_some_and(|(attempt, _, _)| attempt == number) {
+                        out.push(Output::GiveUp(id, number));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Time passes; to be called every [`TICK`].
+    pub fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let numbers = self.numbers.clone();
+        for tenant in &numbers.tenants {
+            let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant));
+            self.tenants.hold(now, &who, quota);
+        }
+        self.services.set_doors(self.purse.doors());
+        self.report(now, out);
+        if self.ready() != self.was_ready {
+            self.was_ready = self.ready();
+            out.push(Output::Log(format!("event=ready ready={} index={}", self.was_ready, self.index)));
+        }
+    }
+
+    /// A line that tells what happened since the last one; `None` if nothing did.
+    pub fn account(&mut self) -> Option<String> {
+        let c = std::mem::take(&mut self.counts);
+        (c.arrived > 0).then(|| {
+            format!(
+                "event=served arrived={} passed={} quota={} box={} no_backend={} failed={} repeats={} unknown={}",
+                c.arrived, c.passed, c.quota, c.boxed, c.no_backend, c.failed, c.repeats, c.unknown
+            )
+        })
+    }
+
+    // ---- Quotas -------------------------------------------------------------------------------------
+
+    fn name(&mut self, tenant: &str) -> Rc<str> {
+        if let Some(name) = self.names.get(tenant) {
+            return name.clone();
+        }
+        let name: Rc<str> = tenant.into();
+        self.names.insert(tenant.to_owned(), name.clone());
+        name
+    }
+
+    /// What a tenant may use, and what of it is held here. In any window the runs are at most what buckets hold together and
+    /// what fills them meanwhile: that is kept within the window's bound, with a tenth of the slack to spare.
+    fn quota(&self, now: Millis, tenant: &Tenant) -> Quota {
+        let bounds = &self.bounds;
+        let over = bounds.quota_overshoot;
+        let depth = 0.8 * over * tenant.rate * bounds.quota_window_s
+            + (1.0 + over) * tenant.burst
+            + 0.9 * bounds.quota_slack;
+        let part = self.purse.part(now, &tenant.name);
+        Quota { rate: tenant.rate, burst: tenant.burst, depth, part }
+    }
+
+    fn report(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let demand: Vec<Demand> = self
+            .tenants
+            .demand(now)
+            .map(|(who, rate)| Demand { tenant: who.to_string(), rate: (rate * 1000.0).min(1e9) as u32 })
+            .collect();
+        for lender in self.connected.clone() {
+            let report = self.purse.report(now, &lender, demand.clone());
+            out.push(Output::Say(lender, Frame::Report(report)));
+        }
+    }
+
+    /// Tells the lenders at once what is wanted, unless they have just been told.
+    fn ask_now(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if now - self.urgent >= URGENT {
+            self.urgent = now;
+            self.report(now, out);
+        }
+    }
+
+    // ---- Exchanges ----------------------------------------------------------------------------------
+
+    /// Addresses of the exchanges that are known.
+    pub fn exchanges(&self) -> &BTreeSet<String> {
+        &self.exchanges
+    }
+
+    /// There is a new connection to an exchange.
+    pub fn exchange_up(&mut self, now: Millis, exchange: &str, out: &mut Vec<Output>) {
+        self.connected.insert(exchange.to_owned());
+        self.purse.connected(exchange);
+        let report = self.purse.report(now, exchange, Vec::new());
+        out.push(Output::Say(exchange.to_owned(), Frame::Report(report)));
+    }
+
+    /// The connection to an exchange has ended.
+    pub fn exchange_down(&mut self, exchange: &str) {
+        self.connected.remove(exchange);
+    }
+
+    /// All is answered and nothing more is spent: what is held may go to others.
+    pub fn farewell(&mut self, now: Millis, out: &mut Vec<Output>) {
+        for lender in self.connected.clone() {
+            let report = self.purse.report(now, &lender, Vec::new());
+            let report = maplefall_toll::Report { last: true, ..report };
+            out.push(Output::Say(lender, Frame::Report(report)));
+        }
+    }
+
+    /// An exchange says something.
+    pub fn heard(&mut self, now: Millis, exchange: &str, frame: Frame, out: &mut Vec<Output>) {
+        match frame {
+            Frame::Plans(plans) => self.plans(now, plans, out),
+            Frame::Words(words) => {
+                for word in &words.words {
+                    if let Brought::News(word) = self.directory.hear(now, word.clone()) {
+                        self.apply(now, &word, out);
+                    }
+                }
+                if words.all {
+                    let named = words.words.iter().map(|word| word.id.as_str()).collect();
+                    for word in self.directory.only(now, &named, UNNAMED) {
+                        out.push(Output::Log(format!("event=unnamed backend={}", word.id)));
+                        self.apply(now, &word, out);
+                    }
+                }
+            }
+            Frame::Lent(lent) => self.purse.lent(exchange, &lent),
+            _ => {}
+        }
+    }
+
+    fn plans(&mut self, now: Millis, plans: Plans, out: &mut Vec<Output>) {
+        let known = self.exchanges.len();
+        self.exchanges.extend(plans.exchanges.iter().cloned());
+        if self.exchanges.len() > known {
+            out.push(Output::Exchanges(self.exchanges.iter().cloned().collect()));
+        }
+        // The index only rises: whoever is behind has nothing to say.
+        if plans.index <= self.index || (plans.after > self.index) {
+            return;
+        }
+        if plans.after == 0 {
+            self.board = Board::of(plans.items);
+        } else {
+            for change in plans.changes.into_iter().filter(|one| one.index > self.index) {
+                if let Some(change) = change.change {
+                    self.board.join(&change);
+                }
+            }
+        }
+        self.index = plans.index;
+        self.numbers = Rc::new(Numbers::of(&self.board));
+        out.push(Output::Log(format!(
+            "event=plan index={} routes={} tenants={}",
+            self.index,
+            self.board.standing(Kind::Route).count(),
+            self.numbers.tenants.len()
+        )));
+        let numbers = self.numbers.clone();
+        for tenant in &numbers.tenants {
+            let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant));
+            self.tenants.hold(now, &who, quota);
+        }
+        self.names.retain(|_, name| Rc::strong_count(name) > 1);
+    }
+
+    fn apply(&mut self, now: Millis, word: &Word, out: &mut Vec<Output>) {
+        if let Some((service, entry, pool)) = self.services.hear(now, word) {
+            out.push(Output::Pool(pool));
+            self.post(now, service, Event::Backends(ListKind::Changes, vec![entry]), out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/switchboard/src/links.rs
@@ -0,0 +1,70 @@
+//! Connections to the exchanges: one to each, kept for as long as the door runs.
+
+use crate::door::Door;
+use maplefall_cord::{carry, dial, QUEUE};
+use maplefall_signalling::{write, Frame, Hello};
+use std::collections::BTreeSet;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// A connection on which nothing comes for this long has ended.
+const SILENCE: Duration = Duration::from_millis(2000);
+/// Pause before an exchange is dialled again.
+const REDIAL: Duration = Duration::from_millis(300);
+/// How long the others wait for the first to bring the configuration, so that not all of them do.
+const HEAD_START: Duration = Duration::from_millis(150);
+
+/// Dials every exchange that is known, now and later.
+pub async fn follow(door: Rc<Door>, hello: Hello, port: u16) {
+    let mut dialled: BTreeSet<String> = BTreeSet::new();
+    loop {
+        let all = door.ask(|core| core.exchanges().clone());
+        // Doors begin with different ones.
+        let turn = hello.life as usize % all.len().max(1);
+        for ip in all.iter().cycle().skip(turn).take(all.len()) {
+            let Ok(address) = ip.parse::<IpAddr>() else { continue };
+            if dialled.insert(ip.clone()) {
+                let head_start = if dialled.len() > 1 { HEAD_START } else { Duration::ZERO };
+                let (door, hello) = (door.clone(), hello.clone());
+                tokio::task::spawn_local(keep(door, hello, SocketAddr::new(address, port), head_start));
+            }
+        }
+        door.more_exchanges.notified().await;
+    }
+}
+
+async fn keep(door: Rc<Door>, hello: Hello, address: SocketAddr, head_start: Duration) {
+    let name = address.ip().to_string();
+    if !head_start.is_zero() {
+        tokio::time::sleep(head_start).await;
+    }
+    let mut up = true;
+    loop {
+        let end = match dial(address).await {
+            Ok(stream) => {
+                let (sender, outgoing) = mpsc::channel(QUEUE);
+                let hello = Hello { index: door.ask(|core| core.index()), ..hello.clone() };
+                let _ = sender.try_send(write(Frame::Hello(hello)));
+                door.exchanges.borrow_mut().insert(name.clone(), sender);
+                up = true;
+                log::info!("event=exchange_up exchange={name}");
+                door.drive(|core, now, out| core.exchange_up(now, &name, out));
+                let end = carry(stream, outgoing, Some(SILENCE), |frame| {
+                    door.drive(|core, now, out| core.heard(now, &name, frame, out));
+                    true
+                })
+                .await;
+                door.exchanges.borrow_mut().remove(&name);
+                door.ask(|core| core.exchange_down(&name));
+                end
+            }
+            Err(end) => end,
+        };
+        if std::mem::take(&mut up) {
+            log::info!("event=exchange_down exchange={name} {end}");
+        }
+        tokio::time::sleep(REDIAL).await;
+    }
+}
--- /dev/null
+++ b/crates/tandem/src/message.rs
@@ -0,0 +1,203 @@
+//! What passes between nodes, and what is written to disk.
+
+/// What an entry is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum EntryKind {
+    /// A new leader's first entry: what came before it is agreed with it.
+    Begin = 0,
+    /// A change of whoever uses the log.
+    Change = 1,
+    /// Who votes from here on: [`Entry::voters`].
+    Voters = 2,
+    /// The node in `voters` counts again, if it is still in the life `life`.
+    Readmit = 3,
+}
+
+/// One entry of the log.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Entry {
+    /// Its place, from 1.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// The term of the leader that made it.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// What it is for.
+    #[prost(enumeration = "EntryKind", tag = "3")]
+    pub kind: i32,
+    /// The change.
+    #[prost(bytes = "vec", tag = "4")]
+    pub payload: Vec<u8>,
+    /// Names of nodes.
+    #[prost(string, repeated, tag = "5")]
+    pub voters: Vec<String>,
+    /// The life of the readmitted node.
+    #[prost(uint64, tag = "6")]
+    pub life: u64,
+}
+
+/// All up to an index, folded into one state.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Snapshot {
+    /// The last entry in it.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// That entry's term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Who votes.
+    #[prost(string, repeated, tag = "3")]
+    pub voters: Vec<String>,
+    /// The state, as whoever uses the log writes it.
+    #[prost(bytes = "vec", tag = "4")]
+    pub state: Vec<u8>,
+}
+
+/// What is written to disk, in order. What is not there stays as it was.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Record {
+    /// The term, with the vote in it (empty for none).
+    #[prost(uint64, optional, tag = "1")]
+    pub term: Option<u64>,
+    /// Whom this node has voted for in that term.
+    #[prost(string, tag = "2")]
+    pub voted: String,
+    /// Entries; those written before at or after the first index are void.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Entry>,
+    /// A state that stands for all up to its index.
+    #[prost(message, optional, tag = "4")]
+    pub snapshot: Option<Snapshot>,
+    /// This node may vote.
+    #[prost(bool, tag = "5")]
+    pub trusted: bool,
+}
+
+/// A message between nodes.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Message {
+    /// The sender's term.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// What it says.
+    #[prost(oneof = "What", tags = "2, 3, 4, 5, 6, 7, 8")]
+    pub what: Option<What>,
+}
+
+/// What a message says.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum What {
+    /// Asks for a vote.
+    #[prost(message, tag = "2")]
+    Ask(Ask),
+    /// Answers that.
+    #[prost(message, tag = "3")]
+    Voted(Voted),
+    /// The leader's entries, or none as a sign of life.
+    #[prost(message, tag = "4")]
+    Append(Append),
+    /// Answers that.
+    #[prost(message, tag = "5")]
+    Appended(Appended),
+    /// A whole state, for a node that lacks entries which are folded already.
+    #[prost(message, tag = "6")]
+    Install(Install),
+    /// The leader stops and asks the receiver to stand at once.
+    #[prost(message, tag = "7")]
+    Stand(Stand),
+    /// A node that is no voter would follow.
+    #[prost(message, tag = "8")]
+    Join(Join),
+}
+
+/// A question for a vote.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Ask {
+    /// Only whether it would be given.
+    #[prost(bool, tag = "1")]
+    pub would: bool,
+    /// The asker's last entry.
+    #[prost(uint64, tag = "2")]
+    pub last_index: u64,
+    /// That entry's term.
+    #[prost(uint64, tag = "3")]
+    pub last_term: u64,
+}
+
+/// The answer to a question for a vote.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Voted {
+    /// Whether it was only asked.
+    #[prost(bool, tag = "1")]
+    pub would: bool,
+    /// Yes or no.
+    #[prost(bool, tag = "2")]
+    pub granted: bool,
+    /// The term that was asked for.
+    #[prost(uint64, tag = "3")]
+    pub asked: u64,
+}
+
+/// Entries of a leader.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Append {
+    /// The entry before the first of these.
+    #[prost(uint64, tag = "1")]
+    pub prev_index: u64,
+    /// Its term.
+    #[prost(uint64, tag = "2")]
+    pub prev_term: u64,
+    /// The entries.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Entry>,
+    /// Up to where all is agreed.
+    #[prost(uint64, tag = "4")]
+    pub commit: u64,
+    /// Number of the leader's round.
+    #[prost(uint64, tag = "5")]
+    pub round: u64,
+}
+
+/// How far a node has what a leader sent.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Appended {
+    /// Whether the entry before was there.
+    #[prost(bool, tag = "1")]
+    pub fits: bool,
+    /// Up to here its disk has what the leader has; where it does not fit, where to try next.
+    #[prost(uint64, tag = "2")]
+    pub matched: u64,
+    /// Up to here it has received what the leader has.
+    #[prost(uint64, tag = "3")]
+    pub received: u64,
+    /// The round that is answered.
+    #[prost(uint64, tag = "4")]
+    pub round: u64,
+    /// Of a node that lost its disk: the number of its life, and it does not count. Otherwise nought.
+    #[prost(uint64, tag = "5")]
+    pub life: u64,
+}
+
+/// A whole state.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Install {
+    /// The state.
+    #[prost(message, optional, tag = "1")]
+    pub snapshot: Option<Snapshot>,
+    /// Number of the leader's round.
+    #[prost(uint64, tag = "2")]
+    pub round: u64,
+}
+
+/// Stand at once.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Stand {}
+
+/// A node that is no voter.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Join {
+    /// Whether it counts for a majority once it is one.
+    #[prost(bool, tag = "1")]
+    pub counts: bool,
+}
--- /dev/null
+++ b/crates/toll/src/purse.rs
@@ -0,0 +1,86 @@
+//! Who holds.
+
+use crate::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Reports without an answer that are remembered at most.
+const MOST_ASKED: usize = 64;
+
+/// What a door holds of one lender.
+#[derive(Clone, Debug, Default)]
+struct Held {
+    loans: BTreeMap<String, u32>,
+    until: Millis,
+    reports: u64,
+    confirmed: u64,
+    /// Whether the next report is the first on its connection.
+    first: bool,
+    /// Number and time of reports that have no answer yet.
+    asked: VecDeque<(u64, Millis)>,
+    doors: u32,
+}
+
+/// What a door holds of all lenders.
+#[derive(Clone, Debug, Default)]
+pub struct Purse {
+    held: BTreeMap<String, Held>,
+}
+
+impl Purse {
+    /// There is a new connection to a lender, which may be a new life of it: answers that are under way are void.
+    pub fn connected(&mut self, lender: &str) {
+        let held = self.held.entry(lender.to_owned()).or_default();
+        held.asked.clear();
+        (held.first, held.confirmed) = (true, 0);
+    }
+
+    /// The next report for a lender, sent now.
+    pub fn report(&mut self, now: Millis, lender: &str, demand: Vec<Demand>) -> Report {
+        let held = self.held.entry(lender.to_owned()).or_default();
+        if now >= held.until {
+            held.loans.clear();
+        }
+        held.reports += 1;
+        if held.asked.len() >= MOST_ASKED {
+            held.asked.pop_front();
+        }
+        held.asked.push_back((held.reports, now));
+        let first = std::mem::take(&mut held.first);
+        let loans = held.loans.iter().filter(|_| first);
+        Report {
+            number: held.reports,
+            confirmed: held.confirmed,
+            held: loans.map(|(tenant, parts)| Loan { tenant: tenant.clone(), parts: *parts }).collect(),
+            first,
+            demand,
+            last: false,
+        }
+    }
+
+    /// A lender has answered.
+    pub fn lent(&mut self, lender: &str, lent: &Lent) {
+        let Some(held) = self.held.get_mut(lender) else { return };
+        let Some(at) = held.asked.iter().find(|(number, _)| *number == lent.report).map(|(_, at)| *at) else {
+            return;
+        };
+        held.asked.retain(|(number, _)| *number > lent.report);
+        held.until = held.until.max(at + LASTS);
+        held.confirmed = held.confirmed.max(lent.number);
+        held.doors = lent.doors;
+        for loan in &lent.loans {
+            held.loans.insert(loan.tenant.clone(), loan.parts);
+        }
+    }
+
+    /// The part of a tenant's quota that is held now, from nought to one.
+    pub fn part(&self, now: Millis, tenant: &str) -> f64 {
+        let held = self.held.values().filter(|held| now < held.until);
+        let parts: u32 = held.filter_map(|held| held.loans.get(tenant)).fold(0, |a, b| a.saturating_add(*b));
+        f64::from(parts.min(WHOLE)) / f64::from(WHOLE)
+    }
+
+    /// Doors that the lenders know of, at least one.
+    pub fn doors(&self) -> u32 {
+        self.held.values().map(|held| held.doors).max().unwrap_or(0).max(1)
+    }
+}
--- /dev/null
+++ b/crates/trunk/src/carry.rs
@@ -0,0 +1,82 @@
+//! One exchange of a request and its answer with a backend.
+
+use crate::pool::{Line, NoConnection, Pools};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response};
+use maplefall_policy::{BackendId, Care, Millis, Outcome};
+use std::time::Instant;
+
+/// How an exchange ended.
+pub struct Carried<A> {
+    /// The answer, or what the lack of one means.
+    pub end: Result<A, Outcome>,
+    /// Connections that had come up and broke under it.
+    pub broken: u32,
+}
+
+/// Carries one request to a backend and reads the answer. Kept connections that break before the request was whole
+/// stand in for one another. `request` makes it, told how many milliseconds are left; `read` reads an answer, `None`
+/// if it does not come whole or is none; `unseen` tells of an answer that says that the request was not looked at.
+pub async fn carry<A>(
+    pools: &Pools,
+    backend: BackendId,
+    (care, limit): (Care, Millis),
+    line: &Line,
+    (body, request): (usize, impl Fn(Millis) -> Request<Full<Bytes>>),
+    read: impl AsyncFn(Response<Incoming>) -> Option<A>,
+    unseen: impl Fn(&A) -> bool,
+) -> Carried<A> {
+    let begun = Instant::now();
+    let mut broken = 0;
+    let over = |broken, outcome| Carried { end: Err(outcome), broken };
+    let Some(dial) = pools.dial_address(backend) else { return over(0, Outcome::NotSent) };
+    loop {
+        let pooled = pools.take_idle(backend, care);
+        let idle = pooled.as_ref().map(|connection| connection.idle(Instant::now()));
+        let mut connection = match pooled {
+            Some(connection) => connection,
+            None => match pools.fresh(dial).await {
+                Ok(connection) => connection,
+                Err(NoConnection::Own) => return over(broken, Outcome::NotSent),
+                // Refused: that says more than what broke before.
+                Err(NoConnection::Theirs) => return over(0, Outcome::ConnectFailed),
+            },
+        };
+        // The wait for a connection may have outlasted the backend's place in the list, or its life: what is up by that name
+        // now may listen elsewhere, and who listened here may be leaving.
+        if pools.dial_address(backend) != Some(dial) {
+            return over(broken, Outcome::NotSent);
+        }
+        line.hold(&connection.wire);
+        connection.wire.begin(body, care != Care::Usual);
+        let left = limit - begun.elapsed().as_secs_f64() * 1000.0;
+        let sent = match connection.sender.ready().await {
+            Ok(()) => connection.sender.send_request(request(left.max(1.0))).await.ok(),
+            Err(_) => None,
+        };
+        if let Some(idle) = idle {
+            pools.learn(idle, sent.is_none());
+        }
+        let answer = match sent {
+            Some(answer) => read(answer).await,
+            None => None,
+        };
+        let whole = connection.wire.whole();
+        // What is answered before it was written whole was answered unseen, and its connection is of no more use.
+        if let Some(answer) = answer.filter(|answer| whole || unseen(answer)) {
+            if whole {
+                pools.put_back(backend, dial, connection);
+            }
+            return Carried { end: Ok(answer), broken };
+        }
+        broken += 1;
+        // A connection from the pool that broke before the request was whole tells little of the backend, and
+        // nothing ran: the next one stands in. Each turn takes one out of the pool, so this ends.
+        if !whole && idle.is_some() {
+            continue;
+        }
+        // Only what was written whole may have run.
+        return over(broken, if whole { Outcome::Reset } else { Outcome::ConnectFailed });
+    }
+}
--- a/crates/maplefall/src/net/clock.rs
+++ b/crates/trunk/src/clock.rs
@@ -10,6 +10,12 @@
     unix: Millis,
 }
 
+impl Default for Clock {
+    fn default() -> Clock {
+        Clock::new()
+    }
+}
+
 impl Clock {
     /// Starts at the system's present time.
     pub fn new() -> Clock {
--- a/crates/maplefall/src/net/pool.rs
+++ b/crates/trunk/src/pool.rs
@@ -425,8 +425,8 @@
         }
     }
 
-    /// Makes idle connections older.
-    #[cfg(test)]
+    /// Makes idle connections older, for tests.
+    #[doc(hidden)]
     pub fn age(&self, by: Duration) {
         for connection in self.pools.borrow_mut().values_mut().flat_map(|pool| &mut pool.idle) {
             connection.idle_since -= by;
