--- a/crates/numbering/src/call.rs
+++ b/crates/numbering/src/call.rs
@@ -23,10 +23,12 @@
     if items.len() > MOST_ITEMS {
         return Err(unreadable("body", "too many items"));
     }
-    let mut names: Vec<_> = items.iter().map(|item: &Item| (item.kind, item.name.as_str())).collect();
-    names.sort_unstable();
-    if let Some(twice) = names.windows(2).find(|pair| pair[0] == pair[1]) {
-        return Err(unreadable("Name", &format!("{} stands twice", twice[0].1)));
+    // A name may stand more than once, as a set and as a drop: the highest version holds, and one version says one thing.
+    let mut sorted: Vec<&Item> = items.iter().collect();
+    sorted.sort_by(|a, b| (a.kind, &a.name, a.version).cmp(&(b.kind, &b.name, b.version)));
+    let at_odds = |a: &Item, b: &Item| (a.kind, &a.name, a.version) == (b.kind, &b.name, b.version) && a != b;
+    if let Some(twice) = sorted.windows(2).find(|pair| at_odds(pair[0], pair[1])) {
+        return Err(unreadable("Version", &format!("{} stands twice in one version", twice[0].name)));
     }
     for item in &items {
         typed::check(item)?;
