Back sooner after a loss of all: quick first elections and dials, directory on disk, a moment's wait

Change: connections are given 400 ms and redialled after 50 ms growing to 400; a node that starts asks around after 80 to 320 ms; words about backends are on disk, and a leave is acknowledged only once it is; a request waits a tenth of its time for a configuration.

--- a/crates/cord/src/lib.rs
+++ b/crates/cord/src/lib.rs
@@ -17,7 +17,9 @@
 /// How long the system waits for what it has sent to be confirmed.
 const UNCONFIRMED: Duration = Duration::from_millis(2000);
 /// How long a connection may take to come up.
-const COMES_UP: Duration = Duration::from_millis(700);
+const COMES_UP: Duration = Duration::from_millis(400);
+/// Pauses before a connection is dialled again: the first, and the longest.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Bytes read at a time.
 const READ: usize = 16 << 10;
 
@@ -41,7 +43,9 @@
 impl fmt::Display for End {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            End::Connect(address, error) => write!(f, "step=connect address={address} error={:?}", error.kind()),
+            End::Connect(address, error) => {
+                write!(f, "step=connect address={address} error={:?}", error.kind())
+            }
             End::Broke(error) => write!(f, "step=transfer error={:?}", error.kind()),
             End::Closed => write!(f, "step=transfer end=closed"),
             End::Silent => write!(f, "step=transfer end=silent"),
@@ -53,6 +57,24 @@
 
 impl std::error::Error for End {}
 
+/// How long to wait before a connection is dialled again: longer each time, until it has come up.
+#[derive(Clone, Copy, Debug)]
+pub struct Pause(Duration);
+
+impl Default for Pause {
+    fn default() -> Pause {
+        Pause(PAUSES.0)
+    }
+}
+
+impl Pause {
+    /// Waits.
+    pub async fn wait(&mut self) {
+        tokio::time::sleep(self.0).await;
+        self.0 = (self.0 * 2).min(PAUSES.1);
+    }
+}
+
 /// Opens a connection.
 pub async fn dial(address: SocketAddr) -> Result<TcpStream, End> {
     let connect = tokio::time::timeout(COMES_UP, TcpStream::connect(address)).await;
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -92,6 +92,8 @@
     Tandem(u64),
     /// A door's name: it may be lent to.
     Name(u64, Report),
+    /// Words about backends, and the call that waits for them.
+    Words(Option<u64>),
 }
 
 /// A call that waits.
@@ -119,7 +121,10 @@
     heard: BTreeMap<String, u64>,
     /// Lives whose leaving another exchange knows too.
     shared: BTreeSet<String>,
-    receipts: BTreeMap<u64, (String, Vec<Waiting>)>,
+    /// Leaves that wait for another exchange's receipt, by its number.
+    receipts: BTreeMap<u64, (String, u64)>,
+    /// Calls that wait for the disk, for another exchange, or for both.
+    leaves: BTreeMap<u64, (Waiting, u8)>,
     last_receipt: u64,
     doors: BTreeMap<u64, Door>,
     lender: Option<Lender>,
@@ -152,8 +157,7 @@
         let first = settings.bootstrap.then_some(first.as_slice());
         let snapshot = kept.tandem.snapshot.clone();
         let mut todo = Out::default();
-        let tandem =
-            Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
+        let tandem = Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
         let mut core = Core {
             me,
             born: now,
@@ -170,6 +174,7 @@
             heard: BTreeMap::new(),
             shared: BTreeSet::new(),
             receipts: BTreeMap::new(),
+            leaves: BTreeMap::new(),
             last_receipt: seed & 0xffff_ffff,
             doors: BTreeMap::new(),
             lender: None,
@@ -184,6 +189,9 @@
             led_by: None,
             stopping: false,
         };
+        for word in kept.words.into_values() {
+            core.directory.hear(now, word);
+        }
         if snapshot.index > 0 {
             core.install(&snapshot.state, snapshot.index);
         }
@@ -207,7 +215,7 @@
         }
         self.ticked = now;
         self.agree(now, out, |tandem, todo| tandem.tick(now, todo));
-        self.keep_company(now);
+        self.keep_company(now, out);
         self.expire_calls(now, out);
         if now - self.told < TELL {
             return;
@@ -221,6 +229,9 @@
             for word in &lost {
                 out.push(Output::Log(format!("event=lost backend={} service={}", word.id, word.service)));
             }
+            if !lost.is_empty() {
+                self.write(Stored { words: lost.clone(), ..Stored::default() }, Wrote::Words(None), out);
+            }
             self.tell(now, lost, out);
         }
         let whole = self.knows_all(now);
@@ -244,8 +255,11 @@
     pub fn written(&mut self, now: Millis, number: u64, out: &mut Vec<Output>) {
         while self.writing.front().is_some_and(|(write, _)| *write <= number) {
             match self.writing.pop_front().map_or(Wrote::Tandem(0), |(_, wrote)| wrote) {
-                Wrote::Tandem(number) => self.agree(now, out, |tandem, todo| tandem.written(now, number, todo)),
+                Wrote::Tandem(number) => {
+                    self.agree(now, out, |tandem, todo| tandem.written(now, number, todo))
+                }
                 Wrote::Name(conn, report) => self.reported(now, conn, &report, out),
+                Wrote::Words(call) => self.half_known(call, out),
             }
         }
     }
@@ -265,24 +279,26 @@
             Frame::Words(words) => {
                 let mut news = Vec::new();
                 for word in words.words {
-                    if matches!(word.state(), State::Leaving | State::Left) && self.shared.len() < MOST_SHARED {
+                    if matches!(word.state(), State::Leaving | State::Left) && self.shared.len() < MOST_SHARED
+                    {
                         self.shared.insert(word.id.clone());
                     }
                     if let Brought::News(word) = self.directory.hear(now, word) {
                         news.push(word);
                     }
                 }
+                if !news.is_empty() {
+                    self.write(Stored { words: news.clone(), ..Stored::default() }, Wrote::Words(None), out);
+                }
                 self.tell(now, news, out);
                 if words.receipt != 0 {
                     out.push(Output::Peer(ip.to_owned(), write(Frame::Heard(words.receipt))));
                 }
             }
             Frame::Heard(receipt) => {
-                if let Some((id, waiting)) = self.receipts.remove(&receipt) {
+                if let Some((id, call)) = self.receipts.remove(&receipt) {
                     self.shared.insert(id);
-                    for call in waiting {
-                        out.push(Output::Answer(call.call, Answer::Done("{}".to_owned())));
-                    }
+                    self.half_known(Some(call), out);
                 }
             }
             Frame::Alive(alive) => {
@@ -409,27 +425,47 @@
         let news = match brought {
             Brought::News(word) => {
                 self.tell(now, vec![word.clone()], out);
+                let call = (!known).then_some(number);
+                self.write(
+                    Stored { words: vec![word.clone()], ..Stored::default() },
+                    Wrote::Words(call),
+                    out,
+                );
                 Some(word)
             }
             _ => None,
         };
         if known {
             out.push(Output::Answer(number, Answer::Done("{}".to_owned())));
+            if news.is_none() {
+                return;
+            }
         }
-        if known && news.is_none() {
-            return;
-        }
+        let written = news.is_some();
         let Some(word) = news.or_else(|| self.directory.word(now, id)) else { return };
         let mut receipt = 0;
         if !known {
             self.last_receipt += 1;
             receipt = self.last_receipt;
+            self.receipts.insert(receipt, (id.to_owned(), number));
             let waiting = Waiting { call: number, until: now + AGREE };
-            self.receipts.insert(receipt, (id.to_owned(), vec![waiting]));
+            self.leaves.insert(number, (waiting, 1 + u8::from(written)));
         }
         out.push(Output::Peers(write(Frame::Words(Words { words: vec![word], all: false, receipt }))));
     }
 
+    /// One of the things has happened that the acknowledgement of a leave waits for.
+    fn half_known(&mut self, call: Option<u64>, out: &mut Vec<Output>) {
+        let Some((call, waits)) = call.and_then(|call| Some((call, self.leaves.get_mut(&call)?))) else {
+            return;
+        };
+        waits.1 -= 1;
+        if waits.1 == 0 {
+            self.leaves.remove(&call);
+            out.push(Output::Answer(call, Answer::Done("{}".to_owned())));
+        }
+    }
+
     /// Tells all doors.
     fn tell(&mut self, now: Millis, words: Vec<Word>, out: &mut Vec<Output>) {
         if words.is_empty() {
@@ -452,8 +488,12 @@
         now - self.born > self.silence && self.company.is_some_and(|since| now - since > self.silence)
     }
 
+    /// Tells a door all. One that is alone keeps what it found on its disk to itself: others may know that it is over.
     fn tell_all(&mut self, now: Millis, conn: u64, out: &mut Vec<Output>) {
         let all = self.knows_all(now);
+        if self.company.is_none() {
+            return;
+        }
         let Some(door) = self.doors.get_mut(&conn) else { return };
         door.told_all = all;
         let words = self.directory.words(now);
@@ -462,12 +502,15 @@
         self.to_door(now, conn, write(Frame::Words(Words { words, all, receipt: 0 })), out);
     }
 
-    fn keep_company(&mut self, now: Millis) {
+    fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
         if !self.tandem.in_company(now) {
             self.company = None;
         } else if self.company.is_none() {
             self.company = Some(now);
             self.directory.excuse(now);
+            for conn in self.doors.keys().copied().collect::<Vec<_>>() {
+                self.tell_all(now, conn, out);
+            }
         }
     }
 
@@ -539,10 +582,9 @@
         };
         self.amends.retain(|_, waiting| unknown(waiting, out));
         self.reads.retain(|_, waiting| unknown(waiting, out));
-        self.receipts.retain(|_, (_, calls)| {
-            calls.retain(|waiting| unknown(waiting, out));
-            !calls.is_empty()
-        });
+        self.leaves.retain(|_, (waiting, _)| unknown(waiting, out));
+        let leaves = &self.leaves;
+        self.receipts.retain(|_, (_, call)| leaves.contains_key(call));
     }
 
     // ---- Agreement ----------------------------------------------------------------------------------
@@ -551,7 +593,12 @@
         self.ask(now, out, |tandem, todo| step(tandem, todo));
     }
 
-    fn ask<T>(&mut self, now: Millis, out: &mut Vec<Output>, step: impl FnOnce(&mut Tandem, &mut Out) -> T) -> T {
+    fn ask<T>(
+        &mut self,
+        now: Millis,
+        out: &mut Vec<Output>,
+        step: impl FnOnce(&mut Tandem, &mut Out) -> T,
+    ) -> T {
         let mut todo = Out::default();
         let result = step(&mut self.tandem, &mut todo);
         self.carry(now, todo, out);
@@ -594,6 +641,7 @@
             out.push(Output::Log(format!("event=leader leader={leader} term={}", self.tandem.term())));
         }
         self.lend(now);
+        self.keep_company(now, out);
         if self.tandem.length() > LONG_LOG {
             let state = Change { items: self.board.items().cloned().collect() }.encode_to_vec();
             self.agree(now, out, |tandem, todo| tandem.fold(state, todo));
@@ -605,7 +653,11 @@
             if entry.kind() == EntryKind::Change {
                 if let Ok(change) = Change::decode(entry.payload.as_slice()) {
                     self.board.join(&change);
-                    out.push(Output::Log(format!("event=agreed index={} items={}", entry.index, change.items.len())));
+                    out.push(Output::Log(format!(
+                        "event=agreed index={} items={}",
+                        entry.index,
+                        change.items.len()
+                    )));
                     self.ring.push_back(Numbered { index: entry.index, change: Some(change) });
                     if self.ring.len() > RING {
                         self.ring_after = self.ring.pop_front().map_or(self.ring_after, |one| one.index);
--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use maplefall_cord::{carry, dial, End, QUEUE};
+use maplefall_cord::{carry, dial, End, Pause, QUEUE};
 use maplefall_mainframe::Settings;
 use maplefall_signalling::{write, Frame, Hello, VERSION};
 use std::cell::{Cell, RefCell};
@@ -30,8 +30,8 @@
 const CALLER_IDLE: Duration = Duration::from_secs(10);
 /// A connection on which nothing comes for this long has ended.
 const SILENCE: Duration = Duration::from_millis(2000);
-/// Pause before another exchange is dialled again.
-const REDIAL: Duration = Duration::from_millis(300);
+/// Pause when the system has no descriptor for a new connection.
+const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 /// Records that wait for the disk at most.
 const MOST_RECORDS: usize = 65_536;
 /// How long a planned stop takes: who is connected finds another exchange, and somebody else leads.
@@ -53,7 +53,9 @@
 impl std::fmt::Display for Error {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Error::Listen(address, error) => write!(f, "step=listen address={address} error={:?}", error.kind()),
+            Error::Listen(address, error) => {
+                write!(f, "step=listen address={address} error={:?}", error.kind())
+            }
             Error::Missing(field) => write!(f, "step=settings missing={field}"),
             Error::Signals(error) => write!(f, "step=signals error={:?}", error.kind()),
             Error::Store(error) => write!(f, "{error}"),
@@ -198,7 +200,8 @@
                     all.iter().for_each(|ip| self.to_peer(ip, bytes.clone()));
                 }
                 Output::Door(conn, bytes) => {
-                    let full = self.doors.borrow().get(&conn).is_some_and(|door| door.try_send(bytes).is_err());
+                    let full =
+                        self.doors.borrow().get(&conn).is_some_and(|door| door.try_send(bytes).is_err());
                     if full {
                         // Its task sees the end of the queue and closes the connection.
                         self.doors.borrow_mut().remove(&conn);
@@ -245,7 +248,7 @@
         self.peers.borrow_mut().insert(name.clone(), mpsc::channel(1).0);
         tokio::task::spawn_local(async move {
             let address = SocketAddr::new(ip, self.port);
-            let mut known = true;
+            let (mut known, mut pause) = (true, Pause::default());
             loop {
                 let end = match dial(address).await {
                     Ok(stream) => {
@@ -253,7 +256,7 @@
                         let _ = sender.try_send(write(Frame::Hello(self.hello.clone())));
                         self.peers.borrow_mut().insert(name.clone(), sender);
                         log::info!("event=peer_up peer={name}");
-                        known = true;
+                        (known, pause) = (true, Pause::default());
                         self.drive(|core, now, out| core.peer_up(now, &name, out));
                         // Nothing is said on it by the other side.
                         carry(stream, outgoing, None, |_| true).await
@@ -264,7 +267,7 @@
                     log::info!("event=peer_down peer={name} {end}");
                 }
                 self.peers.borrow_mut().insert(name.clone(), mpsc::channel(1).0);
-                tokio::time::sleep(REDIAL).await;
+                pause.wait().await;
             }
         });
     }
@@ -275,7 +278,7 @@
                 Ok((stream, from)) => {
                     tokio::task::spawn_local(self.clone().serve_inner(stream, from));
                 }
-                Err(_) => tokio::time::sleep(REDIAL).await,
+                Err(_) => tokio::time::sleep(NO_DESCRIPTOR).await,
             }
         }
     }
@@ -356,7 +359,7 @@
                         let _ = connection.await;
                     });
                 }
-                Err(_) => tokio::time::sleep(REDIAL).await,
+                Err(_) => tokio::time::sleep(NO_DESCRIPTOR).await,
             }
         }
     }
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -5,10 +5,11 @@
 //! number. Both carry checksums (okaywal's CRC-32C; a FNV of the file). A torn entry was never acknowledged and is passed
 //! over; a `state` that is torn is an error: it was renamed into place after its sync.
 
+use maplefall_directory::{State, Word};
 use maplefall_tandem::{Durable, Entry as LogEntry, Record, Snapshot};
 use okaywal::{Configuration, Entry, EntryId, LogManager, ReadChunkResult, SegmentReader, WriteAheadLog};
 use prost::Message;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
@@ -36,6 +37,9 @@
     /// Doors that are lent to from here on.
     #[prost(string, repeated, tag = "3")]
     pub lent_to: Vec<String>,
+    /// Words about backends.
+    #[prost(message, repeated, tag = "4")]
+    pub words: Vec<Word>,
 }
 
 /// What one entry of the log holds.
@@ -76,6 +80,9 @@
     /// Doors that were lent to.
     #[prost(string, repeated, tag = "8")]
     pub lent_to: Vec<String>,
+    /// Words about backends.
+    #[prost(message, repeated, tag = "9")]
+    pub words: Vec<Word>,
 }
 
 /// What is on a disk.
@@ -85,6 +92,8 @@
     pub tandem: Durable,
     /// Doors that were lent to.
     pub lent_to: BTreeSet<String>,
+    /// The last word about each backend that has not left.
+    pub words: BTreeMap<String, Word>,
     /// Number of the last record.
     pub number: u64,
 }
@@ -100,6 +109,13 @@
             self.tandem.take(record);
         }
         self.lent_to.extend(stored.lent_to);
+        for word in stored.words {
+            if matches!(word.state(), State::Lost | State::Left) {
+                self.words.remove(&word.id);
+            } else {
+                self.words.insert(word.id.clone(), word);
+            }
+        }
     }
 
     fn fold(&self) -> Folded {
@@ -112,6 +128,7 @@
             snapshot: Some(self.tandem.snapshot.clone()),
             log: self.tandem.log.clone(),
             lent_to: self.lent_to.iter().cloned().collect(),
+            words: self.words.values().cloned().collect(),
         }
     }
 
@@ -125,6 +142,7 @@
                 trusted: folded.trusted,
             },
             lent_to: folded.lent_to.into_iter().collect(),
+            words: folded.words.into_iter().map(|word| (word.id.clone(), word)).collect(),
             number: folded.number,
         }
     }
@@ -202,11 +220,7 @@
 
     /// Runs on a thread of its own: writes what comes, in order, and tells the number of the last record that is on disk. A
     /// disk that fails ends it with the error: what is on it then only a new start can tell.
-    pub fn run(
-        self,
-        incoming: &mpsc::Receiver<Stored>,
-        mut written: impl FnMut(Result<u64, Error>) -> bool,
-    ) {
+    pub fn run(self, incoming: &mpsc::Receiver<Stored>, mut written: impl FnMut(Result<u64, Error>) -> bool) {
         while let Ok(first) = incoming.recv() {
             let mut size = first.encoded_len();
             let mut records = vec![first];
@@ -248,9 +262,9 @@
 
 /// FNV-1a, 64 bits.
 fn checksum(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
 fn read_state(path: &Path, bytes: &[u8]) -> Result<Kept, Error> {
--- a/crates/maplefall/src/net/auth.rs
+++ b/crates/maplefall/src/net/auth.rs
@@ -4,9 +4,7 @@
 use super::auth_settings::{AuthSettings, Part};
 #[cfg(feature = "breakages")]
 use super::breakages::{self, Breakage};
-use maplefall_trunk::Clock;
 use super::door::Door;
-use maplefall_trunk::{NoConnection, Pools};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming as IncomingBody};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, HOST};
@@ -17,6 +15,8 @@
 use maplefall_policy::{BackendId, ClassId, Millis, RequestId};
 use maplefall_protocol::Answer;
 use maplefall_settings::Links;
+use maplefall_trunk::Clock;
+use maplefall_trunk::{NoConnection, Pools};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::IpAddr;
--- a/crates/maplefall/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -1,6 +1,5 @@
 //! Attempts: what goes on to a backend, what comes back, and what the end of an attempt means.
 
-use maplefall_trunk::{carry, Line, Pools};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
@@ -11,6 +10,7 @@
 };
 use maplefall_protocol::{Ended, Order, LONGEST_BODY};
 use maplefall_settings::{self as settings, Metric, Told};
+use maplefall_trunk::{carry, Line, Pools};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
--- a/crates/maplefall/src/net/clients.rs
+++ b/crates/maplefall/src/net/clients.rs
@@ -4,7 +4,6 @@
 #[cfg(feature = "breakages")]
 use super::breakages;
 use super::door::Door;
-use maplefall_trunk::{client_budget, BUFFER};
 use super::request::{read_body, read_head, Bad};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming as IncomingBody};
@@ -14,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use maplefall_policy::{Millis, RequestId};
 use maplefall_protocol::Answer;
+use maplefall_trunk::{client_budget, BUFFER};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
--- a/crates/maplefall/src/net/counts.rs
+++ b/crates/maplefall/src/net/counts.rs
@@ -3,13 +3,13 @@
 //! Nothing is decided here. What customers use is counted by [`Counts::used`]; what others tell of them is handed to the
 //! decision module as it comes, and how old that is by now with each request ([`Counts::elsewhere`]).
 
-use maplefall_trunk::Clock;
 use super::counts_settings::CountsSettings;
 use super::door::Door;
 use maplefall_policy::{CustomerId, Elsewhere, Millis, PlanId};
 use maplefall_shared_counts::node::{Node, Start};
 use maplefall_shared_counts::wire::MOST_DATAGRAM;
 use maplefall_shared_counts::{quota, whose, Fact};
+use maplefall_trunk::Clock;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
--- a/crates/maplefall/src/net/discovery.rs
+++ b/crates/maplefall/src/net/discovery.rs
@@ -2,13 +2,13 @@
 
 #[cfg(feature = "breakages")]
 use super::breakages;
-use maplefall_trunk::Clock;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplefall_agent::{CallId, End, Follower, Heard, Lines, Output, What};
+use maplefall_trunk::Clock;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
--- a/crates/maplefall/src/net/door.rs
+++ b/crates/maplefall/src/net/door.rs
@@ -7,15 +7,15 @@
 use super::backends::{self, Reading};
 #[cfg(feature = "breakages")]
 use super::breakages;
-use maplefall_trunk::Clock;
 use super::config::Config;
 use super::counts::Counts;
 use super::grpc::{self, GrpcSettings, Passage};
-use maplefall_trunk::{self as pool, Line, Pools};
 use hyper::header::{HeaderName, HeaderValue};
 use maplefall_policy::*;
 use maplefall_protocol::{Answer, Ended, Health, Incoming, Member, Order};
 use maplefall_settings::{self as settings, Names};
+use maplefall_trunk::Clock;
+use maplefall_trunk::{self as pool, Line, Pools};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
--- a/crates/maplefall/src/net/grpc/back.rs
+++ b/crates/maplefall/src/net/grpc/back.rs
@@ -1,7 +1,6 @@
 //! Attempts of calls: connections to backends, many calls on each, and what comes back on them.
 
 use super::super::backends::{number, MOST_USAGE};
-use maplefall_trunk::{Clock, Line, NoConnection, Pools};
 use super::passage::Passage;
 use h2::client::{self, SendRequest};
 use h2::{Ping, PingPong, RecvStream, SendStream};
@@ -13,6 +12,7 @@
 use maplefall_protocol::headers::{API_CHARGE, API_USAGE, REQUEST_ID};
 use maplefall_protocol::{Ended, Order};
 use maplefall_settings::Links;
+use maplefall_trunk::{Clock, Line, NoConnection, Pools};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/switchboard/src/clients.rs
+++ b/crates/switchboard/src/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: reads requests whole, and writes the one final answer of each.
 
-use crate::core::{Arrival, Final};
+use crate::core::{Arrival, Final, Not};
 use crate::door::{tenant_value, Answer, Door};
 use crate::forward::{Order, ATTEMPT_ID, TENANT, TIME_REMAINING};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -28,6 +28,10 @@
 /// Longest time for a body where the client does not say how long it waits.
 const LONGEST_BODY_TIME: f64 = 10_000.0;
 
+/// Part of its time for which a request may wait for what a door that starts still lacks, and the longest such time.
+const MOMENT: f64 = 0.1;
+const LONGEST_MOMENT: f64 = 120.0;
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -183,16 +187,29 @@
         let key = one(&head.headers, &AUTHORIZATION)?.and_then(|value| value.strip_prefix("Token "));
         let key = key.map(|key| key.trim().to_owned());
         let arrival = Arrival { host: &host, path: path.path(), key: key.as_deref(), remaining, at };
-        let taken = self.door.arrive(&arrival, |accepted| {
-            let mut order = Order::new(head.method, Uri::from(path.clone()), head.headers, body);
-            if let Some(tenant) = tenant_value(accepted) {
-                order.headers.insert(TENANT, tenant);
+        // What is missing may come in a moment, as after a start: within this the client is not worse off than by coming again.
+        let moment =
+            self.door.clock.instant(at + remaining.map_or(0.0, |ms| (ms * MOMENT).min(LONGEST_MOMENT)));
+        let mut whole = Some((head.method, head.headers, body));
+        let (id, answer) = loop {
+            let changed = self.door.changed.notified();
+            let taken = self.door.arrive(&arrival, |accepted| {
+                let (method, headers, body) = whole.take().unwrap_or_default();
+                let mut order = Order::new(method, Uri::from(path.clone()), headers, body);
+                if let Some(tenant) = tenant_value(accepted) {
+                    order.headers.insert(TENANT, tenant);
+                }
+                order
+            });
+            match taken {
+                Ok(taken) => break taken,
+                Err(Not::At(last)) => return Ok(Answer::Own(last)),
+                Err(Not::Yet(last)) => {
+                    if tokio::time::timeout_at(moment, changed).await.is_err() {
+                        return Ok(Answer::Own(last));
+                    }
+                }
             }
-            order
-        });
-        let (id, answer) = match taken {
-            Ok(taken) => taken,
-            Err(last) => return Ok(Answer::Own(last)),
         };
         let mut waiting = Waiting { door: &self.door, id: Some(id) };
         let answer = answer.await;
--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -13,8 +13,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
-/// How often [`Core::tick`] wants to be called.
-pub const TICK: Millis = 500.0;
 /// Shortest time between two reports for one lender beyond those of the ticks.
 const URGENT: Millis = 60.0;
 /// Backends that somebody who knows all does not name are lost if nobody has spoken of them for this long.
@@ -65,6 +63,15 @@
     }
 }
 
+/// Why a request is not let in.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Not {
+    /// This is its answer.
+    At(Final),
+    /// This is its answer, if what is missing does not come in a moment: a configuration, or backends.
+    Yet(Final),
+}
+
 /// A request that was let in.
 #[derive(Clone, Debug)]
 pub struct Accepted {
@@ -117,6 +124,8 @@
     Say(String, Frame),
     /// These exchanges there are.
     Exchanges(Vec<String>),
+    /// Something has come that requests may have waited for.
+    Changed,
     /// A line for the log.
     Log(String),
 }
@@ -233,29 +242,33 @@
         now: Millis,
         arrival: &Arrival<'_>,
         out: &mut Vec<Output>,
-    ) -> Result<Accepted, Final> {
-        self.counts.arrived += 1;
+    ) -> Result<Accepted, Not> {
         if self.index == 0 {
             // Without a configuration nothing is known: neither that there is no route nor that a key is wrong.
-            return Err(Final::not_run(503, COME_BACK));
+            return Err(Not::Yet(Final::not_run(503, COME_BACK)));
         }
         let numbers = self.numbers.clone();
         let (route, tenant) = match numbers.way(arrival.host, arrival.path, arrival.key) {
             Way::Route(route, tenant) => (route, tenant),
             Way::Nowhere => {
                 self.counts.unknown += 1;
-                return Err(Final::of(404));
+                return Err(Not::At(Final::of(404)));
             }
             Way::Stranger => {
                 self.counts.unknown += 1;
-                return Err(Final::of(401));
+                return Err(Not::At(Final::of(401)));
             }
         };
         let wait = arrival.remaining.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrival.at + wait - WAY_BACK;
         if self.requests.len() >= MOST_REQUESTS || deadline <= now {
-            return Err(Final::not_run(503, COME_BACK_AIMS * route.aim));
+            return Err(Not::At(Final::not_run(503, COME_BACK_AIMS * route.aim)));
+        }
+        let place = self.choose_service(route);
+        if !self.services.has_any(place) {
+            return Err(Not::Yet(Final::not_run(503, COME_BACK_AIMS * route.aim)));
         }
+        self.counts.arrived += 1;
         let who = tenant.map(|tenant| self.name(&tenant.name));
         if let (Some(tenant), Some(who)) = (tenant, &who) {
             let quota = self.quota(now, tenant);
@@ -268,11 +281,10 @@
                     };
                     *count += 1;
                     self.ask_now(now, out);
-                    return Err(Final::not_run(429, wait.min(route.timeout)));
+                    return Err(Not::At(Final::not_run(429, wait.min(route.timeout))));
                 }
             }
         }
-        let place = self.choose_service(route);
         let class = self.services.class(place, route);
         let id = self.new_request();
         let entry = Entry {
@@ -313,7 +325,9 @@
     /// An attempt has ended.
     pub fn ended(&mut self, now: Millis, id: RequestId, number: u32, ended: Ended, out: &mut Vec<Output>) {
         let Some(entry) = self.requests.get_mut(&id) else { return };
-        let Some((_, backend, sent)) = entry.out.take_if(|(attempt, _, _)| *attempt == number) else { return };
+        let Some((_, backend, sent)) = entry.out.take_if(|(attempt, _, _)| *attempt == number) else {
+            return;
+        };
         let never = matches!(ended.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
         entry.may_have_run |= !never;
         if ended.outcome == Outcome::Ok && !entry.answered {
@@ -497,7 +511,7 @@
         }
     }
 
-    /// Time passes; to be called every [`TICK`].
+    /// Time passes; to be called every half a second.
     pub fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         let numbers = self.numbers.clone();
         for tenant in &numbers.tenants {
@@ -535,15 +549,12 @@
     }
 
     /// What a tenant may use, and what of it is held here. In any window the runs are at most what buckets hold together and
-    /// what fills them meanwhile: that is kept within the window's bound, with a tenth of the slack to spare.
+    /// what fills them meanwhile: that is kept within the window's bound, with a tenth of what it allows on top to spare.
     fn quota(&self, now: Millis, tenant: &Tenant) -> Quota {
-        let bounds = &self.bounds;
-        let over = bounds.quota_overshoot;
-        let depth = 0.8 * over * tenant.rate * bounds.quota_window_s
-            + (1.0 + over) * tenant.burst
-            + 0.9 * bounds.quota_slack;
+        let over = 1.0 + 0.9 * self.bounds.quota_overshoot;
+        let depth = over * tenant.burst + 0.9 * self.bounds.quota_slack;
         let part = self.purse.part(now, &tenant.name);
-        Quota { rate: tenant.rate, burst: tenant.burst, depth, part }
+        Quota { rate: over * tenant.rate, burst: tenant.burst, depth, part }
     }
 
     fn report(&mut self, now: Millis, out: &mut Vec<Output>) {
@@ -651,11 +662,13 @@
             self.tenants.hold(now, &who, quota);
         }
         self.names.retain(|_, name| Rc::strong_count(name) > 1);
+        out.push(Output::Changed);
     }
 
     fn apply(&mut self, now: Millis, word: &Word, out: &mut Vec<Output>) {
         if let Some((service, entry, pool)) = self.services.hear(now, word) {
             out.push(Output::Pool(pool));
+            out.push(Output::Changed);
             self.post(now, service, Event::Backends(ListKind::Changes, vec![entry]), out);
         }
     }
--- a/crates/switchboard/src/door.rs
+++ b/crates/switchboard/src/door.rs
@@ -1,6 +1,6 @@
 //! The driver: hands what happens to [`Core`] and carries out what comes back.
 
-use crate::core::{Accepted, Arrival, Core, Ended, Final, Output};
+use crate::core::{Accepted, Arrival, Core, Ended, Final, Not, Output};
 use crate::forward::{Order, Reply};
 use crate::services::Pool;
 use bytes::Bytes;
@@ -51,6 +51,8 @@
     pub exchanges: RefCell<HashMap<String, mpsc::Sender<Bytes>>>,
     /// Told when there are more exchanges than before.
     pub more_exchanges: Notify,
+    /// Told when something has come that requests may have waited for.
+    pub changed: Notify,
 }
 
 impl Door {
@@ -66,6 +68,7 @@
             wakes: Cell::new(f64::INFINITY),
             exchanges: RefCell::default(),
             more_exchanges: Notify::new(),
+            changed: Notify::new(),
         })
     }
 
@@ -103,7 +106,9 @@
             Output::Answer(id, last) => {
                 let mut pending = self.pending.borrow_mut();
                 let Some(entry) = pending.get_mut(&id) else { return };
-                let reply = entry.reply.take().filter(|_| last.backends);
+                // One that says that it has not run promises what a later attempt may have broken.
+                let reply =
+                    entry.reply.take().filter(|reply| last.backends && reply.outcome == Outcome::Error);
                 if let Some(answer) = entry.answer.take() {
                     let _ = answer.send(reply.map_or(Answer::Own(last), Answer::Reply));
                 }
@@ -137,6 +142,7 @@
                 let _ = sender.map(|sender| sender.try_send(write(frame)));
             }
             Output::Exchanges(_) => self.more_exchanges.notify_one(),
+            Output::Changed => self.changed.notify_waiters(),
             Output::Log(line) => log::info!("{line}"),
         }
     }
@@ -146,7 +152,7 @@
         self: &Rc<Self>,
         arrival: &Arrival<'_>,
         order: impl FnOnce(&Accepted) -> Order,
-    ) -> Result<(RequestId, oneshot::Receiver<Answer>), Final> {
+    ) -> Result<(RequestId, oneshot::Receiver<Answer>), Not> {
         let (sender, receiver) = oneshot::channel();
         let mut out = Vec::new();
         let now = self.clock.now();
@@ -185,6 +191,7 @@
             let mut pending = self.pending.borrow_mut();
             let Some(entry) = pending.get_mut(&id) else { return };
             entry.out = Some((attempt, line.clone()));
+            entry.reply = None;
             entry.order.clone()
         };
         let Some(order) = order else { return };
--- a/crates/switchboard/src/forward.rs
+++ b/crates/switchboard/src/forward.rs
@@ -3,8 +3,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{
-    HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    HeaderName, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, EXPECT, HOST, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use maplefall_policy::{Millis, Outcome};
@@ -124,7 +124,12 @@
         let mine = headers.get(ATTEMPT_ID) == self.id.as_ref();
         let success = head.status.is_success();
         let sealed = !success || headers.contains_key(SEAL);
-        if !framed || !mine || !sealed || head.status.is_informational() || headers.contains_key(CONTENT_ENCODING) {
+        if !framed
+            || !mine
+            || !sealed
+            || head.status.is_informational()
+            || headers.contains_key(CONTENT_ENCODING)
+        {
             return None;
         }
         if body.size_hint().lower() > LONGEST_ANSWER as u64 {
--- a/crates/switchboard/src/links.rs
+++ b/crates/switchboard/src/links.rs
@@ -1,7 +1,7 @@
 //! Connections to the exchanges: one to each, kept for as long as the door runs.
 
 use crate::door::Door;
-use maplefall_cord::{carry, dial, QUEUE};
+use maplefall_cord::{carry, dial, Pause, QUEUE};
 use maplefall_signalling::{write, Frame, Hello};
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
@@ -11,8 +11,6 @@
 
 /// A connection on which nothing comes for this long has ended.
 const SILENCE: Duration = Duration::from_millis(2000);
-/// Pause before an exchange is dialled again.
-const REDIAL: Duration = Duration::from_millis(300);
 /// How long the others wait for the first to bring the configuration, so that not all of them do.
 const HEAD_START: Duration = Duration::from_millis(150);
 
@@ -40,7 +38,7 @@
     if !head_start.is_zero() {
         tokio::time::sleep(head_start).await;
     }
-    let mut up = true;
+    let (mut up, mut pause) = (true, Pause::default());
     loop {
         let end = match dial(address).await {
             Ok(stream) => {
@@ -48,7 +46,7 @@
                 let hello = Hello { index: door.ask(|core| core.index()), ..hello.clone() };
                 let _ = sender.try_send(write(Frame::Hello(hello)));
                 door.exchanges.borrow_mut().insert(name.clone(), sender);
-                up = true;
+                (up, pause) = (true, Pause::default());
                 log::info!("event=exchange_up exchange={name}");
                 door.drive(|core, now, out| core.exchange_up(now, &name, out));
                 let end = carry(stream, outgoing, Some(SILENCE), |frame| {
@@ -65,6 +63,6 @@
         if std::mem::take(&mut up) {
             log::info!("event=exchange_down exchange={name} {end}");
         }
-        tokio::time::sleep(REDIAL).await;
+        pause.wait().await;
     }
 }
--- a/crates/switchboard/src/main.rs
+++ b/crates/switchboard/src/main.rs
@@ -91,7 +91,11 @@
     let front = settings.bind.front_http.ok_or("step=settings missing=Bind.FrontHttp")?;
     let probe = settings.bind.ready_probe.ok_or("step=settings missing=Bind.ReadyProbe")?;
     let (clients_at, probes_at) = (listen(front).await?, listen(probe).await?);
-    log::info!("event=start node={} front={front} probe={probe} bootstrap={}", settings.node, settings.bootstrap);
+    log::info!(
+        "event=start node={} front={front} probe={probe} bootstrap={}",
+        settings.node,
+        settings.bootstrap
+    );
     let door = Door::new(&settings, seed);
     let sockets = settings.limits.file_limit.saturating_sub(FILES);
     let room = (settings.limits.memory_mb / BODIES) << 20;
--- a/crates/switchboard/src/services.rs
+++ b/crates/switchboard/src/services.rs
@@ -24,8 +24,6 @@
 /// One life of a backend, as the door knows it.
 #[derive(Clone, Debug)]
 pub struct Backend {
-    /// Its number.
-    pub id: BackendId,
     /// Its id on the wire.
     pub instance: Rc<str>,
     /// Its service.
@@ -37,8 +35,6 @@
 
 /// One service.
 pub struct Service {
-    /// Its name.
-    pub name: String,
     /// Its decisions.
     pub gateway: Gateway,
     classes: Vec<Class>,
@@ -101,6 +97,12 @@
         self.list.get_mut(place)
     }
 
+    /// Whether a service has a backend that takes requests.
+    pub fn has_any(&self, place: usize) -> bool {
+        let takes = |b: &Backend| b.service == place && b.entry.availability == Availability::Ready;
+        self.backends.values().any(takes)
+    }
+
     /// The place of a service; a name that is new gets one.
     pub fn place(&mut self, name: &str) -> usize {
         if let Some(place) = self.names.get(name) {
@@ -110,7 +112,7 @@
         let zone = self.zone(&self.zone.clone());
         let seed = self.seed.wrapping_add(place as u64);
         let gateway = Gateway::new(self.settings(zone), seed);
-        self.list.push(Service { name: name.to_owned(), gateway, classes: Vec::new() });
+        self.list.push(Service { gateway, classes: Vec::new() });
         self.names.insert(name.to_owned(), place);
         place
     }
@@ -200,7 +202,7 @@
                     size: f64::from(word.capacity.max(1)),
                 };
                 self.lives.insert(word.id.clone(), id);
-                let backend = Backend { id, instance: word.id.as_str().into(), service, address, entry };
+                let backend = Backend { instance: word.id.as_str().into(), service, address, entry };
                 self.backends.insert(id, backend);
                 id
             }
--- a/crates/tandem/src/node.rs
+++ b/crates/tandem/src/node.rs
@@ -14,6 +14,9 @@
 const SILENT: Millis = 600.0;
 /// It stands after up to this much more, drawn by lot.
 const SPREAD: Millis = 600.0;
+/// A node that has just started asks around this soon, and up to three times as much later: where there is a leader, nobody
+/// would vote for it.
+const FIRST: Millis = 80.0;
 /// A leader that has not heard from a majority for this long steps down.
 const ALONE: Millis = 1000.0;
 /// A message that is not answered is sent again after this.
@@ -160,7 +163,7 @@
         let mut rng = Pcg32::seed_from_u64(seed);
         let fresh = disk.is_empty();
         let life = rng.next_u64().max(1);
-        let stands = now + SILENT + SPREAD * chance(&mut rng);
+        let stands = now + FIRST * (1.0 + 3.0 * chance(&mut rng));
         let last = disk.log.last().map_or(disk.snapshot.index, |entry| entry.index);
         let mut node = Tandem {
             me: me.to_owned(),
@@ -440,7 +443,8 @@
             self.draw(now);
         }
         let what = What::Voted(Voted { would: ask.would, granted, asked: term });
-        let message = Message { term: if ask.would && granted { term } else { self.disk.term }, what: Some(what) };
+        let message =
+            Message { term: if ask.would && granted { term } else { self.disk.term }, what: Some(what) };
         self.after_writes(from, message, out);
     }
 
@@ -515,7 +519,8 @@
     /// Whether a leader has not heard from a majority of late.
     fn alone(&self, now: Millis) -> bool {
         let Role::Leader { others, .. } = &self.role else { return true };
-        let near = |name: &String| *name == self.me || others.get(name).is_some_and(|o| now - o.heard < ALONE);
+        let near =
+            |name: &String| *name == self.me || others.get(name).is_some_and(|o| now - o.heard < ALONE);
         self.voters.iter().filter(|name| near(name)).count() < self.majority()
     }
 
@@ -736,7 +741,14 @@
 
     // ---- The log ------------------------------------------------------------------------------------
 
-    fn add(&mut self, kind: EntryKind, payload: Vec<u8>, voters: Vec<String>, life: u64, out: &mut Out) -> u64 {
+    fn add(
+        &mut self,
+        kind: EntryKind,
+        payload: Vec<u8>,
+        voters: Vec<String>,
+        life: u64,
+        out: &mut Out,
+    ) -> u64 {
         let index = self.last_index() + 1;
         let entry = Entry { index, term: self.disk.term, kind: kind.into(), payload, voters, life };
         self.push(vec![entry], out);
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -87,13 +87,8 @@
         tenants: impl Iterator<Item = &'a str>,
     ) -> Lent {
         self.doors.retain(|_, door| now < door.until);
-        let fresh = |life| Door {
-            life,
-            until: now,
-            loans: BTreeMap::new(),
-            demand: BTreeMap::new(),
-            answered: 0,
-        };
+        let fresh =
+            |life| Door { life, until: now, loans: BTreeMap::new(), demand: BTreeMap::new(), answered: 0 };
         let known = self.doors.get(name).is_some_and(|door| door.life == life);
         if report.last {
             self.doors.remove(name);
@@ -117,8 +112,7 @@
         let count = self.doors.len();
         let Some(door) = self.doors.get_mut(name) else { return Lent::default() };
         door.until = now + LASTS;
-        door.demand =
-            report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0)).collect();
+        door.demand = report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0)).collect();
         for loan in door.loans.values_mut().filter(|loan| loan.number <= report.confirmed) {
             loan.most = loan.said;
         }
@@ -127,8 +121,12 @@
         let mut loans = Vec::new();
         for tenant in tenants {
             let target = self.target(name, tenant, count);
-            let others: u32 =
-                self.doors.iter().filter(|(n, _)| *n != name).filter_map(|(_, d)| Some(d.loans.get(tenant)?.most)).sum();
+            let others: u32 = self
+                .doors
+                .iter()
+                .filter(|(n, _)| *n != name)
+                .filter_map(|(_, d)| Some(d.loans.get(tenant)?.most))
+                .sum();
             let limit = self.limit;
             let Some(door) = self.doors.get_mut(name) else { break };
             let loan = door.loans.entry(tenant.to_owned()).or_default();
