--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,10 +43,10 @@
 //! }
 //! ```
 
+mod gateway;
 mod interface;
-mod rules;
 mod tenants;
 
+pub use gateway::{Cewma, Gateway};
 pub use interface::*;
-pub use rules::{Cewma, Gateway};
 pub use tenants::{Quota, Tenants, Turned};
