--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -420,9 +420,10 @@
         let Some(entry) = self.requests.get_mut(&id) else { return };
         if !entry.answered {
             entry.answered = true;
-            let answer = if entry.may_have_run {
+            // What is still out may have run, or may run yet: nothing is promised.
+            let answer = if entry.may_have_run || entry.out.is_some() {
                 self.counts.failed += 1;
-                Final { status: 502, retry_after: None, backends: true }
+                Final { status: if entry.out.is_some() { 504 } else { 502 }, retry_after: None, backends: true }
             } else {
                 self.counts.no_backend += 1;
                 Final::not_run(503, wait.unwrap_or(COME_BACK_AIMS * entry.aim))
