--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -423,7 +423,11 @@
             // What is still out may have run, or may run yet: nothing is promised.
             let answer = if entry.may_have_run || entry.out.is_some() {
                 self.counts.failed += 1;
-                Final { status: if entry.out.is_some() { 504 } else { 502 }, retry_after: None, backends: true }
+                Final {
+                    status: if entry.out.is_some() { 504 } else { 502 },
+                    retry_after: None,
+                    backends: true,
+                }
             } else {
                 self.counts.no_backend += 1;
                 Final::not_run(503, wait.unwrap_or(COME_BACK_AIMS * entry.aim))
--- a/crates/tandem/src/node.rs
+++ b/crates/tandem/src/node.rs
@@ -100,6 +100,8 @@
     round: u64,
     /// Its life, if it has lost its disk.
     life: u64,
+    /// Whether it has been sent a whole state in this life: one that lost its disk knows no voters.
+    installed: bool,
     /// Whether it asks to count.
     counts: bool,
 }
@@ -473,7 +475,16 @@
 
     fn lead(&mut self, now: Millis, out: &mut Out) {
         let next = self.last_index() + 1;
-        let fresh = Progress { next, matched: 0, heard: now, sent: 0.0, round: 0, life: 0, counts: false };
+        let fresh = Progress {
+            next,
+            matched: 0,
+            heard: now,
+            sent: 0.0,
+            round: 0,
+            life: 0,
+            installed: false,
+            counts: false,
+        };
         let others = self.voters.iter().filter(|voter| **voter != self.me);
         let others = others.map(|voter| (voter.clone(), fresh)).collect();
         self.role = Role::Leader { others, round: 0, reads: VecDeque::new(), readmitted: BTreeSet::new() };
@@ -556,7 +567,7 @@
     fn install(&mut self, now: Millis, from: &str, install: Install, out: &mut Out) {
         self.follow(now, Some(from), out);
         let Some(snapshot) = install.snapshot else { return };
-        if snapshot.index > self.commit {
+        if snapshot.index > self.commit || self.voters.is_empty() {
             let kept = snapshot.index <= self.last_index() && self.term_at(snapshot.index) == snapshot.term;
             self.disk.log.retain(|entry| kept && entry.index > snapshot.index);
             if !kept {
@@ -597,7 +608,7 @@
         other.round = other.round.max(answer.round);
         if answer.life != other.life {
             // Another life: what was known of its disk is void.
-            (other.life, other.matched) = (answer.life, 0);
+            (other.life, other.matched, other.installed) = (answer.life, 0, false);
         }
         let mut more = false;
         if answer.fits {
@@ -638,7 +649,16 @@
         if !others.contains_key(from) && learners >= MOST_LEARNERS {
             return;
         }
-        let fresh = Progress { next, matched: 0, heard: now, sent: 0.0, round: 0, life: 0, counts: false };
+        let fresh = Progress {
+            next,
+            matched: 0,
+            heard: now,
+            sent: 0.0,
+            round: 0,
+            life: 0,
+            installed: false,
+            counts: false,
+        };
         others.entry(from.to_owned()).or_insert(fresh).counts = join.counts;
         self.send_to(now, from, out);
     }
@@ -677,7 +697,9 @@
         let Some(other) = others.get_mut(name) else { return };
         other.sent = now;
         let first = other.next.max(1);
-        let what = if first <= self.disk.snapshot.index {
+        let unknowing = other.life != 0 && !other.installed;
+        let what = if first <= self.disk.snapshot.index || unknowing {
+            other.installed = true;
             other.next = self.disk.snapshot.index + 1;
             What::Install(Install { snapshot: Some(self.disk.snapshot.clone()), round })
         } else {
@@ -799,8 +821,16 @@
         let (voters, next) = (self.voters.clone(), self.last_index() + 1);
         if let Role::Leader { others, .. } = &mut self.role {
             for voter in voters.into_iter().filter(|voter| *voter != self.me) {
-                let fresh =
-                    Progress { next, matched: 0, heard: 0.0, sent: 0.0, round: 0, life: 0, counts: true };
+                let fresh = Progress {
+                    next,
+                    matched: 0,
+                    heard: 0.0,
+                    sent: 0.0,
+                    round: 0,
+                    life: 0,
+                    installed: false,
+                    counts: true,
+                };
                 others.entry(voter).or_insert(fresh);
             }
         }
