--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -183,6 +183,13 @@
     unknown: u64,
 }
 
+/// What a tenant may use, and the part of it that is held here. In any window the runs are at most what buckets hold together
+/// and what fills them meanwhile: that is kept within the window's bound, with a tenth of what it allows on top to spare.
+pub fn quota(bounds: &Bounds, rate: f64, burst: f64, part: f64) -> Quota {
+    let over = 1.0 + 0.9 * bounds.quota_overshoot;
+    Quota { rate: over * rate, burst, depth: over * burst + 0.9 * bounds.quota_slack, part }
+}
+
 impl Core {
     /// A door that knows nothing yet. `seed` is its only source of chance.
     pub fn new(settings: &Settings, seed: u64) -> Core {
@@ -553,13 +560,8 @@
         name
     }
 
-    /// What a tenant may use, and what of it is held here. In any window the runs are at most what buckets hold together and
-    /// what fills them meanwhile: that is kept within the window's bound, with a tenth of what it allows on top to spare.
     fn quota(&self, now: Millis, tenant: &Tenant) -> Quota {
-        let over = 1.0 + 0.9 * self.bounds.quota_overshoot;
-        let depth = over * tenant.burst + 0.9 * self.bounds.quota_slack;
-        let part = self.purse.part(now, &tenant.name);
-        Quota { rate: over * tenant.rate, burst: tenant.burst, depth, part }
+        quota(&self.bounds, tenant.rate, tenant.burst, self.purse.part(now, &tenant.name))
     }
 
     fn report(&mut self, now: Millis, out: &mut Vec<Output>) {
@@ -629,7 +631,7 @@
                     }
                 }
             }
-            Frame::Lent(lent) => self.purse.lent(exchange, &lent),
+            Frame::Lent(lent) => self.purse.lent(now, exchange, &lent),
             _ => {}
         }
     }
--- a/crates/switchboard/src/lib.rs
+++ b/crates/switchboard/src/lib.rs
@@ -9,4 +9,4 @@
 mod services;
 mod timers;
 
-pub use crate::core::{Arrival, Core, Ended, Final, Not, Output};
+pub use crate::core::{quota, Arrival, Core, Ended, Final, Not, Output};
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -101,8 +101,12 @@
             }
             // A new life: what an earlier one held is over with it.
             let mut door = fresh(life);
-            for loan in report.held.iter().filter(|_| report.first) {
-                let parts = loan.parts.min(self.limit);
+            let all: Vec<&Loan> = report.held.iter().filter(|_| report.first).collect();
+            for loan in all {
+                // A report may be long under way: what has run out meanwhile may be lent to others.
+                let others = self.doors.iter().filter(|(n, _)| *n != name);
+                let out: u32 = others.filter_map(|(_, d)| Some(d.loans.get(&loan.tenant)?.most)).sum();
+                let parts = loan.parts.min(self.limit.saturating_sub(out));
                 door.loans.insert(loan.tenant.clone(), Out { said: parts, most: parts, number: 0 });
             }
             self.doors.insert(name.to_owned(), door);
--- a/crates/toll/src/purse.rs
+++ b/crates/toll/src/purse.rs
@@ -57,9 +57,12 @@
         }
     }
 
-    /// A lender has answered.
-    pub fn lent(&mut self, lender: &str, lent: &Lent) {
+    /// A lender has answered. What has run out before is void, and does not come back with the answer.
+    pub fn lent(&mut self, now: Millis, lender: &str, lent: &Lent) {
         let Some(held) = self.held.get_mut(lender) else { return };
+        if now >= held.until {
+            held.loans.clear();
+        }
         let Some(at) = held.asked.iter().find(|(number, _)| *number == lent.report).map(|(_, at)| *at) else {
             return;
         };
