Loans move when somebody lacks one, a new life inherits what the old one was asked, a first lack waits for its answer

Change: a lender that is asked for more takes back at once from doors that have too much, which confirm at once; a new life counts as asked what the one before was asked for 2 s; the first request that lacks a token waits for the lenders' answer, 30 ms at most.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -349,13 +349,22 @@
 
     fn reported(&mut self, now: Millis, conn: u64, report: &Report, out: &mut Vec<Output>) {
         let (Some(door), Some(lender)) = (self.doors.get(&conn), &mut self.lender) else { return };
+        let mine = door.node.clone();
         let tenants = self.board.standing(maplefall_numbering::Kind::Tenant).map(|item| item.name.as_str());
-        let lent = lender.report(now, &door.node, door.life, report, tenants);
-        if !report.last {
-            self.to_door(now, conn, write(Frame::Lent(lent)), out);
+        let answers = lender.report(now, &door.node, door.life, report, tenants);
+        for (node, lent) in answers {
+            let conn = if node == mine { Some(conn) } else { self.conn_of(&node) };
+            if let Some(conn) = conn {
+                self.to_door(now, conn, write(Frame::Lent(lent)), out);
+            }
         }
     }
 
+    /// The latest connection of a door.
+    fn conn_of(&self, node: &str) -> Option<u64> {
+        self.doors.iter().rev().find(|(_, door)| door.node == node).map(|(conn, _)| *conn)
+    }
+
     /// A caller asks something; the answer has this number.
     pub fn call(&mut self, now: Millis, number: u64, call: Call, out: &mut Vec<Output>) {
         match call {
--- a/crates/policy/src/tenants.rs
+++ b/crates/policy/src/tenants.rs
@@ -92,16 +92,21 @@
         tenant.heard = now;
         let limit = BOX_FACTOR * quota.rate + 1000.0 * lambda * quota.burst;
         let rate = tenant.average.rate(now, lambda);
-        if quota.rate <= 0.0 {
-            Ok(())
-        } else if rate > limit {
-            Err(Turned::Box((rate / limit).ln() / lambda))
-        } else if tenant.tokens < units {
-            Err(Turned::Bucket((units - tenant.tokens) / tenant.flow.max(1e-9)))
-        } else {
-            tenant.tokens -= units;
-            Ok(())
+        if quota.rate > 0.0 && rate > limit {
+            return Err(Turned::Box((rate / limit).ln() / lambda));
         }
+        self.take(now, who, units, quota)
+    }
+
+    /// Takes from a bucket for an arrival that has been counted, or tells why not.
+    pub fn take(&mut self, now: Millis, who: &K, units: f64, quota: Quota) -> Result<(), Turned> {
+        self.hold(now, who, quota);
+        let Some(tenant) = self.tenants.get_mut(who).filter(|_| quota.rate > 0.0) else { return Ok(()) };
+        if tenant.tokens < units {
+            return Err(Turned::Bucket((units - tenant.tokens) / tenant.flow.max(1e-9)));
+        }
+        tenant.tokens -= units;
+        Ok(())
     }
 
     /// Gives back what was taken for a request that was never sent on.
--- a/crates/switchboard/src/clients.rs
+++ b/crates/switchboard/src/clients.rs
@@ -28,8 +28,9 @@
 /// Longest time for a body where the client does not say how long it waits.
 const LONGEST_BODY_TIME: f64 = 10_000.0;
 
-/// Part of its time for which a request may wait for what a door that starts still lacks, and the longest such time.
+/// Part of its time for which a request may wait for what the door still lacks.
 const MOMENT: f64 = 0.1;
+/// The longest such time.
 const LONGEST_MOMENT: f64 = 120.0;
 
 /// How far a planned stop has come.
@@ -186,10 +187,10 @@
         let (body, _held) = self.read_body(body, end).await?;
         let key = one(&head.headers, &AUTHORIZATION)?.and_then(|value| value.strip_prefix("Token "));
         let key = key.map(|key| key.trim().to_owned());
-        let arrival = Arrival { host: &host, path: path.path(), key: key.as_deref(), remaining, at };
+        let mut arrival =
+            Arrival { host: &host, path: path.path(), key: key.as_deref(), remaining, at, again: false };
         // What is missing may come in a moment, as after a start: within this the client is not worse off than by coming again.
-        let moment =
-            self.door.clock.instant(at + remaining.map_or(0.0, |ms| (ms * MOMENT).min(LONGEST_MOMENT)));
+        let most = at + remaining.map_or(0.0, |ms| (ms * MOMENT).min(LONGEST_MOMENT));
         let mut whole = Some((head.method, head.headers, body));
         let (id, answer) = loop {
             let changed = self.door.changed.notified();
@@ -204,7 +205,9 @@
             match taken {
                 Ok(taken) => break taken,
                 Err(Not::At(last)) => return Ok(Answer::Own(last)),
-                Err(Not::Yet(last)) => {
+                Err(Not::Yet(last, moment)) => {
+                    arrival.again = true;
+                    let moment = self.door.clock.instant(most.min(self.door.clock.now() + moment));
                     if tokio::time::timeout_at(moment, changed).await.is_err() {
                         return Ok(Answer::Own(last));
                     }
--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -25,6 +25,10 @@
 const COME_BACK: Millis = 300.0;
 /// Advice is this at least: a client that comes back at once finds the same.
 const SOONEST: Millis = 10.0;
+/// A request may wait this long for what a door that has just started still lacks.
+const LONGEST_MOMENT: Millis = 120.0;
+/// Lenders answer within this, or are taken not to; and are asked again after this.
+const LENDERS_ANSWER: (Millis, Millis) = (30.0, 1000.0);
 /// Requests at most that wait for their answers.
 const MOST_REQUESTS: usize = 4096;
 
@@ -40,6 +44,8 @@
     pub remaining: Option<Millis>,
     /// When its first byte came.
     pub at: Millis,
+    /// Whether it has been counted: it waited for what was missing.
+    pub again: bool,
 }
 
 /// The final answer of a request that no backend answers.
@@ -68,8 +74,8 @@
 pub enum Not {
     /// This is its answer.
     At(Final),
-    /// This is its answer, if what is missing does not come in a moment: a configuration, or backends.
-    Yet(Final),
+    /// This is its answer, if what is missing does not come in a moment, this long at most: a configuration, backends, a loan.
+    Yet(Final, Millis),
 }
 
 /// A request that was let in.
@@ -160,6 +166,8 @@
     connected: BTreeSet<String>,
     exchanges: BTreeSet<String>,
     urgent: Millis,
+    /// When the lenders were asked for more of a tenant's quota.
+    asked: HashMap<Rc<str>, Millis>,
     directory: Directory,
     services: Services,
     requests: HashMap<RequestId, Entry>,
@@ -191,7 +199,7 @@
 }
 
 impl Core {
-    /// A door that knows nothing yet. `seed` is its only source of chance.
+    /// A door that knows nothing yet. `seed` is its only source of chance, and names this life.
     pub fn new(settings: &Settings, seed: u64) -> Core {
         Core {
             bounds: settings.bounds,
@@ -201,10 +209,11 @@
             numbers: Rc::default(),
             tenants: Tenants::new(settings.bootstrap),
             names: HashMap::new(),
-            purse: Purse::default(),
+            purse: Purse::new(seed.max(1)),
             connected: BTreeSet::new(),
             exchanges: settings.seeds.iter().map(|seed| seed.ip().to_string()).collect(),
             urgent: 0.0,
+            asked: HashMap::new(),
             directory: Directory::default(),
             services: Services::new(settings.bounds, &settings.zone, seed),
             requests: HashMap::new(),
@@ -252,7 +261,7 @@
     ) -> Result<Accepted, Not> {
         if self.index == 0 {
             // Without a configuration nothing is known: neither that there is no route nor that a key is wrong.
-            return Err(Not::Yet(Final::not_run(503, COME_BACK)));
+            return Err(Not::Yet(Final::not_run(503, COME_BACK), LONGEST_MOMENT));
         }
         let numbers = self.numbers.clone();
         let (route, tenant) = match numbers.way(arrival.host, arrival.path, arrival.key) {
@@ -273,23 +282,31 @@
         }
         let place = self.choose_service(route);
         if !self.services.has_any(place) {
-            return Err(Not::Yet(Final::not_run(503, COME_BACK_AIMS * route.aim)));
+            return Err(Not::Yet(Final::not_run(503, COME_BACK_AIMS * route.aim), LONGEST_MOMENT));
         }
         self.counts.arrived += 1;
         let who = tenant.map(|tenant| self.name(&tenant.name));
         if let (Some(tenant), Some(who)) = (tenant, &who) {
             let quota = self.quota(now, tenant);
-            match self.tenants.arrived(now, who, 1.0, quota) {
-                Ok(()) => {}
-                Err(turned) => {
-                    let (wait, count) = match turned {
-                        Turned::Box(wait) => (wait, &mut self.counts.boxed),
-                        Turned::Bucket(wait) => (wait, &mut self.counts.quota),
-                    };
-                    *count += 1;
-                    self.ask_now(now, out);
-                    return Err(Not::At(Final::not_run(429, wait.min(route.timeout))));
+            let taken = if arrival.again {
+                self.tenants.take(now, who, 1.0, quota)
+            } else {
+                self.tenants.arrived(now, who, 1.0, quota)
+            };
+            if let Err(turned) = taken {
+                let refusal = |wait: Millis| Final::not_run(429, wait.min(route.timeout));
+                let last = match turned {
+                    Turned::Box(wait) => Not::At(refusal(wait)),
+                    Turned::Bucket(wait) => match self.await_loan(now, who, out) {
+                        Some(moment) => Not::Yet(refusal(wait), moment),
+                        None => Not::At(refusal(wait)),
+                    },
+                };
+                match turned {
+                    Turned::Box(_) => self.counts.boxed += 1,
+                    Turned::Bucket(_) => self.counts.quota += 1,
                 }
+                return Err(last);
             }
         }
         let class = self.services.class(place, route);
@@ -564,18 +581,36 @@
         quota(&self.bounds, tenant.rate, tenant.burst, self.purse.part(now, &tenant.name))
     }
 
+    fn demand(&self, now: Millis) -> Vec<Demand> {
+        let told = |(who, rate): (&Rc<str>, f64)| Demand {
+            tenant: who.to_string(),
+            rate: (rate * 1000.0).min(1e9) as u32,
+        };
+        self.tenants.demand(now).map(told).collect()
+    }
+
     fn report(&mut self, now: Millis, out: &mut Vec<Output>) {
-        let demand: Vec<Demand> = self
-            .tenants
-            .demand(now)
-            .map(|(who, rate)| Demand { tenant: who.to_string(), rate: (rate * 1000.0).min(1e9) as u32 })
-            .collect();
+        let demand = self.demand(now);
         for lender in self.connected.clone() {
             let report = self.purse.report(now, &lender, demand.clone());
             out.push(Output::Say(lender, Frame::Report(report)));
         }
     }
 
+    /// Asks the lenders for more of a tenant's quota, and tells for how long their answers are worth waiting for.
+    fn await_loan(&mut self, now: Millis, who: &Rc<str>, out: &mut Vec<Output>) -> Option<Millis> {
+        let (soon, later) = LENDERS_ANSWER;
+        let asked = self.asked.get(who).copied();
+        if asked.is_none_or(|asked| now - asked >= later) && !self.connected.is_empty() {
+            self.asked.insert(who.clone(), now);
+            self.urgent = now;
+            self.report(now, out);
+            return Some(soon);
+        }
+        self.ask_now(now, out);
+        asked.map(|asked| asked + soon - now).filter(|left| *left > 0.0)
+    }
+
     /// Tells the lenders at once what is wanted, unless they have just been told.
     fn ask_now(&mut self, now: Millis, out: &mut Vec<Output>) {
         if now - self.urgent >= URGENT {
@@ -631,7 +666,17 @@
                     }
                 }
             }
-            Frame::Lent(lent) => self.purse.lent(now, exchange, &lent),
+            Frame::Lent(lent) => {
+                let (less, more) = self.purse.lent(now, exchange, &lent);
+                if less {
+                    // What is taken back is somebody else's only once this is told.
+                    let report = self.purse.report(now, exchange, self.demand(now));
+                    out.push(Output::Say(exchange.to_owned(), Frame::Report(report)));
+                }
+                if more {
+                    out.push(Output::Changed);
+                }
+            }
             _ => {}
         }
     }
@@ -668,6 +713,7 @@
             let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant));
             self.tenants.hold(now, &who, quota);
         }
+        self.asked.clear();
         self.names.retain(|_, name| Rc::strong_count(name) > 1);
         out.push(Output::Changed);
     }
--- a/crates/switchboard/tests/quotas.rs
+++ b/crates/switchboard/tests/quotas.rs
@@ -36,7 +36,7 @@
     let doors_there = 2 + (draw() * 12.0) as usize;
     let lenders_there = if draw() < 0.2 { 5 } else { 3 };
     let fresh = |life: u64, full: bool| Door {
-        purse: Purse::default(),
+        purse: Purse::new(life),
         tenants: Tenants::new(full),
         life,
         links: BTreeMap::new(),
@@ -140,13 +140,17 @@
                     let name = format!("door-{n}");
                     lenders[lender].1.insert(name.clone());
                     let tenants = TENANTS.iter().map(|(name, _, _)| *name);
-                    let lent = lenders[lender].0.report(now, &name, life, &report, tenants);
-                    let at = order(conn, false, now + draw() * 20.0);
-                    mail.push((at, Mail::Lent(n, lender, conn, lent)));
+                    for (to, lent) in lenders[lender].0.report(now, &name, life, &report, tenants) {
+                        let to: usize = to.trim_start_matches("door-").parse().expect("a door");
+                        // To the latest connection, which may be another life's than the one that is meant.
+                        let Some(conn) = doors[to].links.get(&lender).copied() else { continue };
+                        let at = order(conn, false, now + draw() * 20.0);
+                        mail.push((at, Mail::Lent(to, lender, conn, lent)));
+                    }
                 }
                 Mail::Lent(n, lender, conn, lent) => {
                     if doors[n].links.get(&lender) == Some(&conn) && now >= doors[n].cut {
-                        doors[n].purse.lent(now, &lender.to_string(), &lent);
+                        let _ = doors[n].purse.lent(now, &lender.to_string(), &lent);
                     }
                 }
             }
@@ -175,7 +179,8 @@
             while runs[t].front().is_some_and(|at| *at <= now - window) {
                 runs[t].pop_front();
             }
-            let most = (rate * bounds.quota_window_s + burst) * (1.0 + bounds.quota_overshoot) + bounds.quota_slack;
+            let most =
+                (rate * bounds.quota_window_s + burst) * (1.0 + bounds.quota_overshoot) + bounds.quota_slack;
             let ran = runs[t].len() as f64;
             assert!(ran <= most, "seed {seed}: {ran} runs of {tenant} in a window of {most} at {now}");
         }
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -10,6 +10,8 @@
 const COARSE_PART: f64 = 0.08;
 /// Doors at most: more are lent nothing.
 const MOST_DOORS: usize = 2048;
+/// For this long a new life of a door is taken to be asked what the one before was asked.
+const INHERITS: Millis = 2000.0;
 
 /// A loan of one tenant's quota to one door.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -29,7 +31,20 @@
     until: Millis,
     loans: BTreeMap<String, Out>,
     demand: BTreeMap<String, f64>,
+    /// What the life before was asked, and until when that counts.
+    inherited: (BTreeMap<String, f64>, Millis),
     answered: u64,
+    confirmed: u64,
+    /// Its last report.
+    report: u64,
+}
+
+impl Door {
+    fn asks(&self, now: Millis, tenant: &str) -> f64 {
+        let own = self.demand.get(tenant).copied().unwrap_or(0.0);
+        let before = self.inherited.0.get(tenant).filter(|_| now < self.inherited.1);
+        own.max(before.copied().unwrap_or(0.0))
+    }
 }
 
 /// Who lends parts of one share of every quota.
@@ -67,17 +82,13 @@
         self.doors.len()
     }
 
-    /// Whether a door has been lent to before; whoever keeps state writes its name down first.
-    pub fn knows(&self, door: &str) -> bool {
-        self.doors.contains_key(door)
-    }
-
     /// Whether what earlier lives have lent may still be out.
     pub fn in_doubt(&self, now: Millis) -> bool {
         now < self.unknown_until && (self.unnamed || !self.unknown.is_empty())
     }
 
-    /// Answers a door's report; `tenants` are all that have a quota.
+    /// Takes in a door's report; `tenants` are all that have a quota. Returns the answer, which is the first, and what other
+    /// doors are to be told: what they must give back, because this one lacks it, or what they get of what came back.
     pub fn report<'a>(
         &mut self,
         now: Millis,
@@ -85,82 +96,148 @@
         life: u64,
         report: &Report,
         tenants: impl Iterator<Item = &'a str>,
-    ) -> Lent {
+    ) -> Vec<(String, Lent)> {
         self.doors.retain(|_, door| now < door.until);
-        let fresh =
-            |life| Door { life, until: now, loans: BTreeMap::new(), demand: BTreeMap::new(), answered: 0 };
-        let known = self.doors.get(name).is_some_and(|door| door.life == life);
         if report.last {
             self.doors.remove(name);
             self.unknown.remove(name);
-            return Lent::default();
+            return Vec::new();
         }
-        if !known {
+        if self.doors.get(name).is_none_or(|door| door.life != life) {
             if self.doors.len() >= MOST_DOORS && !self.doors.contains_key(name) {
-                return Lent { report: report.number, ..Lent::default() };
-            }
-            // A new life: what an earlier one held is over with it.
-            let mut door = fresh(life);
-            let all: Vec<&Loan> = report.held.iter().filter(|_| report.first).collect();
-            for loan in all {
-                // A report may be long under way: what has run out meanwhile may be lent to others.
-                let others = self.doors.iter().filter(|(n, _)| *n != name);
-                let out: u32 = others.filter_map(|(_, d)| Some(d.loans.get(&loan.tenant)?.most)).sum();
-                let parts = loan.parts.min(self.limit.saturating_sub(out));
-                door.loans.insert(loan.tenant.clone(), Out { said: parts, most: parts, number: 0 });
+                return vec![(name.to_owned(), Lent { report: report.number, life, ..Lent::default() })];
             }
-            self.doors.insert(name.to_owned(), door);
+            self.begin(now, name, life, report);
         }
         self.unknown.remove(name);
-        let doubt = self.in_doubt(now);
-        let count = self.doors.len();
-        let Some(door) = self.doors.get_mut(name) else { return Lent::default() };
+        let Some(door) = self.doors.get_mut(name) else { return Vec::new() };
         door.until = now + LASTS;
-        door.demand = report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0)).collect();
-        for loan in door.loans.values_mut().filter(|loan| loan.number <= report.confirmed) {
+        door.report = report.number;
+        door.confirmed = report.confirmed;
+        let demand = report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0));
+        let before = std::mem::replace(&mut door.demand, demand.collect());
+        let mut freed = BTreeSet::new();
+        for (tenant, loan) in door.loans.iter_mut().filter(|(_, loan)| loan.number <= report.confirmed) {
+            if loan.most > loan.said {
+                freed.insert(tenant.clone());
+            }
             loan.most = loan.said;
         }
-        door.answered += 1;
-        let number = door.answered;
-        let mut loans = Vec::new();
+        let doubt = self.in_doubt(now);
+        let mut changed: BTreeMap<String, Vec<Loan>> = BTreeMap::from([(name.to_owned(), Vec::new())]);
         for tenant in tenants {
-            let target = self.target(name, tenant, count);
-            let others: u32 = self
-                .doors
-                .iter()
-                .filter(|(n, _)| *n != name)
-                .filter_map(|(_, d)| Some(d.loans.get(tenant)?.most))
-                .sum();
-            let limit = self.limit;
-            let Some(door) = self.doors.get_mut(name) else { break };
-            let loan = door.loans.entry(tenant.to_owned()).or_default();
-            let free = if doubt { 0 } else { limit.saturating_sub(others.saturating_add(loan.most)) };
-            let next = target.min(loan.most.saturating_add(free));
-            let change = f64::from(next.abs_diff(loan.said));
-            let coarse = (COARSE * f64::from(limit)).max(COARSE_PART * f64::from(loan.said.min(next)));
-            if change > coarse {
-                *loan = Out { said: next, most: loan.most.max(next), number };
+            let news = freed.contains(tenant) || before.contains_key(tenant);
+            let asked = self.doors.get(name).is_some_and(|door| door.asks(now, tenant) > 0.0);
+            let unheard = self.doors.get(name).is_some_and(|door| !door.loans.contains_key(tenant));
+            if report.first || news || asked || unheard {
+                self.balance(now, name, tenant, doubt, freed.contains(tenant), &mut changed);
+            }
+        }
+        let count = self.doors.len() as u32;
+        let mut answers = Vec::new();
+        for (to, loans) in changed {
+            let Some(door) = self.doors.get_mut(&to) else { continue };
+            let mine = to == name;
+            // What was said and is not confirmed is said again.
+            let again = |loan: &Out| mine && (loan.number > report.confirmed || report.first);
+            let mut all: BTreeMap<String, u32> =
+                door.loans.iter().filter(|(_, loan)| again(loan)).map(|(t, l)| (t.clone(), l.said)).collect();
+            all.extend(loans.into_iter().map(|loan| (loan.tenant, loan.parts)));
+            if all.is_empty() && !mine {
+                continue;
+            }
+            door.answered += 1;
+            for tenant in all.keys() {
+                door.loans.entry(tenant.clone()).and_modify(|loan| loan.number = door.answered);
             }
-            if loan.number > report.confirmed || report.first {
-                loans.push(Loan { tenant: tenant.to_owned(), parts: loan.said });
-                loan.number = number;
+            let loans = all.into_iter().map(|(tenant, parts)| Loan { tenant, parts }).collect();
+            let life = door.life;
+            let lent = Lent { number: door.answered, report: door.report, loans, doors: count, life };
+            if mine {
+                answers.insert(0, (to, lent));
+            } else {
+                answers.push((to, lent));
             }
         }
-        Lent { number, report: report.number, loans, doors: count as u32 }
+        answers
     }
 
-    /// What a door should have of a tenant: a part evenly, the rest by what is asked of each.
-    fn target(&self, name: &str, tenant: &str, count: usize) -> u32 {
+    /// A new life of a door: what an earlier one held is over with it, and what it says that it holds is confirmed.
+    fn begin(&mut self, now: Millis, name: &str, life: u64, report: &Report) {
+        let inherited = self.doors.remove(name).map(|door| door.demand).unwrap_or_default();
+        let mut door = Door {
+            life,
+            until: now,
+            loans: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            inherited: (inherited, now + INHERITS),
+            answered: 0,
+            confirmed: 0,
+            report: 0,
+        };
+        for loan in report.held.iter().filter(|_| report.first) {
+            // A report may be long under way: what has run out meanwhile may be lent to others.
+            let parts = loan.parts.min(self.limit.saturating_sub(self.out(&loan.tenant)));
+            door.loans.insert(loan.tenant.clone(), Out { said: parts, most: parts, number: 0 });
+        }
+        self.doors.insert(name.to_owned(), door);
+    }
+
+    /// Brings one tenant's loans nearer to what is asked. The door that reports is brought there as far as there is room; the
+    /// others are told only where that helps somebody.
+    fn balance(
+        &mut self,
+        now: Millis,
+        name: &str,
+        tenant: &str,
+        doubt: bool,
+        freed: bool,
+        changed: &mut BTreeMap<String, Vec<Loan>>,
+    ) {
         let limit = f64::from(self.limit);
-        let asks = |door: &Door| door.demand.get(tenant).copied().unwrap_or(0.0);
-        let all: f64 = self.doors.values().map(asks).sum();
-        let own = self.doors.get(name).map_or(0.0, asks);
-        let even = 1.0 / count.max(1) as f64;
-        let part = if all > 0.0 { EVEN * even + (1.0 - EVEN) * own / all } else { even };
-        (limit * part) as u32
+        let even = 1.0 / self.doors.len().max(1) as f64;
+        let all: f64 = self.doors.values().map(|door| door.asks(now, tenant)).sum();
+        let target = |door: &Door| {
+            let by_demand = if all > 0.0 { (1.0 - EVEN) * door.asks(now, tenant) / all } else { 0.0 };
+            (limit * (EVEN * even + by_demand)) as u32
+        };
+        let worth = |next: u32, said: u32| {
+            let coarse = (COARSE * limit).max(COARSE_PART * f64::from(said.min(next)));
+            f64::from(next.abs_diff(said)) > coarse
+        };
+        let mut out = self.out(tenant);
+        let lacks = self.doors.get(name).is_some_and(|door| {
+            let loan = door.loans.get(tenant).copied().unwrap_or_default();
+            let free = if doubt { 0 } else { self.limit.saturating_sub(out) };
+            worth(target(door), loan.said) && target(door) > loan.most.saturating_add(free)
+        });
+        let mut tell = |to: &str, parts: u32| {
+            let loan = Loan { tenant: tenant.to_owned(), parts };
+            changed.entry(to.to_owned()).or_default().push(loan);
+        };
+        // First who gives back: it counts as out until that is confirmed.
+        for (to, door) in &mut self.doors {
+            let aim = target(door);
+            let loan = door.loans.entry(tenant.to_owned()).or_default();
+            if aim < loan.said && worth(aim, loan.said) && (lacks || to == name) {
+                loan.said = aim;
+                tell(to, aim);
+            }
+        }
+        for (to, door) in &mut self.doors {
+            let aim = target(door);
+            let loan = door.loans.entry(tenant.to_owned()).or_default();
+            let free = if doubt { 0 } else { self.limit.saturating_sub(out) };
+            let next = aim.min(loan.most.saturating_add(free));
+            if next > loan.said && worth(next, loan.said) && (freed || to == name) {
+                out += next.saturating_sub(loan.most);
+                (loan.said, loan.most) = (next, loan.most.max(next));
+                tell(to, next);
+            }
+        }
     }
 
-    /// What is out of a tenant's quota at most; for tests and for the log.
+    /// What is out of a tenant's quota at most.
     pub fn out(&self, tenant: &str) -> u32 {
         self.doors.values().filter_map(|door| Some(door.loans.get(tenant)?.most)).sum()
     }
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -84,4 +84,7 @@
     /// Doors that are known: a part of what is lent to nobody in particular falls to each.
     #[prost(uint32, tag = "4")]
     pub doors: u32,
+    /// The life of the door that is meant.
+    #[prost(uint64, tag = "5")]
+    pub life: u64,
 }
--- a/crates/toll/src/purse.rs
+++ b/crates/toll/src/purse.rs
@@ -21,12 +21,18 @@
 }
 
 /// What a door holds of all lenders.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Purse {
+    life: u64,
     held: BTreeMap<String, Held>,
 }
 
 impl Purse {
+    /// The purse of this life of a door.
+    pub fn new(life: u64) -> Purse {
+        Purse { life, held: BTreeMap::new() }
+    }
+
     /// There is a new connection to a lender, which may be a new life of it: answers that are under way are void.
     pub fn connected(&mut self, lender: &str) {
         let held = self.held.entry(lender.to_owned()).or_default();
@@ -57,22 +63,30 @@
         }
     }
 
-    /// A lender has answered. What has run out before is void, and does not come back with the answer.
-    pub fn lent(&mut self, now: Millis, lender: &str, lent: &Lent) {
-        let Some(held) = self.held.get_mut(lender) else { return };
+    /// A lender has answered, or says more on the same report. What has run out before is void, and does not come back with it.
+    /// Tells whether it takes something back, and whether it lends more: the former is to be confirmed at once.
+    pub fn lent(&mut self, now: Millis, lender: &str, lent: &Lent) -> (bool, bool) {
+        // What was lent to an earlier life is not lent to this one.
+        let Some(held) = self.held.get_mut(lender).filter(|_| lent.life == self.life) else {
+            return (false, false);
+        };
         if now >= held.until {
             held.loans.clear();
         }
         let Some(at) = held.asked.iter().find(|(number, _)| *number == lent.report).map(|(_, at)| *at) else {
-            return;
+            return (false, false);
         };
-        held.asked.retain(|(number, _)| *number > lent.report);
+        held.asked.retain(|(number, _)| *number >= lent.report);
         held.until = held.until.max(at + LASTS);
         held.confirmed = held.confirmed.max(lent.number);
         held.doors = lent.doors;
+        let (mut less, mut more) = (false, false);
         for loan in &lent.loans {
-            held.loans.insert(loan.tenant.clone(), loan.parts);
+            let before = held.loans.insert(loan.tenant.clone(), loan.parts).unwrap_or(0);
+            less |= loan.parts < before;
+            more |= loan.parts > before;
         }
+        (less, more)
     }
 
     /// The part of a tenant's quota that is held now, from nought to one.
