--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -29,6 +29,8 @@
 const LONGEST_MOMENT: Millis = 120.0;
 /// Lenders answer within this, or are taken not to; and are asked again after this.
 const LENDERS_ANSWER: (Millis, Millis) = (30.0, 1000.0);
+/// A tenant is short of tokens for this long after it was turned away.
+const SHORT: Millis = 300.0;
 /// Requests at most that wait for their answers.
 const MOST_REQUESTS: usize = 4096;
 
@@ -168,6 +170,8 @@
     urgent: Millis,
     /// When the lenders were asked for more of a tenant's quota.
     asked: HashMap<Rc<str>, Millis>,
+    /// When a tenant's bucket was found empty last.
+    short: HashMap<Rc<str>, Millis>,
     directory: Directory,
     services: Services,
     requests: HashMap<RequestId, Entry>,
@@ -214,6 +218,7 @@
             exchanges: settings.seeds.iter().map(|seed| seed.ip().to_string()).collect(),
             urgent: 0.0,
             asked: HashMap::new(),
+            short: HashMap::new(),
             directory: Directory::default(),
             services: Services::new(settings.bounds, &settings.zone, seed),
             requests: HashMap::new(),
@@ -585,6 +590,7 @@
         let told = |(who, rate): (&Rc<str>, f64)| Demand {
             tenant: who.to_string(),
             rate: (rate * 1000.0).min(1e9) as u32,
+            short: self.short.get(who).is_some_and(|at| now - at < SHORT),
         };
         self.tenants.demand(now).map(told).collect()
     }
@@ -600,6 +606,7 @@
     /// Asks the lenders for more of a tenant's quota, and tells for how long their answers are worth waiting for.
     fn await_loan(&mut self, now: Millis, who: &Rc<str>, out: &mut Vec<Output>) -> Option<Millis> {
         let (soon, later) = LENDERS_ANSWER;
+        self.short.insert(who.clone(), now);
         let asked = self.asked.get(who).copied();
         if asked.is_none_or(|asked| now - asked >= later) && !self.connected.is_empty() {
             self.asked.insert(who.clone(), now);
@@ -714,6 +721,7 @@
             self.tenants.hold(now, &who, quota);
         }
         self.asked.clear();
+        self.short.clear();
         self.names.retain(|_, name| Rc::strong_count(name) > 1);
         out.push(Output::Changed);
     }
--- a/crates/switchboard/tests/quotas.rs
+++ b/crates/switchboard/tests/quotas.rs
@@ -117,6 +117,7 @@
                     let demand = demand.map(|(who, rate)| Demand {
                         tenant: (*who).to_owned(),
                         rate: (rate * 1000.0) as u32,
+                        short: draw() < 0.3,
                     });
                     let report = door.purse.report(now, &lender.to_string(), demand.collect());
                     if !away {
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -116,6 +116,8 @@
         door.confirmed = report.confirmed;
         let demand = report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0));
         let before = std::mem::replace(&mut door.demand, demand.collect());
+        let short: BTreeSet<String> =
+            report.demand.iter().filter(|d| d.short).map(|d| d.tenant.clone()).collect();
         let mut freed = BTreeSet::new();
         for (tenant, loan) in door.loans.iter_mut().filter(|(_, loan)| loan.number <= report.confirmed) {
             if loan.most > loan.said {
@@ -130,7 +132,8 @@
             let asked = self.doors.get(name).is_some_and(|door| door.asks(now, tenant) > 0.0);
             let unheard = self.doors.get(name).is_some_and(|door| !door.loans.contains_key(tenant));
             if report.first || news || asked || unheard {
-                self.balance(now, name, tenant, doubt, freed.contains(tenant), &mut changed);
+                let why = (doubt, freed.contains(tenant), short.contains(tenant));
+                self.balance(now, name, tenant, why, &mut changed);
             }
         }
         let count = self.doors.len() as u32;
@@ -190,16 +193,15 @@
         now: Millis,
         name: &str,
         tenant: &str,
-        doubt: bool,
-        freed: bool,
+        (doubt, freed, short): (bool, bool, bool),
         changed: &mut BTreeMap<String, Vec<Loan>>,
     ) {
         let limit = f64::from(self.limit);
         let even = 1.0 / self.doors.len().max(1) as f64;
         let all: f64 = self.doors.values().map(|door| door.asks(now, tenant)).sum();
         let target = |door: &Door| {
-            let by_demand = if all > 0.0 { (1.0 - EVEN) * door.asks(now, tenant) / all } else { 0.0 };
-            (limit * (EVEN * even + by_demand)) as u32
+            let share = if all > 0.0 { door.asks(now, tenant) / all } else { even };
+            (limit * (EVEN * even + (1.0 - EVEN) * share)) as u32
         };
         let worth = |next: u32, said: u32| {
             let coarse = (COARSE * limit).max(COARSE_PART * f64::from(said.min(next)));
@@ -209,7 +211,7 @@
         let lacks = self.doors.get(name).is_some_and(|door| {
             let loan = door.loans.get(tenant).copied().unwrap_or_default();
             let free = if doubt { 0 } else { self.limit.saturating_sub(out) };
-            worth(target(door), loan.said) && target(door) > loan.most.saturating_add(free)
+            short && worth(target(door), loan.said) && target(door) > loan.most.saturating_add(free)
         });
         let mut tell = |to: &str, parts: u32| {
             let loan = Loan { tenant: tenant.to_owned(), parts };
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -44,6 +44,9 @@
     /// Requests of late, in thousandths a second.
     #[prost(uint32, tag = "2")]
     pub rate: u32,
+    /// Whether requests were turned away of late for lack of it.
+    #[prost(bool, tag = "3")]
+    pub short: bool,
 }
 
 /// A door's word to a lender.
