--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -37,6 +37,8 @@
     confirmed: u64,
     /// Its last report.
     report: u64,
+    /// Doors that there were when all its loans were balanced last.
+    among: usize,
 }
 
 impl Door {
@@ -126,13 +128,17 @@
             loan.most = loan.said;
         }
         let doubt = self.in_doubt(now);
+        let there = self.doors.len();
+        let others_came =
+            self.doors.get_mut(name).is_some_and(|door| std::mem::replace(&mut door.among, there) != there);
         let mut changed: BTreeMap<String, Vec<Loan>> = BTreeMap::from([(name.to_owned(), Vec::new())]);
         for tenant in tenants {
             let news = freed.contains(tenant) || before.contains_key(tenant);
             let asked = self.doors.get(name).is_some_and(|door| door.asks(now, tenant) > 0.0);
             let unheard = self.doors.get(name).is_some_and(|door| !door.loans.contains_key(tenant));
-            if report.first || news || asked || unheard {
-                let why = (doubt, freed.contains(tenant), short.contains(tenant));
+            if report.first || news || asked || unheard || others_came {
+                let lacks = short.contains(tenant) || others_came || unheard;
+                let why = (doubt, freed.contains(tenant), lacks);
                 self.balance(now, name, tenant, why, &mut changed);
             }
         }
@@ -177,6 +183,7 @@
             answered: 0,
             confirmed: 0,
             report: 0,
+            among: 0,
         };
         for loan in report.held.iter().filter(|_| report.first) {
             // A report may be long under way: what has run out meanwhile may be lent to others.
@@ -186,14 +193,14 @@
         self.doors.insert(name.to_owned(), door);
     }
 
-    /// Brings one tenant's loans nearer to what is asked. The door that reports is brought there as far as there is room; the
-    /// others are told only where that helps somebody.
+    /// Brings one tenant's loans nearer to what is asked. The door that reports is brought there as far as there is room. What
+    /// others hold is taken back only where it lacks that: with a loan goes what its bucket holds, and demand moves to and fro.
     fn balance(
         &mut self,
         now: Millis,
         name: &str,
         tenant: &str,
-        (doubt, freed, short): (bool, bool, bool),
+        (doubt, freed, lacks): (bool, bool, bool),
         changed: &mut BTreeMap<String, Vec<Loan>>,
     ) {
         let limit = f64::from(self.limit);
@@ -211,7 +218,7 @@
         let lacks = self.doors.get(name).is_some_and(|door| {
             let loan = door.loans.get(tenant).copied().unwrap_or_default();
             let free = if doubt { 0 } else { self.limit.saturating_sub(out) };
-            short && worth(target(door), loan.said) && target(door) > loan.most.saturating_add(free)
+            lacks && worth(target(door), loan.said) && target(door) > loan.most.saturating_add(free)
         });
         let mut tell = |to: &str, parts: u32| {
             let loan = Loan { tenant: tenant.to_owned(), parts };
@@ -221,7 +228,7 @@
         for (to, door) in &mut self.doors {
             let aim = target(door);
             let loan = door.loans.entry(tenant.to_owned()).or_default();
-            if aim < loan.said && worth(aim, loan.said) && (lacks || to == name) {
+            if lacks && aim < loan.said && worth(aim, loan.said) {
                 loan.said = aim;
                 tell(to, aim);
             }
