--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -227,7 +227,7 @@
         // First who gives back: it counts as out until that is confirmed.
         for (to, door) in &mut self.doors {
             let aim = target(door);
-            let loan = door.loans.entry(tenant.to_owned()).or_default();
+            let Some(loan) = door.loans.get_mut(tenant) else { continue };
             if lacks && aim < loan.said && worth(aim, loan.said) {
                 loan.said = aim;
                 tell(to, aim);
@@ -235,6 +235,10 @@
         }
         for (to, door) in &mut self.doors {
             let aim = target(door);
+            // A door that has never been told of a tenant is told when it reports.
+            if to != name && !door.loans.contains_key(tenant) {
+                continue;
+            }
             let loan = door.loans.entry(tenant.to_owned()).or_default();
             let free = if doubt { 0 } else { self.limit.saturating_sub(out) };
             let next = aim.min(loan.most.saturating_add(free));
--- a/crates/toll/tests/lender.rs
+++ b/crates/toll/tests/lender.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Bench {
+    tenants: Vec<&'static str>,
     lender: Lender,
     purses: BTreeMap<String, (u64, Purse)>,
     now: f64,
@@ -12,7 +13,7 @@
 impl Bench {
     fn new() -> Bench {
         let lender = Lender::new(0.0, 1, Some(BTreeSet::new()));
-        Bench { lender, purses: BTreeMap::new(), now: 0.0 }
+        Bench { tenants: vec!["t"], lender, purses: BTreeMap::new(), now: 0.0 }
     }
 
     /// A door reports, and all that follows is delivered.
@@ -29,7 +30,9 @@
             let asked = Demand { tenant: "t".into(), rate: (rate * 1000.0) as u32, short };
             let demand = if rate > 0.0 { vec![asked] } else { Vec::new() };
             let report = purse.report(self.now, "lender", demand);
-            for (to, lent) in self.lender.report(self.now, &door, *life, &report, ["t"].into_iter()) {
+            for (to, lent) in
+                self.lender.report(self.now, &door, *life, &report, self.tenants.iter().copied())
+            {
                 let Some((_, purse)) = self.purses.get_mut(&to) else { continue };
                 let (less, _) = purse.lent(self.now, "lender", &lent);
                 if less {
@@ -60,6 +63,26 @@
     }
 }
 
+/// Guards a configuration that comes after the doors have reported: each has its part before anybody asks.
+#[test]
+fn tenants_that_come_later_are_dealt_to_all_doors() {
+    let mut bench = Bench::new();
+    bench.tenants.clear();
+    for turn in 0..8 {
+        if turn == 4 {
+            bench.tenants.push("t");
+        }
+        for door in ["a", "b", "c", "d"] {
+            bench.now += 100.0;
+            bench.report(door, 1, 0.0, false);
+        }
+    }
+    for door in ["a", "b", "c", "d"] {
+        let part = bench.part(door);
+        assert!((part - 0.25).abs() < 0.03, "{door} holds {part}");
+    }
+}
+
 /// Guards tenants that come through one door: what others hold unused is there at once when it lacks it.
 #[test]
 fn a_door_that_is_short_gets_what_others_do_not_use_at_once() {
