--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -247,7 +247,7 @@
             .map(|(conn, _)| *conn)
             .collect();
         for conn in quiet {
-            self.to_door(now, conn, write(Frame::Pulse(0)), out);
+            self.say(now, conn, write(Frame::Pulse(0)), out);
         }
     }
 
@@ -355,7 +355,7 @@
         for (node, lent) in answers {
             let conn = if node == mine { Some(conn) } else { self.conn_of(&node) };
             if let Some(conn) = conn {
-                self.to_door(now, conn, write(Frame::Lent(lent)), out);
+                self.say(now, conn, write(Frame::Lent(lent)), out);
             }
         }
     }
@@ -488,7 +488,7 @@
         }
         let bytes = write(Frame::Words(Words { words, all: false, receipt: 0 }));
         for conn in self.doors.keys().copied().collect::<Vec<_>>() {
-            self.to_door(now, conn, bytes.clone(), out);
+            self.say(now, conn, bytes.clone(), out);
         }
     }
 
@@ -508,7 +508,7 @@
         let words = self.directory.words(now);
         let serving = |word: &Word| matches!(word.state(), State::Serving | State::Leaving);
         let words = words.into_iter().filter(serving).collect();
-        self.to_door(now, conn, write(Frame::Words(Words { words, all, receipt: 0 })), out);
+        self.say(now, conn, write(Frame::Words(Words { words, all, receipt: 0 })), out);
     }
 
     fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
@@ -717,10 +717,10 @@
                 plans.items = self.board.items().cloned().collect();
             }
         }
-        self.to_door(now, conn, write(Frame::Plans(plans)), out);
+        self.say(now, conn, write(Frame::Plans(plans)), out);
     }
 
-    fn to_door(&mut self, now: Millis, conn: u64, bytes: Bytes, out: &mut Vec<Output>) {
+    fn say(&mut self, now: Millis, conn: u64, bytes: Bytes, out: &mut Vec<Output>) {
         if let Some(door) = self.doors.get_mut(&conn) {
             door.spoken = now;
             out.push(Output::Door(conn, bytes));
--- a/crates/switchboard/src/main.rs
+++ b/crates/switchboard/src/main.rs
@@ -142,7 +142,7 @@
         tick.tick().await;
         door.drive(|core, now, out| core.tick(now, out));
         ticks += 1;
-        if ticks % ACCOUNT == 0 {
+        if ticks.is_multiple_of(ACCOUNT) {
             if let Some(line) = door.ask(|core| core.account()) {
                 log::info!("{line}");
             }
--- a/crates/tandem/src/node.rs
+++ b/crates/tandem/src/node.rs
@@ -265,7 +265,7 @@
             self.pulse(now, out);
             return;
         }
-        let votes = self.disk.trusted && self.voters.contains(&self.me);
+        let votes = self.votes();
         if votes && now >= self.stands {
             self.ask_around(now, out);
         }
@@ -298,10 +298,8 @@
                 self.say(from, What::Appended(answer), out);
             }
             What::Appended(answer) if !old => self.appended(now, from, answer, out),
-            What::Stand(_) if !old && from == self.leader.as_deref().unwrap_or_default() => {
-                if self.disk.trusted && self.voters.contains(&self.me) {
-                    self.stand(now, out);
-                }
+            What::Stand(_) if !old && self.leader.as_deref() == Some(from) && self.votes() => {
+                self.stand(now, out)
             }
             What::Join(join) => self.joined(now, from, join, out),
             _ => {}
@@ -523,6 +521,10 @@
         self.stands = now + SILENT + SPREAD * chance(&mut self.rng);
     }
 
+    fn votes(&self) -> bool {
+        self.disk.trusted && self.voters.contains(&self.me)
+    }
+
     fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
--- a/crates/tandem/tests/played.rs
+++ b/crates/tandem/tests/played.rs
@@ -199,7 +199,7 @@
                         self.step(&name, |tandem, now, out| tandem.written(now, number, out));
                     }
                 }
-                if (now as u64).is_multiple_of(100) {
+                if (now as u64) % 100 == 0 {
                     self.step(&name, |tandem, now, out| tandem.tick(now, out));
                 }
             }
