The settings file is read again at SIGHUP and when it changes with no signal

So far SIGHUP was only logged. Seeds and bounds (door) or seeds and beats (exchange) hold from then on; a file that cannot be used is told and changes nothing. The file is looked at every 2 s. Test: a change is noticed once, and not where the file is away for a moment.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -398,6 +398,11 @@
         }
     }
 
+    /// The settings file has changed: what it says of beats holds from now on; the rest takes a start.
+    pub fn reload(&mut self, settings: &Settings) {
+        self.silence = MISSED * settings.heartbeat_s * 1000.0;
+    }
+
     /// A planned stop begins: somebody else is to lead.
     pub fn stop(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.stopping = true;
--- a/crates/exchange/src/main.rs
+++ b/crates/exchange/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use maplefall_exchange::net;
-use maplefall_mainframe::Settings;
+use maplefall_mainframe::{Settings, Watched};
 use std::hash::{BuildHasher, Hasher};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -52,7 +52,8 @@
 fn run() -> Result<(), String> {
     let logger = flexi_logger::Logger::try_with_env_or_str("info").map_err(|error| error.to_string())?;
     let _logger = logger.log_to_stderr().format(line).start().map_err(|error| error.to_string())?;
-    let settings = Settings::load(&Settings::path()).map_err(|error| error.to_string())?;
+    let file = Watched::new(Settings::path());
+    let settings = Settings::load(file.path()).map_err(|error| error.to_string())?;
     // The standard library's hashers are keyed from the system's source of chance.
     let seed = std::collections::hash_map::RandomState::new().build_hasher().finish();
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -60,7 +61,7 @@
         .build()
         .map_err(|error| format!("step=runtime error={:?}", error.kind()))?;
     let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(net::run(settings, seed))).map_err(|error| error.to_string())
+    runtime.block_on(local.run_until(net::run(settings, file, seed))).map_err(|error| error.to_string())
 }
 
 /// One line of key=value pairs for each event.
--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use maplefall_cord::{carry, dial, End, Pause, QUEUE};
-use maplefall_mainframe::Settings;
+use maplefall_mainframe::{Settings, Watched};
 use maplefall_signalling::{write, Frame, Hello, VERSION};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -34,6 +34,8 @@
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 /// Records that wait for the disk at most.
 const MOST_RECORDS: usize = 65_536;
+/// The settings file is looked at once in this many ticks.
+const LOOK: u32 = 20;
 /// How long a planned stop takes: who is connected finds another exchange, and somebody else leads.
 const LAST: Duration = Duration::from_millis(400);
 
@@ -83,7 +85,7 @@
 }
 
 /// Runs an exchange until a SIGTERM has been carried out.
-pub async fn run(settings: Settings, seed: u64) -> Result<(), Error> {
+pub async fn run(settings: Settings, mut file: Watched, seed: u64) -> Result<(), Error> {
     let mut term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
     let mut hup = signal(SignalKind::hangup()).map_err(Error::Signals)?;
     let control = settings.bind.control.ok_or(Error::Missing("Bind.Control"))?;
@@ -112,7 +114,7 @@
     tokio::task::spawn_local(exchange.clone().accept_inner(exchanges));
     let mut tick = tokio::time::interval(Duration::from_secs_f64(TICK / 1000.0));
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut last = None;
+    let (mut last, mut looks) = (None, 0_u32);
     loop {
         tokio::select! {
             biased;
@@ -121,7 +123,7 @@
                 exchange.drive(|core, now, out| core.stop(now, out));
                 last = Some(tokio::time::Instant::now() + LAST);
             }
-            _ = hup.recv() => log::info!("event=reload node={}", settings.node),
+            _ = hup.recv() => reload(&exchange, &file, true),
             result = written.recv() => match result {
                 Some(Ok(number)) => exchange.drive(|core, now, out| core.written(now, number, out)),
                 // What is on disk now only a new start can tell.
@@ -131,6 +133,10 @@
             _ = tick.tick() => {
                 exchange.drive(|core, now, out| core.tick(now, out));
                 exchange.dial_voters();
+                looks += 1;
+                if looks % LOOK == 0 && file.changed() {
+                    reload(&exchange, &file, false);
+                }
                 if last.is_some_and(|last| tokio::time::Instant::now() >= last) {
                     return Ok(());
                 }
@@ -139,6 +145,18 @@
     }
 }
 
+/// Reads the settings file again; one that cannot be used changes nothing.
+fn reload(exchange: &Rc<Exchange>, file: &Watched, told: bool) {
+    match Settings::load(file.path()) {
+        Ok(settings) => {
+            log::info!("event=reload node={} signal={told}", settings.node);
+            exchange.core.borrow_mut().reload(&settings);
+            settings.seeds.iter().for_each(|seed| exchange.clone().dial_peer(seed.ip()));
+        }
+        Err(error) => log::warn!("event=reload signal={told} {error}"),
+    }
+}
+
 fn start(
     settings: &Settings,
     seed: u64,
--- a/crates/mainframe/src/lib.rs
+++ b/crates/mainframe/src/lib.rs
@@ -298,6 +298,35 @@
     }
 }
 
+/// A settings file that is looked at now and then: it may change with no signal.
+#[derive(Debug)]
+pub struct Watched {
+    path: PathBuf,
+    seen: Option<(std::time::SystemTime, u64)>,
+}
+
+impl Watched {
+    /// The file as it is now.
+    pub fn new(path: PathBuf) -> Watched {
+        let mut watched = Watched { path, seen: None };
+        watched.changed();
+        watched
+    }
+
+    /// Where it lies.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Whether it is another than when it was last looked at. One that is not there just now has not changed.
+    pub fn changed(&mut self) -> bool {
+        let Ok(data) = std::fs::metadata(&self.path) else { return false };
+        let Ok(modified) = data.modified() else { return false };
+        let now = Some((modified, data.len()));
+        std::mem::replace(&mut self.seen, now) != now
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -329,6 +358,19 @@
         assert_eq!(settings.bind.front_http.map(|a| a.port()), Some(8388));
     }
 
+    /// Guards a file that changes with no signal, or is away for a moment while it is written anew.
+    #[test]
+    fn a_file_that_changes_is_noticed_once() {
+        let path = std::env::temp_dir().join(format!("maplefall-watched-{}", std::process::id()));
+        std::fs::write(&path, DOOR).expect("a file");
+        let mut watched = Watched::new(path.clone());
+        assert!(!watched.changed());
+        std::fs::write(&path, format!("{DOOR}\n# longer")).expect("a file");
+        assert!(watched.changed() && !watched.changed());
+        std::fs::remove_file(&path).expect("a file");
+        assert!(!watched.changed());
+    }
+
     /// Guards the operator: what cannot be used is told with its field, not guessed at.
     #[test]
     fn what_cannot_be_used_is_told_with_its_field() {
--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -245,6 +245,17 @@
         !self.stopping && self.index > 0 && self.services.any()
     }
 
+    /// The settings file has changed: seeds and bounds hold from now on; the rest takes a start.
+    pub fn reload(&mut self, settings: &Settings, out: &mut Vec<Output>) {
+        self.bounds = settings.bounds;
+        self.services.set_bounds(settings.bounds);
+        let known = self.exchanges.len();
+        self.exchanges.extend(settings.seeds.iter().map(|seed| seed.ip().to_string()));
+        if self.exchanges.len() > known {
+            out.push(Output::Exchanges(self.exchanges.iter().cloned().collect()));
+        }
+    }
+
     /// A planned stop begins.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/crates/switchboard/src/main.rs
+++ b/crates/switchboard/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, Subcommand};
 use http_body_util::Full;
 use hyper::{Response, StatusCode};
-use maplefall_mainframe::Settings;
+use maplefall_mainframe::{Settings, Watched};
 use maplefall_signalling::{Hello, VERSION};
 use maplefall_switchboard::clients::Clients;
 use maplefall_switchboard::door::Door;
@@ -25,6 +25,8 @@
 const BODIES: u64 = 3;
 /// Ticks between two lines about what was served.
 const ACCOUNT: u32 = 10;
+/// How often the settings file is looked at.
+const LOOK: Duration = Duration::from_secs(2);
 /// Time for the last words to the exchanges.
 const FAREWELL: Duration = Duration::from_millis(20);
 
@@ -73,7 +75,8 @@
 fn run() -> Result<(), String> {
     let logger = flexi_logger::Logger::try_with_env_or_str("info").map_err(|error| error.to_string())?;
     let _logger = logger.log_to_stderr().format(line).start().map_err(|error| error.to_string())?;
-    let settings = Settings::load(&Settings::path()).map_err(|error| error.to_string())?;
+    let path = Settings::path();
+    let settings = Settings::load(&path).map_err(|error| error.to_string())?;
     // The standard library's hashers are keyed from the system's source of chance.
     let seed = std::collections::hash_map::RandomState::new().build_hasher().finish();
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -81,10 +84,10 @@
         .build()
         .map_err(|error| format!("step=runtime error={:?}", error.kind()))?;
     let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(serve(settings, seed)))
+    runtime.block_on(local.run_until(serve(settings, path, seed)))
 }
 
-async fn serve(settings: Settings, seed: u64) -> Result<(), String> {
+async fn serve(settings: Settings, path: PathBuf, seed: u64) -> Result<(), String> {
     let signals = |error: std::io::Error| format!("step=signals error={:?}", error.kind());
     let mut term = signal(SignalKind::terminate()).map_err(signals)?;
     let mut hup = signal(SignalKind::hangup()).map_err(signals)?;
@@ -115,10 +118,22 @@
     tokio::task::spawn_local(probes(door.clone(), probes_at));
     tokio::task::spawn_local(tick(door.clone()));
     let grace = Duration::from_secs_f64(settings.bounds.grace_s);
+    let mut file = Watched::new(path);
     loop {
-        tokio::select! {
+        let told = tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => log::info!("event=reload node={}", settings.node),
+            _ = hup.recv() => true,
+            () = tokio::time::sleep(LOOK) => false,
+        };
+        // Both are asked: what a signal told is not told again by the file.
+        if file.changed() || told {
+            match Settings::load(file.path()) {
+                Ok(settings) => {
+                    log::info!("event=reload node={} signal={told}", settings.node);
+                    door.drive(|core, _, out| core.reload(&settings, out));
+                }
+                Err(error) => log::warn!("event=reload signal={told} {error}"),
+            }
         }
     }
     log::info!("event=stop node={}", settings.node);
--- a/crates/switchboard/src/services.rs
+++ b/crates/switchboard/src/services.rs
@@ -144,13 +144,24 @@
 
     /// So many doors are known.
     pub fn set_doors(&mut self, doors: u32) {
-        if doors == self.doors {
-            return;
+        if doors != self.doors {
+            self.doors = doors;
+            self.amend();
         }
-        self.doors = doors;
-        let saved = self.saved();
+    }
+
+    /// Goes by these bounds from now on.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+        self.amend();
+    }
+
+    fn amend(&mut self) {
+        let (doors, saved, share) = (self.doors, self.saved(), self.bounds.retry_budget_ratio);
         for service in &mut self.list {
-            service.gateway.amend(|set| (set.gateways, set.retry_depth) = (doors, saved));
+            service.gateway.amend(|set| {
+                (set.gateways, set.retry_depth, set.retry_share) = (doors, saved, share);
+            });
         }
     }
 
--- a/crates/switchboard/tests/whole.rs
+++ b/crates/switchboard/tests/whole.rs
@@ -134,12 +134,13 @@
             folder.join("data")
         );
         let settings = maplefall_mainframe::Settings::read(&exchange, &folder).expect("settings");
+        let watched = maplefall_mainframe::Watched::new(folder.join("core.toml"));
         std::thread::spawn(move || {
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
             let local = tokio::task::LocalSet::new();
             runtime
-                .block_on(local.run_until(maplefall_exchange::net::run(settings, 7)))
+                .block_on(local.run_until(maplefall_exchange::net::run(settings, watched, 7)))
                 .expect("an exchange");
         });
         let file = folder.join("edge.toml");
