--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -193,6 +193,8 @@
     failed: u64,
     repeats: u64,
     unknown: u64,
+    /// Requests turned away for lack of tokens, by tenant.
+    turned: HashMap<Rc<str>, u64>,
 }
 
 /// What a tenant may use, and the part of it that is held here. In any window the runs are at most what buckets hold together
@@ -320,7 +322,10 @@
                 };
                 match turned {
                     Turned::Box(_) => self.counts.boxed += 1,
-                    Turned::Bucket(_) => self.counts.quota += 1,
+                    Turned::Bucket(_) => {
+                        self.counts.quota += 1;
+                        *self.counts.turned.entry(who.clone()).or_default() += 1;
+                    }
                 }
                 return Err(last);
             }
@@ -571,13 +576,27 @@
         }
     }
 
-    /// A line that tells what happened since the last one; `None` if nothing did.
-    pub fn account(&mut self) -> Option<String> {
+    /// A line that tells what happened since the last one; `None` if nothing did. Of tenants it names the one that was turned away
+    /// most, with the part of its quota that is held here.
+    pub fn account(&mut self, now: Millis) -> Option<String> {
         let c = std::mem::take(&mut self.counts);
+        let worst = c.turned.iter().max_by(|a, b| a.1.cmp(b.1).then_with(|| b.0.cmp(a.0)));
+        let worst = worst.map(|(who, times)| {
+            let part = self.purse.part(now, who);
+            format!(" tenant={who} turned={times} part={part:.3} lenders={}", self.connected.len())
+        });
         (c.arrived > 0).then(|| {
             format!(
-                "event=served arrived={} passed={} quota={} box={} no_backend={} failed={} repeats={} unknown={}",
-                c.arrived, c.passed, c.quota, c.boxed, c.no_backend, c.failed, c.repeats, c.unknown
+                "event=served arrived={} passed={} quota={} box={} no_backend={} failed={} repeats={} unknown={}{}",
+                c.arrived,
+                c.passed,
+                c.quota,
+                c.boxed,
+                c.no_backend,
+                c.failed,
+                c.repeats,
+                c.unknown,
+                worst.unwrap_or_default()
             )
         })
     }
--- a/crates/switchboard/src/main.rs
+++ b/crates/switchboard/src/main.rs
@@ -158,7 +158,8 @@
         door.drive(|core, now, out| core.tick(now, out));
         ticks += 1;
         if ticks.is_multiple_of(ACCOUNT) {
-            if let Some(line) = door.ask(|core| core.account()) {
+            let now = door.clock.now();
+            if let Some(line) = door.ask(|core| core.account(now)) {
                 log::info!("{line}");
             }
         }
