A request waits for a token that is sure to come, a fifth of its aim at most

Change: such a request waits for its token (min of aim/5 and a fifth of what the overshoot allows in a window, which is kept back for that); what would wait longer is refused at once as before.

--- a/crates/policy/src/tenants.rs
+++ b/crates/policy/src/tenants.rs
@@ -25,6 +25,8 @@
     pub depth: f64,
     /// The part of all that this door holds, from nought to one.
     pub part: f64,
+    /// Longest time that a request may wait for tokens which are sure to come.
+    pub wait: Millis,
 }
 
 /// Why a tenant's request is turned away, and how long that lasts.
@@ -36,7 +38,7 @@
     Bucket(Millis),
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Tenant {
     average: Cewma,
     demand: Cewma,
@@ -71,8 +73,7 @@
             self.full &= self.tenants.len() == before;
         }
         let tokens = if self.full { f64::INFINITY } else { 0.0 };
-        let (average, demand) = (Cewma::default(), Cewma::default());
-        let fresh = Tenant { average, demand, tokens, filled: now, flow: 0.0, heard: now };
+        let fresh = Tenant { tokens, filled: now, heard: now, ..Tenant::default() };
         let tenant = self.tenants.entry(who.clone()).or_insert(fresh);
         let flow = quota.rate * quota.part / 1000.0;
         let filled = tenant.flow.min(flow) * (now - tenant.filled).max(0.0);
@@ -81,9 +82,9 @@
     }
 
     /// Counts an arrival of `units`, and takes them from the tenant's bucket or tells why not.
-    pub fn arrived(&mut self, now: Millis, who: &K, units: f64, quota: Quota) -> Result<(), Turned> {
+    pub fn arrived(&mut self, now: Millis, who: &K, units: f64, quota: Quota) -> Result<Millis, Turned> {
         self.hold(now, who, quota);
-        let Some(tenant) = self.tenants.get_mut(who) else { return Ok(()) };
+        let Some(tenant) = self.tenants.get_mut(who) else { return Ok(0.0) };
         let burst_length = 1000.0 * quota.burst / quota.rate.max(1e-9);
         let lambda = LN_2 / (HALFLIFE.0 * burst_length).clamp(HALFLIFE.1, EVICT / 4.0);
         // Every arrival feeds the average, refused ones too.
@@ -98,15 +99,16 @@
         self.take(now, who, units, quota)
     }
 
-    /// Takes from a bucket for an arrival that has been counted, or tells why not.
-    pub fn take(&mut self, now: Millis, who: &K, units: f64, quota: Quota) -> Result<(), Turned> {
+    /// Takes from a bucket for a counted arrival, and tells how long the tokens take to come; or tells why not.
+    pub fn take(&mut self, now: Millis, who: &K, units: f64, quota: Quota) -> Result<Millis, Turned> {
         self.hold(now, who, quota);
-        let Some(tenant) = self.tenants.get_mut(who).filter(|_| quota.rate > 0.0) else { return Ok(()) };
-        if tenant.tokens < units {
-            return Err(Turned::Bucket((units - tenant.tokens) / tenant.flow.max(1e-9)));
+        let Some(tenant) = self.tenants.get_mut(who).filter(|_| quota.rate > 0.0) else { return Ok(0.0) };
+        let wait = (units - tenant.tokens).max(0.0) / tenant.flow.max(1e-9);
+        if wait > quota.wait {
+            return Err(Turned::Bucket(wait));
         }
         tenant.tokens -= units;
-        Ok(())
+        Ok(wait)
     }
 
     /// Gives back what was taken for a request that was never sent on.
--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -29,6 +29,8 @@
 const LONGEST_MOMENT: Millis = 120.0;
 /// Lenders answer within this, or are taken not to; and are asked again after this.
 const LENDERS_ANSWER: (Millis, Millis) = (30.0, 1000.0);
+/// Part of its aim for which a request may wait for tokens that are sure to come.
+const WAIT_AIMS: f64 = 0.2;
 /// A tenant is short of tokens for this long after it was turned away.
 const SHORT: Millis = 300.0;
 /// Requests at most that wait for their answers.
@@ -140,6 +142,8 @@
 
 enum Due {
     Alarm(RequestId),
+    /// A request's token is there.
+    Token(RequestId),
     TimeOut(RequestId, u32),
 }
 
@@ -153,6 +157,8 @@
     may_have_run: bool,
     answered: bool,
     sent: bool,
+    /// What is decided once its token is there.
+    awaits: Option<Request>,
 }
 
 /// The decisions of one door.
@@ -198,10 +204,13 @@
 }
 
 /// What a tenant may use, and the part of it that is held here. In any window the runs are at most what buckets hold together
-/// and what fills them meanwhile: that is kept within the window's bound, with a tenth of what it allows on top to spare.
-pub fn quota(bounds: &Bounds, rate: f64, burst: f64, part: f64) -> Quota {
-    let over = 1.0 + 0.9 * bounds.quota_overshoot;
-    Quota { rate: over * rate, burst, depth: over * burst + 0.9 * bounds.quota_slack, part }
+/// and what fills them meanwhile: that is kept within the window's bound. A fifth of the overshoot is kept for requests that wait
+/// for tokens: if all loans ended while they do, they would run without.
+pub fn quota(bounds: &Bounds, rate: f64, burst: f64, part: f64, aim: Millis) -> Quota {
+    let over = 1.0 + 0.8 * bounds.quota_overshoot;
+    let spare = 1000.0 * 0.2 * bounds.quota_overshoot * bounds.quota_window_s;
+    let wait = spare.min(WAIT_AIMS * aim);
+    Quota { rate: over * rate, burst, depth: over * burst + 0.9 * bounds.quota_slack, part, wait }
 }
 
 impl Core {
@@ -304,30 +313,34 @@
         }
         self.counts.arrived += 1;
         let who = tenant.map(|tenant| self.name(&tenant.name));
+        let mut token = 0.0;
         if let (Some(tenant), Some(who)) = (tenant, &who) {
-            let quota = self.quota(now, tenant);
+            let quota = self.quota(now, tenant, route.aim);
             let taken = if arrival.again {
                 self.tenants.take(now, who, 1.0, quota)
             } else {
                 self.tenants.arrived(now, who, 1.0, quota)
             };
-            if let Err(turned) = taken {
-                let refusal = |wait: Millis| Final::not_run(429, wait.min(route.timeout));
-                let last = match turned {
-                    Turned::Box(wait) => Not::At(refusal(wait)),
-                    Turned::Bucket(wait) => match self.await_loan(now, who, out) {
-                        Some(moment) => Not::Yet(refusal(wait), moment),
-                        None => Not::At(refusal(wait)),
-                    },
-                };
-                match turned {
-                    Turned::Box(_) => self.counts.boxed += 1,
-                    Turned::Bucket(_) => {
-                        self.counts.quota += 1;
-                        *self.counts.turned.entry(who.clone()).or_default() += 1;
+            match taken {
+                Ok(wait) => token = wait,
+                Err(turned) => {
+                    let refusal = |wait: Millis| Final::not_run(429, wait.min(route.timeout));
+                    let last = match turned {
+                        Turned::Box(wait) => Not::At(refusal(wait)),
+                        Turned::Bucket(wait) => match self.await_loan(now, who, out) {
+                            Some(moment) => Not::Yet(refusal(wait), moment),
+                            None => Not::At(refusal(wait)),
+                        },
+                    };
+                    match turned {
+                        Turned::Box(_) => self.counts.boxed += 1,
+                        Turned::Bucket(_) => {
+                            self.counts.quota += 1;
+                            *self.counts.turned.entry(who.clone()).or_default() += 1;
+                        }
                     }
+                    return Err(last);
                 }
-                return Err(last);
             }
         }
         let class = self.services.class(place, route);
@@ -342,8 +355,8 @@
             may_have_run: false,
             answered: false,
             sent: false,
+            awaits: None,
         };
-        self.requests.insert(id, entry);
         let request = Request {
             id,
             customer: CustomerId(0),
@@ -354,7 +367,13 @@
             checked: true,
             spread: 1.0,
         };
-        self.post(now, place, Event::Arrival(request), out);
+        if token > 0.0 {
+            self.requests.insert(id, Entry { awaits: Some(request), ..entry });
+            self.timers.set(now + token, Due::Token(id));
+        } else {
+            self.requests.insert(id, entry);
+            self.post(now, place, Event::Arrival(request), out);
+        }
         Ok(Accepted { id, tenant: who })
     }
 
@@ -363,6 +382,11 @@
         let Some(entry) = self.requests.get_mut(&id).filter(|entry| !entry.answered) else { return };
         entry.answered = true;
         let service = entry.service;
+        if entry.awaits.take().is_some() {
+            if let Some(tenant) = &entry.tenant {
+                self.tenants.give_back(tenant, 1.0);
+            }
+        }
         self.post(now, service, Event::ClientGone(id), out);
         self.forget_if_over(id);
     }
@@ -533,7 +557,7 @@
     pub fn next_due(&mut self) -> Option<Millis> {
         let requests = &self.requests;
         self.timers.next(|due| match due {
-            Due::Alarm(id) => !requests.contains_key(id),
+            Due::Alarm(id) | Due::Token(id) => !requests.contains_key(id),
             Due::TimeOut(id, number) => {
                 let out = requests.get(id).and_then(|entry| entry.out);
                 out.is_none_or(|(attempt, _, _)| attempt != *number)
@@ -551,6 +575,13 @@
                         self.forget_if_over(id);
                     }
                 }
+                Due::Token(id) => {
+                    let Some(entry) = self.requests.get_mut(&id) else { continue };
+                    if let Some(request) = entry.awaits.take() {
+                        let place = entry.service;
+                        self.post(now, place, Event::Arrival(request), out);
+                    }
+                }
                 Due::TimeOut(id, number) => {
                     let out_now = self.requests.get(&id).and_then(|entry| entry.out);
                     if out_now.is_some_and(|(attempt, _, _)| attempt == number) {
@@ -565,7 +596,7 @@
     pub fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         let numbers = self.numbers.clone();
         for tenant in &numbers.tenants {
-            let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant));
+            let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant, 0.0));
             self.tenants.hold(now, &who, quota);
         }
         self.services.set_doors(self.purse.doors());
@@ -612,8 +643,8 @@
         name
     }
 
-    fn quota(&self, now: Millis, tenant: &Tenant) -> Quota {
-        quota(&self.bounds, tenant.rate, tenant.burst, self.purse.part(now, &tenant.name))
+    fn quota(&self, now: Millis, tenant: &Tenant, aim: Millis) -> Quota {
+        quota(&self.bounds, tenant.rate, tenant.burst, self.purse.part(now, &tenant.name), aim)
     }
 
     fn demand(&self, now: Millis) -> Vec<Demand> {
@@ -747,7 +778,7 @@
         )));
         let numbers = self.numbers.clone();
         for tenant in &numbers.tenants {
-            let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant));
+            let (who, quota) = (self.name(&tenant.name), self.quota(now, tenant, 0.0));
             self.tenants.hold(now, &who, quota);
         }
         self.asked.clear();
