--- a/crates/policy/src/tenants.rs
+++ b/crates/policy/src/tenants.rs
@@ -14,7 +14,7 @@
 /// A tenant that has not been heard of for this long is forgotten: its average has decayed.
 const EVICT: Millis = 60_000.0;
 
-/// What a tenant may use, and what of it this door holds.
+/// What a tenant may use, and what of it is held here.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Quota {
     /// Units a second over all doors; nought is no limit.
@@ -25,7 +25,7 @@
     pub depth: f64,
     /// The part of all that this door holds, from nought to one.
     pub part: f64,
-    /// Longest time that a request may wait for tokens which are sure to come.
+    /// Longest wait for tokens that are sure to come.
     pub wait: Millis,
 }
 
@@ -63,8 +63,7 @@
         Tenants { tenants: BTreeMap::new(), full, evict: 0.0 }
     }
 
-    /// A door holds this of a quota from now on: until now its bucket filled by what it held before. Guards
-    /// QUOTA: a bucket holds no more than what is lent, however small that is, and no loan fills it.
+    /// Holds this of a quota from now on. Guards QUOTA: what is lent bounds a bucket, and no loan fills it.
     pub fn hold(&mut self, now: Millis, who: &K, quota: Quota) {
         if now >= self.evict {
             self.evict = now + EVICT / 4.0;
@@ -99,12 +98,13 @@
         self.take(now, who, units, quota)
     }
 
-    /// Takes from a bucket for a counted arrival, and tells how long the tokens take to come; or tells why not.
+    /// Takes from a bucket for a counted arrival, and tells when its tokens come: only the calm wait.
     pub fn take(&mut self, now: Millis, who: &K, units: f64, quota: Quota) -> Result<Millis, Turned> {
         self.hold(now, who, quota);
         let Some(tenant) = self.tenants.get_mut(who).filter(|_| quota.rate > 0.0) else { return Ok(0.0) };
         let wait = (units - tenant.tokens).max(0.0) / tenant.flow.max(1e-9);
-        if wait > quota.wait {
+        let calm = tenant.demand.rate(now, LN_2 / DEMAND_HALFLIFE) <= 1000.0 * tenant.flow;
+        if wait > if calm { quota.wait } else { 0.0 } {
             return Err(Turned::Bucket(wait));
         }
         tenant.tokens -= units;
