--- /dev/null
+++ b/crates/exchange/src/core/doors.rs
@@ -0,0 +1,110 @@
+//! What doors are told: the configuration and their loans.
+
+use super::*;
+
+impl Core {
+    /// A door has opened a connection, of this number.
+    pub fn door_up(&mut self, now: Millis, conn: u64, hello: &Hello, out: &mut Vec<Output>) {
+        out.push(Output::Log(format!("event=door_up node={} index={}", hello.node, hello.index)));
+        let door = Door {
+            node: hello.node.clone(),
+            life: hello.life,
+            index: hello.index,
+            told_all: false,
+            spoken: now,
+        };
+        self.doors.insert(conn, door);
+        // Even where nothing has changed: the door learns which exchanges there are.
+        self.plans(now, conn, true, out);
+        self.tell_all(now, conn, out);
+    }
+
+    /// A door's connection has ended.
+    pub fn door_down(&mut self, conn: u64, out: &mut Vec<Output>) {
+        if let Some(door) = self.doors.remove(&conn) {
+            out.push(Output::Log(format!("event=door_down node={}", door.node)));
+        }
+    }
+
+    /// A door says something.
+    pub fn door(&mut self, now: Millis, conn: u64, frame: Frame, out: &mut Vec<Output>) {
+        let Frame::Report(report) = frame else { return };
+        let Some(door) = self.doors.get(&conn) else { return };
+        if !self.lent_to.contains(&door.node) && !report.last {
+            // Before it is lent anything, its name is on disk: a later life asks it first.
+            self.lent_to.insert(door.node.clone());
+            let stored = Stored { lent_to: vec![door.node.clone()], ..Stored::default() };
+            self.write(stored, Wrote::Name(conn, report), out);
+            return;
+        }
+        self.reported(now, conn, &report, out);
+    }
+
+    pub(super) fn reported(&mut self, now: Millis, conn: u64, report: &Report, out: &mut Vec<Output>) {
+        let (Some(door), Some(lender)) = (self.doors.get(&conn), &mut self.lender) else { return };
+        let mine = door.node.clone();
+        let tenants = self.board.standing(maplefall_numbering::Kind::Tenant).map(|item| item.name.as_str());
+        let answers = lender.report(now, &door.node, door.life, report, tenants);
+        for (node, lent) in answers {
+            let conn = if node == mine { Some(conn) } else { self.conn_of(&node) };
+            if let Some(conn) = conn {
+                self.say(now, conn, write(Frame::Lent(lent)), out);
+            }
+        }
+    }
+
+    /// The latest connection of a door.
+    pub(super) fn conn_of(&self, node: &str) -> Option<u64> {
+        self.doors.iter().rev().find(|(_, door)| door.node == node).map(|(conn, _)| *conn)
+    }
+
+    pub(super) fn spread_plans(&mut self, now: Millis, out: &mut Vec<Output>) {
+        for conn in self.doors.keys().copied().collect::<Vec<_>>() {
+            self.plans(now, conn, false, out);
+        }
+    }
+
+    /// Tells a door what it lacks of the configuration.
+    pub(super) fn plans(&mut self, now: Millis, conn: u64, always: bool, out: &mut Vec<Output>) {
+        let Some(door) = self.doors.get_mut(&conn) else { return };
+        let news = self.index > door.index;
+        if !news && !always {
+            return;
+        }
+        let exchanges = self.tandem.voters().iter().cloned().collect();
+        let mut plans = Plans { after: door.index, index: door.index, exchanges, ..Plans::default() };
+        if news {
+            let after = door.index;
+            (plans.index, door.index) = (self.index, self.index);
+            if after > 0 && after >= self.ring_after {
+                plans.changes = self.ring.iter().filter(|one| one.index > after).cloned().collect();
+            } else {
+                plans.after = 0;
+                plans.items = self.board.items().cloned().collect();
+            }
+        }
+        self.say(now, conn, write(Frame::Plans(plans)), out);
+    }
+
+    pub(super) fn say(&mut self, now: Millis, conn: u64, bytes: Bytes, out: &mut Vec<Output>) {
+        if let Some(door) = self.doors.get_mut(&conn) {
+            door.spoken = now;
+            out.push(Output::Door(conn, bytes));
+        }
+    }
+
+    /// Begins to lend, or goes by another number of lenders.
+    pub(super) fn lend(&mut self, now: Millis) {
+        let voters = self.tandem.voters();
+        if !voters.contains(&self.me) || !self.tandem.trusted() {
+            return;
+        }
+        match &mut self.lender {
+            Some(lender) => lender.set_lenders(voters.len()),
+            None => {
+                let known = self.lent_known.then(|| self.lent_to.clone());
+                self.lender = Some(Lender::new(now, voters.len(), known));
+            }
+        }
+    }
+}
--- a/crates/tandem/src/node.rs
+++ b/crates/tandem/src/node.rs
@@ -253,6 +253,16 @@
         }
     }
 
+    /// The latest moment, by this node's clock, at which a leader that a majority followed is known to have counted this node among
+    /// the voters, with all agreed on by then applied here.
+    pub fn contact(&self, now: Millis) -> Millis {
+        if self.in_company(now) {
+            now
+        } else {
+            self.heard
+        }
+    }
+
     // ---- Inputs -------------------------------------------------------------------------------------
 
     /// Time passes; to be called every tenth of a second or so.
