A segment's new name is on disk before an entry in it is told of

okaywal 0.3.1 gives a folded segment (wal-N-cp) a new name (wal-M) when the one before it is full, and tells of entries in it without a sync of the folder: it syncs the folder for a file that it made, known by the time it was made, and at the end of each fold. In between, a loss of power may leave the old name; the library takes '-cp' for folded and writes over it: acknowledged entries are gone.

The place of a chunk tells its segment: the folder is synced before write returns, once for each segment. No test: the window closes when the fold in the library's own thread ends, which a test on a real folder can't hold open.

--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -14,6 +14,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 
 /// The format that is written.
@@ -178,6 +179,8 @@
     wal: WriteAheadLog,
     kept: Arc<Mutex<Kept>>,
     path: PathBuf,
+    /// The segment whose name is known to be on disk.
+    named: AtomicU64,
 }
 
 impl Store {
@@ -203,7 +206,7 @@
             .open(manager)
             .map_err(at("recover", path))?;
         let found = lock(&kept).clone();
-        Ok((Store { wal, kept, path: path.to_owned() }, found))
+        Ok((Store { wal, kept, path: path.to_owned(), named: AtomicU64::new(0) }, found))
     }
 
     /// Writes records and waits until they are on disk.
@@ -213,8 +216,18 @@
         records.iter().for_each(|record| lock(&self.kept).take(record.clone()));
         let bytes = Batch { format: FORMAT, records }.encode_to_vec();
         let mut entry = self.wal.begin_entry().map_err(at)?;
-        entry.write_chunk(&bytes).map_err(at)?;
+        let chunk = entry.write_chunk(&bytes).map_err(at)?;
         entry.commit().map_err(at)?;
+        // The library gives an old segment a new name and does not sync the folder before it tells of entries in it: after a loss
+        // of power it may have the old name, by which it counts as folded.
+        let mut place = [0; 16];
+        chunk.position.serialize_to(&mut place[..]).map_err(at)?;
+        let segment = u64::from_le_bytes(*place.first_chunk().unwrap_or(&[0; 8]));
+        if self.named.swap(segment, Ordering::Relaxed) != segment {
+            File::open(&self.path)
+                .and_then(|folder| folder.sync_all())
+                .map_err(|error| Error::Disk("sync", self.path.clone(), error))?;
+        }
         Ok(())
     }
 
