--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -1,7 +1,8 @@
 //! Sockets, time and the disk's thread round [`Core`].
 
 use crate::core::{Answer, Call, Core, Output, TICK};
-use crate::store::{Kept, Store, Stored};
+use crate::disk::Folder;
+use crate::store::{queue, Kept, Limits, Queue, Store, Stored};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -32,13 +33,14 @@
 const SILENCE: Duration = Duration::from_millis(2000);
 /// Pause when the system has no descriptor for a new connection.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
-/// Records that wait for the disk at most.
-const MOST_RECORDS: usize = 65_536;
 /// The settings file is looked at once in this many ticks.
 const LOOK: u32 = 20;
 /// How long a planned stop takes: who is connected finds another exchange, and somebody else leads.
 const LAST: Duration = Duration::from_millis(400);
 
+/// For a word to the main loop beside those of the disk's thread.
+type Told = mpsc::WeakUnboundedSender<Result<u64, crate::store::Error>>;
+
 /// Why an exchange ends.
 #[derive(Debug)]
 pub enum Error {
@@ -81,11 +83,13 @@
     last_door: Cell<u64>,
     calls: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     last_call: Cell<u64>,
-    disk: std::sync::mpsc::SyncSender<Stored>,
+    disk: Queue,
+    /// What the disk's thread tells; a record that has no room ends the process this way too.
+    told: Told,
 }
 
 /// Runs an exchange until a SIGTERM has been carried out.
-pub async fn run(settings: Settings, mut file: Watched, seed: u64) -> Result<(), Error> {
+pub async fn run(mut settings: Settings, mut file: Watched, seed: u64) -> Result<(), Error> {
     let mut term = signal(SignalKind::terminate()).map_err(Error::Signals)?;
     let mut hup = signal(SignalKind::hangup()).map_err(Error::Signals)?;
     let control = settings.bind.control.ok_or(Error::Missing("Bind.Control"))?;
@@ -95,7 +99,32 @@
         TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
     };
     let (callers, exchanges) = (listen(control).await?, listen(inner).await?);
-    let (store, kept) = Store::open(&data).map_err(Error::Store)?;
+    let (disk, incoming) = queue();
+    // One word for each batch that was sent in: no more than there are batches.
+    let (told, mut written) = mpsc::unbounded_channel();
+    let (opened, opening) = oneshot::channel();
+    // The disk's thread holds the only sender: its end is noticed.
+    let weak = told.downgrade();
+    std::thread::spawn(move || match Store::open_anyhow(Folder::new(&data), Limits::default()) {
+        Ok((store, kept)) => {
+            if opened.send(Ok(kept)).is_ok() {
+                store.run(&incoming, |result| told.send(result).is_ok());
+            }
+        }
+        // Nobody waits any more: the process ends.
+        Err(error) => drop(opened.send(Err(error))),
+    });
+    // A disk that refuses holds up the start, not a stop.
+    let kept = tokio::select! {
+        biased;
+        _ = term.recv() => return Ok(()),
+        opened = opening => match opened {
+            Ok(kept) => kept.map_err(Error::Store)?,
+            Err(_) => return Err(Error::Missing("the disk's thread")),
+        },
+    };
+    // It has been started before, whatever the settings say, and forgotten what it said.
+    settings.bootstrap &= !kept.set_aside;
     log::info!(
         "event=start node={} control={control} inner={inner} bootstrap={} term={} snapshot={} log={} trusted={}",
         settings.node,
@@ -105,11 +134,7 @@
         kept.tandem.log.len(),
         kept.tandem.trusted,
     );
-    let (disk, incoming) = std::sync::mpsc::sync_channel(MOST_RECORDS);
-    let (told, mut written) = mpsc::unbounded_channel();
-    // One word for each batch that was sent in: no more than there are batches.
-    std::thread::spawn(move || store.run(&incoming, |result| told.send(result).is_ok()));
-    let exchange = start(&settings, seed, kept, (control, disk));
+    let exchange = start(&settings, seed, kept, (control, disk, weak));
     tokio::task::spawn_local(exchange.clone().accept_callers(callers));
     tokio::task::spawn_local(exchange.clone().accept_inner(exchanges));
     let mut tick = tokio::time::interval(Duration::from_secs_f64(TICK / 1000.0));
@@ -161,7 +186,7 @@
     settings: &Settings,
     seed: u64,
     kept: Kept,
-    (control, disk): (SocketAddr, std::sync::mpsc::SyncSender<Stored>),
+    (control, disk, told): (SocketAddr, Queue, Told),
 ) -> Rc<Exchange> {
     let mut out = Vec::new();
     let core = Core::new(settings, 0.0, seed, kept, &mut out);
@@ -186,6 +211,7 @@
         calls: RefCell::default(),
         last_call: Cell::new(0),
         disk,
+        told,
     });
     exchange.clone().carry_out(out);
     for seed in &settings.seeds {
@@ -209,9 +235,12 @@
         for output in out {
             match output {
                 Output::Write(number, stored) => {
-                    // A disk that has let this much pile up is none: the process ends with the thread's error.
-                    if self.disk.try_send(Stored { number, ..stored }).is_err() {
-                        log::error!("event=disk_gone step=queue number={number}");
+                    // A disk that has let this much pile up is none: the queue takes no more, and the process ends.
+                    if let Err(error) = self.disk.push(Stored { number, ..stored }) {
+                        log::error!("event=disk_full {error}");
+                        if let Some(told) = self.told.upgrade() {
+                            let _ = told.send(Err(error));
+                        }
                     }
                 }
                 Output::Peer(ip, bytes) => self.to_peer(&ip, bytes),
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -1,30 +1,69 @@
-//! The disk of an exchange: a write-ahead log (`okaywal`) and a file that its old segments are folded into. A thread of its own
-//! writes; what has come while it waited for the disk goes in one entry.
+//! The disk of an exchange: a write-ahead log in segments, and a file that its old segments are folded into. A thread of its own
+//! writes; what has come while it waited for the disk goes in one frame. `docs/design/control-disk.md` argues why it holds.
 //!
-//! Format 1. Each entry of the log holds a [`Batch`] of records, each with its number; `state` holds a [`Folded`] of all records up to a
-//! number. Both carry checksums (okaywal's CRC-32C; a FNV of the file). A torn entry was never acknowledged and is passed
-//! over; a `state` that is torn is an error: it was renamed into place after its sync.
+//! Format 2, all numbers little-endian:
+//!
+//! - `log-N`, N from 1 upwards: frames one after the other. A frame: `mf2` and a nought, N (8 bytes), length of what it holds (4),
+//!   CRC-32C of that (4), CRC-32C of these 20 bytes (4), and a [`Batch`]. A frame is begun once all before it are synced: only the
+//!   last of a segment can be torn, and was not acknowledged. A segment that a write or a sync has failed on is never written again.
+//! - `state-N`: a [`Folded`] of all records up to number N, after the same head. It is written as `fold`, synced, renamed, and the
+//!   folder synced; then what it stands for is removed.
+//! - `spoilt-*`: what could not be read, once; `setting-aside` stands while it is so named.
+//!
+//! **Room.** With S bytes of the biggest state and B of the biggest batch (4 MiB and one record), at most 4 S + 2 B + 192 KiB are on
+//! the disk (two states, the segments that are folded, those that are written meanwhile), and as much again in what was set aside.
+//! In memory: the state, and while it is folded the bytes of that.
 
+use crate::disk::Disk;
 use maplefall_directory::{State, Word};
 use maplefall_tandem::{Durable, Entry as LogEntry, Record, Snapshot};
-use okaywal::{Configuration, Entry, EntryId, LogManager, ReadChunkResult, SegmentReader, WriteAheadLog};
+use prost::encoding;
 use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
-use std::fs::{self, File};
 use std::io::{self, Read, Write};
-use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{mpsc, Arc, Mutex, PoisonError};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc};
+use std::time::Duration;
 
 /// The format that is written.
-const FORMAT: u32 = 1;
-/// A segment begins with this much room, and is folded beyond this much.
-const SEGMENT: u32 = 256 << 10;
-/// Bytes in one entry, about.
-const BATCH: usize = 4 << 20;
-/// What every segment begins with.
-const MAGIC: &[u8] = b"okw\0";
+const FORMAT: u32 = 2;
+/// What a frame begins with.
+const MARK: [u8; 4] = *b"mf2\0";
+/// Bytes before what a frame holds.
+const HEAD: usize = 24;
+/// What a state is written as.
+const FOLD: &str = "fold";
+/// Stands while spoilt files are set aside.
+const MARKER: &str = "setting-aside";
+/// Before the names of files that were set aside.
+const SPOILT: &str = "spoilt-";
+/// The first and the longest pause before a disk that refuses is tried again.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+/// Records that wait for the disk at most.
+const MOST_RECORDS: usize = 65_536;
+/// Bytes of records that wait for the disk at most; a single record may be longer.
+const MOST_QUEUED: usize = 32 << 20;
+
+/// Sizes that the store goes by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of log that are folded, at least; a state that is longer waits for as many bytes of log as it has.
+    pub fold_after: u64,
+    /// Segments after which is folded, however short they are (each start that finds a log begins one).
+    pub segments: usize,
+    /// Bytes of a state that are written at a time; longer if the batch before was.
+    pub slice: usize,
+    /// Bytes in one frame, about.
+    pub batch: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { fold_after: 192 << 10, segments: 16, slice: 1 << 20, batch: 4 << 20 }
+    }
+}
 
 /// One record.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -54,7 +93,7 @@
     pub records: Vec<Stored>,
 }
 
-/// What the file `state` holds.
+/// What a file `state-N` holds.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Folded {
     /// [`FORMAT`].
@@ -97,11 +136,14 @@
     pub words: BTreeMap<String, Word>,
     /// Number of the last record.
     pub number: u64,
+    /// What was here could not be read and was set aside: this machine has lost its disk.
+    pub set_aside: bool,
 }
 
 impl Kept {
-    fn take(&mut self, stored: Stored) {
-        // A segment whose new name was lost comes a second time: what is folded already must not be taken again.
+    /// Takes in one record, in order.
+    pub fn take(&mut self, stored: Stored) {
+        // A segment that was removed may come back: what is folded already must not be taken again.
         if stored.number <= self.number {
             return;
         }
@@ -119,18 +161,30 @@
         }
     }
 
-    fn fold(&self) -> Folded {
-        Folded {
+    /// The bytes of a [`Folded`], without a copy of what goes into it.
+    fn fold(&self) -> Vec<u8> {
+        let head = Folded {
             format: FORMAT,
             number: self.number,
             term: self.tandem.term,
             voted: self.tandem.voted.clone(),
             trusted: self.tandem.trusted,
-            snapshot: Some(self.tandem.snapshot.clone()),
-            log: self.tandem.log.clone(),
-            lent_to: self.lent_to.iter().cloned().collect(),
-            words: self.words.values().cloned().collect(),
-        }
+            ..Folded::default()
+        };
+        let (snapshot, log) = (&self.tandem.snapshot, &self.tandem.log);
+        let words = self.words.values().map(|word| encoding::message::encoded_len(9, word));
+        let length = head.encoded_len()
+            + encoding::message::encoded_len(6, snapshot)
+            + encoding::message::encoded_len_repeated(7, log)
+            + self.lent_to.iter().map(|name| encoding::string::encoded_len(8, name)).sum::<usize>()
+            + words.sum::<usize>();
+        let mut bytes = Vec::with_capacity(length);
+        head.encode_raw(&mut bytes);
+        encoding::message::encode(6, snapshot, &mut bytes);
+        encoding::message::encode_repeated(7, log, &mut bytes);
+        self.lent_to.iter().for_each(|name| encoding::string::encode(8, name, &mut bytes));
+        self.words.values().for_each(|word| encoding::message::encode(9, word, &mut bytes));
+        bytes
     }
 
     fn unfold(folded: Folded) -> Kept {
@@ -145,6 +199,7 @@
             lent_to: folded.lent_to.into_iter().collect(),
             words: folded.words.into_iter().map(|word| (word.id.clone(), word)).collect(),
             number: folded.number,
+            set_aside: false,
         }
     }
 }
@@ -154,10 +209,14 @@
 pub enum Error {
     /// A step on this path failed.
     Disk(&'static str, PathBuf, io::Error),
-    /// The file is not what was written.
+    /// The file is not what was written, or what came before it is missing.
     Spoilt(PathBuf),
-    /// It was written by a later program.
+    /// It was written by a program of another format.
     Format(PathBuf, u32),
+    /// A record does not follow the one before it: number due, number met.
+    Order(u64, u64),
+    /// So much waits for the disk that the record of this number could not be queued.
+    Full(u64),
 }
 
 impl fmt::Display for Error {
@@ -168,177 +227,593 @@
             }
             Error::Spoilt(path) => write!(f, "step=read path={} error=spoilt", path.display()),
             Error::Format(path, format) => write!(f, "step=read path={} format={format}", path.display()),
+            Error::Order(due, met) => write!(f, "step=write error=order due={due} met={met}"),
+            Error::Full(number) => write!(f, "step=queue error=full number={number}"),
         }
     }
 }
 
 impl std::error::Error for Error {}
 
+/// A state that is being written.
+struct Fold<F> {
+    file: F,
+    bytes: Vec<u8>,
+    done: usize,
+    number: u64,
+    /// The segments that it stands for.
+    covers: Vec<u64>,
+    /// Their length.
+    log_bytes: u64,
+}
+
 /// A disk that is open for writing.
-pub struct Store {
-    wal: WriteAheadLog,
-    kept: Arc<Mutex<Kept>>,
-    path: PathBuf,
-    /// The segment whose name is known to be on disk.
-    named: AtomicU64,
+pub struct Store<D: Disk> {
+    disk: D,
+    limits: Limits,
+    /// All that is on the disk.
+    kept: Kept,
+    /// The segment that is written, once it has been begun.
+    segment: Option<D::File>,
+    /// Its number, or that of the one that is begun next.
+    segment_id: u64,
+    /// Segments that hold what no state does.
+    segments: Vec<u64>,
+    /// Their length, and that of what has failed in them.
+    log_bytes: u64,
+    /// Numbers of states: the last one, and before it any whose folder could not be synced.
+    states: Vec<u64>,
+    /// Length of the last one.
+    state_bytes: u64,
+    fold: Option<Fold<D::File>>,
+    /// Files that are to be removed.
+    stale: Vec<String>,
+    /// Length of the last frame.
+    last_frame: usize,
 }
 
-impl Store {
-    /// Opens the folder, and tells what is in it.
-    pub fn open(path: &Path) -> Result<(Store, Kept), Error> {
-        let at = |step, path: &Path| {
-            let path = path.to_owned();
-            move |error| Error::Disk(step, path, error)
+impl<D: Disk> Store<D> {
+    /// Opens the folder, and tells what is in it. All that it tells is on the disk, also if it was not before.
+    pub fn open(disk: D) -> Result<(Store<D>, Kept), Error> {
+        Store::open_with(disk, Limits::default()).map_err(|(_, error)| error)
+    }
+
+    /// The same with other sizes; with an error it gives the disk back.
+    pub fn open_with(disk: D, limits: Limits) -> Result<(Store<D>, Kept), (D, Error)> {
+        let found = match Found::read(&disk) {
+            Ok(found) => found,
+            Err(error) => return Err((disk, error)),
+        };
+        let (mut store, last) = Store::new(disk, limits, found);
+        match store.settle(last.as_deref()) {
+            Ok(()) => Ok(store.opened()),
+            Err(error) => Err((store.disk, error)),
+        }
+    }
+
+    /// Opens it as [`Store::open`] does. While the disk refuses, it is tried again and again; if what is on it cannot be read, that is
+    /// set aside: the machine has lost its disk.
+    pub fn open_anyhow(disk: D, limits: Limits) -> Result<(Store<D>, Kept), Error> {
+        let mut trouble = Trouble::default();
+        let found = loop {
+            let error = match Found::read(&disk) {
+                Ok(found) => break found,
+                Err(Error::Spoilt(path)) => {
+                    log::error!("event=disk_spoilt step=read path={} files=set_aside", path.display());
+                    match set_aside(&disk) {
+                        Ok(()) => continue,
+                        Err(error) => error,
+                    }
+                }
+                Err(error @ Error::Disk(..)) => error,
+                Err(error) => return Err(error),
+            };
+            trouble.wait(&disk, &error);
         };
-        fs::create_dir_all(path).map_err(at("create", path))?;
-        let state = path.join("state");
-        let kept = match fs::read(&state) {
-            Ok(bytes) => read_state(&state, &bytes)?,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Kept::default(),
-            Err(error) => return Err(at("read", &state)(error)),
+        trouble.over(&disk);
+        let (mut store, last) = Store::new(disk, limits, found);
+        store.insist(|store| store.settle(last.as_deref()));
+        Ok(store.opened())
+    }
+
+    fn new(disk: D, limits: Limits, found: Found) -> (Store<D>, Option<Vec<u8>>) {
+        let store = Store {
+            disk,
+            limits,
+            kept: found.kept,
+            segment: None,
+            segment_id: found.last_segment + 1,
+            segments: found.segments,
+            log_bytes: found.log_bytes,
+            states: found.state.iter().map(|(number, _)| *number).collect(),
+            state_bytes: found.state.map_or(0, |(_, length)| length),
+            fold: None,
+            stale: found.stale,
+            last_frame: 0,
         };
-        drop_empty_segments(path)?;
-        let kept = Arc::new(Mutex::new(kept));
-        let manager = Manager { kept: kept.clone(), path: path.to_owned() };
-        let wal = Configuration::default_for(path)
-            .preallocate_bytes(SEGMENT)
-            .checkpoint_after_bytes(u64::from(SEGMENT) * 3 / 4)
-            .open(manager)
-            .map_err(at("recover", path))?;
-        let found = lock(&kept).clone();
-        Ok((Store { wal, kept, path: path.to_owned(), named: AtomicU64::new(0) }, found))
-    }
-
-    /// Writes records and waits until they are on disk.
-    pub fn write(&self, records: Vec<Stored>) -> Result<(), Error> {
-        let at = |error| Error::Disk("write", self.path.clone(), error);
-        // Before the log has them: a segment is folded from this as soon as it is full.
-        records.iter().for_each(|record| lock(&self.kept).take(record.clone()));
-        let bytes = Batch { format: FORMAT, records }.encode_to_vec();
-        let mut entry = self.wal.begin_entry().map_err(at)?;
-        let chunk = entry.write_chunk(&bytes).map_err(at)?;
-        entry.commit().map_err(at)?;
-        // The library gives an old segment a new name and does not sync the folder before it tells of entries in it: after a loss
-        // of power it may have the old name, by which it counts as folded.
-        let mut place = [0; 16];
-        chunk.position.serialize_to(&mut place[..]).map_err(at)?;
-        let segment = u64::from_le_bytes(*place.first_chunk().unwrap_or(&[0; 8]));
-        if self.named.swap(segment, Ordering::Relaxed) != segment {
-            File::open(&self.path)
-                .and_then(|folder| folder.sync_all())
-                .map_err(|error| Error::Disk("sync", self.path.clone(), error))?;
+        (store, found.last)
+    }
+
+    /// What was found may have been read from the system's memory: the last frame, if its sync had failed or not begun when the process
+    /// ended, and names. All is on the disk after this. That frame is written anew: after a sync that failed, a second one may say
+    /// that all is well and have written nothing.
+    fn settle(&mut self, last: Option<&[u8]>) -> Result<(), Error> {
+        match last {
+            Some(payload) => self.append(payload),
+            None => self.sync_folder(),
+        }
+    }
+
+    fn opened(self) -> (Store<D>, Kept) {
+        let kept = self.kept.clone();
+        (self, kept)
+    }
+
+    /// Writes records and waits until they are on disk. After an error, the same records may be written again and nothing else: they
+    /// may be on the disk, or not.
+    pub fn write(&mut self, records: Vec<Stored>) -> Result<(), Error> {
+        let batch = Batch { format: FORMAT, records };
+        self.check(&batch)?;
+        self.append(&batch.encode_to_vec())?;
+        batch.records.into_iter().for_each(|record| self.kept.take(record));
+        Ok(())
+    }
+
+    fn check(&self, batch: &Batch) -> Result<(), Error> {
+        let mut due = self.kept.number;
+        for record in &batch.records {
+            due += 1;
+            if record.number != due {
+                return Err(Error::Order(due, record.number));
+            }
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, payload: &[u8]) -> Result<(), Error> {
+        let fresh = self.segment.is_none();
+        let result = self.append_to(payload);
+        match (&result, fresh) {
+            (Ok(()), true) => self.segments.push(self.segment_id),
+            (Ok(()), false) => {}
+            // Nothing that was told of is in it: it is made anew.
+            (Err(_), true) => self.segment = None,
+            // What a file holds after that is not known. It has frames that were told of, and gets no more.
+            (Err(_), false) => {
+                self.segment = None;
+                self.segment_id += 1;
+            }
+        }
+        if result.is_ok() || !fresh {
+            self.log_bytes += (HEAD + payload.len()) as u64;
+        }
+        self.last_frame = HEAD + payload.len();
+        result
+    }
+
+    fn append_to(&mut self, payload: &[u8]) -> Result<(), Error> {
+        let name = segment_name(self.segment_id);
+        let failed = |disk: &D, step, error| Error::Disk(step, disk.path().join(&name), error);
+        let frame = frame(self.segment_id, payload);
+        if let Some(file) = &mut self.segment {
+            file.write_all(&frame).map_err(|error| failed(&self.disk, "write", error))?;
+            return self.disk.sync(file).map_err(|error| failed(&self.disk, "sync", error));
+        }
+        let mut file = self.disk.make(&name).map_err(|error| failed(&self.disk, "make", error))?;
+        file.write_all(&frame).map_err(|error| failed(&self.disk, "write", error))?;
+        self.disk.sync(&mut file).map_err(|error| failed(&self.disk, "sync", error))?;
+        // A name is lost with the power, and with it all that was synced under it.
+        self.sync_folder()?;
+        self.segment = Some(file);
+        Ok(())
+    }
+
+    fn sync_folder(&self) -> Result<(), Error> {
+        self.disk.sync_folder().map_err(|error| Error::Disk("sync", self.disk.path().to_owned(), error))
+    }
+
+    /// Whether [`Store::step`] has something to do.
+    pub fn busy(&self) -> bool {
+        self.fold.is_some() || !self.stale.is_empty() || self.due()
+    }
+
+    fn due(&self) -> bool {
+        self.log_bytes >= self.limits.fold_after.max(self.state_bytes)
+            || self.segments.len() > self.limits.segments
+    }
+
+    /// Takes one step of what can wait: folding, a slice at a time, and removing what is folded. After an error it begins again.
+    pub fn step(&mut self) -> Result<(), Error> {
+        if let Some(name) = self.stale.last() {
+            match self.disk.remove(name) {
+                Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                    return Err(Error::Disk("remove", self.disk.path().join(name), error));
+                }
+                _ => self.stale.truncate(self.stale.len() - 1),
+            }
+            return Ok(());
+        }
+        match self.fold.take() {
+            None if self.due() => self.begin_fold(),
+            None => Ok(()),
+            Some(mut fold) => {
+                let result = self.continue_fold(&mut fold);
+                match result {
+                    Ok(true) => {}
+                    Ok(false) => self.fold = Some(fold),
+                    Err(_) => {
+                        self.segments.splice(0..0, std::mem::take(&mut fold.covers));
+                        self.log_bytes += fold.log_bytes;
+                    }
+                }
+                result.map(|_| ())
+            }
+        }
+    }
+
+    fn begin_fold(&mut self) -> Result<(), Error> {
+        let file =
+            self.disk.make(FOLD).map_err(|error| Error::Disk("make", self.disk.path().join(FOLD), error))?;
+        if self.segment.take().is_some() {
+            self.segment_id += 1;
         }
+        self.fold = Some(Fold {
+            file,
+            bytes: frame(self.kept.number, &self.kept.fold()),
+            done: 0,
+            number: self.kept.number,
+            covers: std::mem::take(&mut self.segments),
+            log_bytes: std::mem::take(&mut self.log_bytes),
+        });
         Ok(())
     }
 
+    /// Whether it is done.
+    fn continue_fold(&mut self, fold: &mut Fold<D::File>) -> Result<bool, Error> {
+        let failed = |disk: &D, step, error| Error::Disk(step, disk.path().join(FOLD), error);
+        if fold.done < fold.bytes.len() {
+            // No slower than the log grows meanwhile.
+            let slice = self.limits.slice.max(self.last_frame).min(fold.bytes.len() - fold.done);
+            let written = fold.file.write_all(&fold.bytes[fold.done..fold.done + slice]);
+            written.map_err(|error| failed(&self.disk, "write", error))?;
+            self.disk.sync(&mut fold.file).map_err(|error| failed(&self.disk, "sync", error))?;
+            fold.done += slice;
+            return Ok(false);
+        }
+        let name = state_name(fold.number);
+        self.disk.rename(FOLD, &name).map_err(|error| failed(&self.disk, "rename", error))?;
+        let (number, others) = (fold.number, |other: &u64| *other != fold.number);
+        let older = std::mem::replace(&mut self.states, vec![number]);
+        let older: Vec<u64> = older.into_iter().filter(others).collect();
+        if let Err(error) = self.sync_folder() {
+            self.states.splice(0..0, older);
+            return Err(error);
+        }
+        // From here on it stands for what it covers.
+        self.state_bytes = fold.bytes.len() as u64;
+        self.stale.extend(older.into_iter().map(state_name));
+        self.stale.extend(fold.covers.iter().map(|id| segment_name(*id)));
+        Ok(true)
+    }
+
     /// Closes it once all that is due to be folded is folded.
-    pub fn close(self) -> Result<(), Error> {
-        self.wal.shutdown().map_err(|error| Error::Disk("close", self.path, error))
-    }
-
-    /// Runs on a thread of its own: writes what comes, in order, and tells the number of the last record that is on disk. A
-    /// disk that fails ends it with the error: what is on it then only a new start can tell.
-    pub fn run(self, incoming: &mpsc::Receiver<Stored>, mut written: impl FnMut(Result<u64, Error>) -> bool) {
-        while let Ok(first) = incoming.recv() {
-            let mut size = first.encoded_len();
-            let mut records = vec![first];
-            while size < BATCH {
-                let Ok(next) = incoming.try_recv() else { break };
-                size += next.encoded_len();
-                records.push(next);
+    pub fn close(mut self) -> Result<(), Error> {
+        while self.busy() {
+            self.step()?;
+        }
+        Ok(())
+    }
+
+    /// Runs on a thread of its own: writes what comes, in order, and tells the number of the last record that is on disk. A disk that
+    /// refuses is tried again until it takes the same records; nothing is told of meanwhile.
+    pub fn run(mut self, incoming: &Incoming, mut written: impl FnMut(Result<u64, Error>) -> bool) {
+        loop {
+            let first = if self.busy() { incoming.receiver.try_recv() } else { incoming.wait() };
+            match first {
+                Ok(first) => {
+                    let batch = incoming.batch(first, self.limits.batch);
+                    if let Err(error) = self.check(&batch) {
+                        written(Err(error));
+                        return;
+                    }
+                    let last = batch.records.last().map_or(0, |record| record.number);
+                    let payload = batch.encode_to_vec();
+                    self.insist(|store| store.append(&payload));
+                    incoming.done(&batch);
+                    batch.records.into_iter().for_each(|record| self.kept.take(record));
+                    if !written(Ok(last)) {
+                        return;
+                    }
+                }
+                Err(mpsc::TryRecvError::Empty) => {}
+                Err(mpsc::TryRecvError::Disconnected) => return,
             }
-            let last = records.last().map_or(0, |record| record.number);
-            let result = self.write(records).map(|()| last);
-            let failed = result.is_err();
-            if !written(result) || failed {
-                return;
+            if self.busy() {
+                self.insist(Store::step);
             }
         }
     }
+
+    fn insist(&mut self, mut what: impl FnMut(&mut Store<D>) -> Result<(), Error>) {
+        let mut trouble = Trouble::default();
+        while let Err(error) = what(self) {
+            trouble.wait(&self.disk, &error);
+        }
+        trouble.over(&self.disk);
+    }
+
+    /// The disk itself, as it is.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
 }
 
-fn lock(kept: &Mutex<Kept>) -> std::sync::MutexGuard<'_, Kept> {
-    kept.lock().unwrap_or_else(PoisonError::into_inner)
+/// A disk that refuses.
+#[derive(Default)]
+struct Trouble {
+    pause: Option<Duration>,
 }
 
-/// A segment whose first bytes never came to the disk holds nothing that was acknowledged, and the library would not open it.
-fn drop_empty_segments(path: &Path) -> Result<(), Error> {
-    let at = |error| Error::Disk("list", path.to_owned(), error);
-    for file in fs::read_dir(path).map_err(at)? {
-        let file = file.map_err(at)?;
-        if !file.file_name().to_string_lossy().starts_with("wal-") {
-            continue;
-        }
-        let mut head = [0; 5];
-        let read = File::open(file.path()).and_then(|mut file| file.read_exact(&mut head));
-        if read.is_err() || &head[..4] != MAGIC {
-            fs::remove_file(file.path()).map_err(|error| Error::Disk("remove", file.path(), error))?;
+impl Trouble {
+    fn wait(&mut self, disk: &impl Disk, error: &Error) {
+        let pause = match self.pause {
+            None => {
+                log::error!("event=disk_refuses {error}");
+                PAUSES.0
+            }
+            Some(pause) => (pause * 2).min(PAUSES.1),
+        };
+        self.pause = Some(pause);
+        disk.pause(pause);
+    }
+
+    fn over(self, disk: &impl Disk) {
+        if self.pause.is_some() {
+            log::info!("event=disk_back path={}", disk.path().display());
         }
     }
-    Ok(())
 }
 
-/// FNV-1a, 64 bits.
-fn checksum(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+/// Where records are left for the disk's thread.
+pub struct Queue {
+    sender: mpsc::SyncSender<Stored>,
+    bytes: Arc<AtomicUsize>,
+    closed: AtomicBool,
+}
+
+/// The other end of a [`Queue`].
+pub struct Incoming {
+    receiver: mpsc::Receiver<Stored>,
+    bytes: Arc<AtomicUsize>,
 }
 
-fn read_state(path: &Path, bytes: &[u8]) -> Result<Kept, Error> {
-    let spoilt = || Error::Spoilt(path.to_owned());
-    let (sum, rest) = bytes.split_first_chunk::<8>().ok_or_else(spoilt)?;
-    if u64::from_be_bytes(*sum) != checksum(rest) {
-        return Err(spoilt());
+/// A queue of at most 65,536 records and 32 MiB; one record may be longer.
+pub fn queue() -> (Queue, Incoming) {
+    let (sender, receiver) = mpsc::sync_channel(MOST_RECORDS);
+    let bytes = Arc::new(AtomicUsize::new(0));
+    (Queue { sender, bytes: bytes.clone(), closed: AtomicBool::new(false) }, Incoming { receiver, bytes })
+}
+
+impl Queue {
+    /// Leaves a record. One that has no room closes the queue: a later one on the disk would say that all before it are.
+    pub fn push(&self, stored: Stored) -> Result<(), Error> {
+        let (number, size) = (stored.number, stored.encoded_len());
+        let waiting = self.bytes.load(Ordering::Acquire);
+        let room = waiting == 0 || waiting + size <= MOST_QUEUED;
+        if self.closed.load(Ordering::Acquire) || !room {
+            self.closed.store(true, Ordering::Release);
+            return Err(Error::Full(number));
+        }
+        self.bytes.fetch_add(size, Ordering::AcqRel);
+        self.sender.try_send(stored).map_err(|_| {
+            self.closed.store(true, Ordering::Release);
+            Error::Full(number)
+        })
     }
-    let folded = Folded::decode(rest).map_err(|_| spoilt())?;
-    if folded.format != FORMAT {
-        return Err(Error::Format(path.to_owned(), folded.format));
+}
+
+impl Incoming {
+    fn wait(&self) -> Result<Stored, mpsc::TryRecvError> {
+        self.receiver.recv().map_err(|_| mpsc::TryRecvError::Disconnected)
+    }
+
+    fn batch(&self, first: Stored, most: usize) -> Batch {
+        let mut size = first.encoded_len();
+        let mut records = vec![first];
+        while size < most {
+            let Ok(next) = self.receiver.try_recv() else { break };
+            size += next.encoded_len();
+            records.push(next);
+        }
+        Batch { format: FORMAT, records }
+    }
+
+    /// They wait no longer.
+    fn done(&self, batch: &Batch) {
+        self.bytes.fetch_sub(batch.records.iter().map(Message::encoded_len).sum(), Ordering::AcqRel);
     }
-    Ok(Kept::unfold(folded))
 }
 
-/// The library's view of the state that its log stands before.
-#[derive(Debug)]
-struct Manager {
-    kept: Arc<Mutex<Kept>>,
-    path: PathBuf,
+// ---- What is on a disk --------------------------------------------------------------------------------
+
+fn segment_name(id: u64) -> String {
+    format!("log-{id:020}")
 }
 
-impl LogManager for Manager {
-    fn recover(&mut self, entry: &mut Entry<'_>) -> io::Result<()> {
-        let mut whole = Vec::new();
-        loop {
-            match entry.read_chunk()? {
-                ReadChunkResult::Chunk(mut chunk) => {
-                    let data = chunk.read_all()?;
-                    // Torn: it was never acknowledged.
-                    if chunk.bytes_remaining() > 0 || !chunk.check_crc().unwrap_or(false) {
-                        return Ok(());
-                    }
-                    whole.extend(data);
+fn state_name(number: u64) -> String {
+    format!("state-{number:020}")
+}
+
+fn number_in(name: &str, before: &str) -> Option<u64> {
+    let digits = name.strip_prefix(before)?;
+    (digits.len() == 20).then(|| digits.parse().ok()).flatten()
+}
+
+/// A frame of the file with this number.
+fn frame(id: u64, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEAD + payload.len());
+    bytes.extend(MARK);
+    bytes.extend(id.to_le_bytes());
+    // The longest record is a snapshot, and far from 4 GiB.
+    bytes.extend((payload.len() as u32).to_le_bytes());
+    bytes.extend(crc32c::crc32c(payload).to_le_bytes());
+    bytes.extend(crc32c::crc32c(&bytes).to_le_bytes());
+    bytes.extend(payload);
+    bytes
+}
+
+/// Length and checksum of what a frame holds, if a head of this file's frames stands here.
+fn head(id: u64, bytes: &[u8]) -> Option<(usize, u32)> {
+    let head = bytes.first_chunk::<HEAD>()?;
+    let number = |at: usize| head[at..at + 4].iter().rev().fold(0, |n: u32, byte| n << 8 | u32::from(*byte));
+    let known = head[..4] == MARK && head[4..12] == id.to_le_bytes();
+    (known && number(20) == crc32c::crc32c(&head[..20])).then(|| (number(12) as usize, number(16)))
+}
+
+/// What the frame that stands here holds, if it is whole.
+fn whole(id: u64, bytes: &[u8]) -> Option<&[u8]> {
+    let (length, sum) = head(id, bytes)?;
+    let payload = bytes[HEAD..].get(..length)?;
+    (crc32c::crc32c(payload) == sum).then_some(payload)
+}
+
+/// Whether a frame begins after the torn one that stands at the front: then that one was synced.
+fn frame_after(id: u64, bytes: &[u8]) -> bool {
+    let from = head(id, bytes).map_or(1, |(length, _)| HEAD + length);
+    let rest = bytes.get(from..).unwrap_or_default();
+    rest.windows(HEAD).any(|window| window[0] == MARK[0] && head(id, window).is_some())
+}
+
+/// What was found on a disk.
+struct Found {
+    kept: Kept,
+    state: Option<(u64, u64)>,
+    segments: Vec<u64>,
+    last_segment: u64,
+    log_bytes: u64,
+    stale: Vec<String>,
+    /// What the frame with the last record holds, if it is in no state.
+    last: Option<Vec<u8>>,
+}
+
+impl Found {
+    fn read<D: Disk>(disk: &D) -> Result<Found, Error> {
+        let names = disk.list().map_err(|error| Error::Disk("list", disk.path().to_owned(), error))?;
+        let spoilt = |name: &str| Error::Spoilt(disk.path().join(name));
+        if let Some(name) = names.iter().find(|name| name.starts_with("wal-")) {
+            return Err(Error::Format(disk.path().join(name), 1));
+        }
+        if names.iter().any(|name| name == MARKER) {
+            return Err(spoilt(MARKER));
+        }
+        let sorted = |before| {
+            let mut all: Vec<u64> = names.iter().filter_map(|name| number_in(name, before)).collect();
+            all.sort_unstable();
+            all
+        };
+        let (mut states, segments) = (sorted("state-"), sorted("log-"));
+        let mut found = Found {
+            kept: Kept::default(),
+            state: None,
+            segments: Vec::new(),
+            last_segment: segments.last().copied().unwrap_or(0),
+            log_bytes: 0,
+            stale: states.iter().rev().skip(1).map(|number| state_name(*number)).collect(),
+            last: None,
+        };
+        if names.iter().any(|name| name == FOLD) {
+            found.stale.push(FOLD.to_owned());
+        }
+        if let Some(number) = states.pop() {
+            let name = state_name(number);
+            let bytes = read_all(disk, &name)?;
+            found.state = Some((number, bytes.len() as u64));
+            let payload = whole(number, &bytes).ok_or_else(|| spoilt(&name))?;
+            if HEAD + payload.len() != bytes.len() {
+                return Err(spoilt(&name));
+            }
+            let folded = Folded::decode(payload).map_err(|_| spoilt(&name))?;
+            if folded.format != FORMAT {
+                return Err(Error::Format(disk.path().join(&name), folded.format));
+            }
+            if folded.number != number {
+                return Err(spoilt(&name));
+            }
+            found.kept = Kept::unfold(folded);
+        }
+        let folded = found.kept.number;
+        for id in segments {
+            let name = segment_name(id);
+            let bytes = read_all(disk, &name)?;
+            let last = found.replay(disk, &name, id, &bytes)?;
+            if last > folded {
+                found.segments.push(id);
+                found.log_bytes += bytes.len() as u64;
+            } else {
+                found.stale.push(name);
+            }
+        }
+        found.kept.set_aside = names.iter().any(|name| name.starts_with(SPOILT));
+        Ok(found)
+    }
+
+    /// Takes in the frames of a segment, and tells the last record in it.
+    fn replay<D: Disk>(&mut self, disk: &D, name: &str, id: u64, mut bytes: &[u8]) -> Result<u64, Error> {
+        let path = || disk.path().join(name);
+        let mut last = 0;
+        while let Some(payload) = whole(id, bytes) {
+            bytes = &bytes[HEAD + payload.len()..];
+            let batch = Batch::decode(payload).map_err(|_| Error::Spoilt(path()))?;
+            if batch.format != FORMAT {
+                return Err(Error::Format(path(), batch.format));
+            }
+            let before = self.kept.number;
+            for record in batch.records {
+                last = last.max(record.number);
+                if record.number > self.kept.number + 1 {
+                    // What came before it was on the disk.
+                    return Err(Error::Spoilt(path()));
                 }
-                ReadChunkResult::EndOfEntry => break,
-                ReadChunkResult::AbortedEntry => return Ok(()),
+                self.kept.take(record);
+            }
+            if self.kept.number > before {
+                self.last = Some(payload.to_vec());
             }
         }
-        let unreadable = || io::Error::new(io::ErrorKind::InvalidData, "an entry of another format");
-        let batch = Batch::decode(whole.as_slice()).map_err(|_| unreadable())?;
-        if batch.format != FORMAT {
-            return Err(unreadable());
+        if frame_after(id, bytes) {
+            return Err(Error::Spoilt(path()));
         }
-        batch.records.into_iter().for_each(|record| lock(&self.kept).take(record));
-        Ok(())
+        Ok(last)
     }
+}
 
-    fn checkpoint_to(&mut self, _: EntryId, _: &mut SegmentReader, _: &WriteAheadLog) -> io::Result<()> {
-        let bytes = lock(&self.kept).fold().encode_to_vec();
-        let (new, old) = (self.path.join("state.new"), self.path.join("state"));
-        let mut file = File::create(&new)?;
-        file.write_all(&checksum(&bytes).to_be_bytes())?;
-        file.write_all(&bytes)?;
-        file.sync_all()?;
-        fs::rename(&new, &old)?;
-        File::open(&self.path)?.sync_all()
+fn read_all<D: Disk>(disk: &D, name: &str) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::new();
+    let read = disk.read(name).and_then(|mut file| file.read_to_end(&mut bytes));
+    read.map_err(|error| Error::Disk("read", disk.path().join(name), error))?;
+    Ok(bytes)
+}
+
+/// Gives all files other names, so that the folder is empty to the store. One such set is kept. The marker is on the disk before the
+/// first name changes, and off it before anything else is written: a part of the old files is never taken for all of them.
+fn set_aside<D: Disk>(disk: &D) -> Result<(), Error> {
+    let failed = |step, name: &str, error| Error::Disk(step, disk.path().join(name), error);
+    let sync = || disk.sync_folder().map_err(|error| failed("sync", "", error));
+    let names = disk.list().map_err(|error| failed("list", "", error))?;
+    if !names.iter().any(|name| name == MARKER) {
+        for name in names.iter().filter(|name| name.starts_with(SPOILT)) {
+            disk.remove(name).map_err(|error| failed("remove", name, error))?;
+        }
+    }
+    let mut marker = disk.make(MARKER).map_err(|error| failed("make", MARKER, error))?;
+    disk.sync(&mut marker).map_err(|error| failed("sync", MARKER, error))?;
+    sync()?;
+    let ours =
+        |name: &str| name == FOLD || number_in(name, "state-").is_some() || number_in(name, "log-").is_some();
+    for name in names.iter().filter(|name| ours(name)) {
+        disk.rename(name, &format!("{SPOILT}{name}")).map_err(|error| failed("rename", name, error))?;
     }
+    sync()?;
+    disk.remove(MARKER).map_err(|error| failed("remove", MARKER, error))?;
+    sync()
 }
--- a/crates/exchange/tests/disk.rs
+++ b/crates/exchange/tests/disk.rs
@@ -1,7 +1,8 @@
 //! The disk of an exchange: what was written is there after a stop, after a torn end, and after folding; what cannot be trusted
 //! is refused.
 
-use maplefall_exchange::store::{Error, Kept, Store, Stored};
+use maplefall_exchange::disk::Folder as Disk;
+use maplefall_exchange::store::{queue, Error, Kept, Limits, Store, Stored};
 use maplefall_tandem::{Entry, Record};
 use std::fs::{self, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
@@ -34,15 +35,14 @@
     }
 }
 
-fn open(path: &Path) -> (Store, Kept) {
-    Store::open(path).expect("a disk")
+fn open(path: &Path) -> (Store<Disk>, Kept) {
+    Store::open(Disk::new(path)).expect("a disk")
 }
 
-fn segments(path: &Path) -> Vec<PathBuf> {
+fn files(path: &Path, before: &str) -> Vec<PathBuf> {
     let files = fs::read_dir(path).expect("a folder").filter_map(Result::ok).map(|file| file.path());
     let mut all: Vec<PathBuf> = files
-        .filter(|path| path.file_name().is_some_and(|name| name.to_string_lossy().starts_with("wal-")))
-        .filter(|path| !path.to_string_lossy().ends_with("-cp"))
+        .filter(|path| path.file_name().is_some_and(|name| name.to_string_lossy().starts_with(before)))
         .collect();
     all.sort();
     all
@@ -52,7 +52,7 @@
 #[test]
 fn what_was_written_is_there_again() {
     let folder = Folder::new("again");
-    let (store, found) = open(&folder.0);
+    let (mut store, found) = open(&folder.0);
     assert_eq!(found, Kept::default());
     store.write((1..=3).map(|n| record(n, 100)).collect()).expect("written");
     store.write(vec![record(4, 100)]).expect("written");
@@ -62,29 +62,35 @@
 }
 
 /// Guards starts after a loss of power: an end that is torn anywhere costs what was not acknowledged, and nothing before or
-/// after.
+/// after. It may be missing, noughts, or what stood there.
 #[test]
 fn a_torn_end_costs_only_itself() {
     let folder = Folder::new("torn");
-    let (store, _) = open(&folder.0);
+    let (mut store, _) = open(&folder.0);
     store.write(vec![record(1, 200)]).expect("written");
-    drop(store);
-    let whole = fs::read(&segments(&folder.0)[0]).expect("a segment");
-    let (store, _) = open(&folder.0);
+    let segment = files(&folder.0, "log-").remove(0);
+    let first = fs::read(&segment).expect("a segment").len();
     store.write(vec![record(2, 200)]).expect("written");
     drop(store);
-    let both = fs::read(&segments(&folder.0)[0]).expect("a segment");
-    let first = whole.iter().rposition(|byte| *byte != 0).expect("bytes") + 1;
-    let last = both.iter().rposition(|byte| *byte != 0).expect("bytes") + 1;
-    for cut in (first..last).step_by(7) {
-        let mut torn = both.clone();
-        torn[cut..].fill(0);
-        fs::write(&segments(&folder.0)[0], &torn).expect("written");
-        let (store, found) = open(&folder.0);
-        assert_eq!(found.number, 1, "torn after {cut}");
-        store.write(vec![record(2, 50)]).expect("written");
-        drop(store);
-        assert_eq!(open(&folder.0).1.number, 2, "torn after {cut}");
+    let both = fs::read(&segment).expect("a segment");
+    for cut in (first..both.len()).step_by(7) {
+        for torn in [
+            both[..cut].to_vec(),
+            [&both[..cut], vec![0; both.len() - cut].as_slice()].concat(),
+            [&both[..first], vec![0; cut - first].as_slice(), &both[cut..]].concat(),
+            [&both[..cut], vec![0xff; 5000].as_slice()].concat(),
+        ] {
+            if torn == both {
+                continue;
+            }
+            files(&folder.0, "").iter().for_each(|file| fs::remove_file(file).expect("removed"));
+            fs::write(&segment, &torn).expect("written");
+            let (mut store, found) = open(&folder.0);
+            assert_eq!(found.number, 1, "torn after {cut}");
+            store.write(vec![record(2, 50)]).expect("written");
+            drop(store);
+            assert_eq!(open(&folder.0).1.number, 2, "torn after {cut}");
+        }
     }
 }
 
@@ -92,29 +98,99 @@
 #[test]
 fn a_segment_that_never_came_to_the_disk_is_no_hindrance() {
     let folder = Folder::new("headless");
-    drop(open(&folder.0));
-    fs::write(&segments(&folder.0)[0], b"").expect("written");
+    let (mut store, _) = open(&folder.0);
+    store.write(vec![record(1, 200)]).expect("written");
+    drop(store);
+    fs::write(&files(&folder.0, "log-")[0], b"").expect("written");
     assert_eq!(open(&folder.0).1, Kept::default());
 }
 
-/// Guards the disk against filling up: old segments are folded, and all is still there.
+/// Guards the disk against filling up: old segments are folded and removed, and all is still there. A state that is spoilt is
+/// refused.
 #[test]
 fn the_log_is_folded_and_nothing_is_lost() {
     let folder = Folder::new("folded");
-    let (store, _) = open(&folder.0);
+    let (mut store, _) = open(&folder.0);
     for number in 1..=120 {
         store.write(vec![record(number, 10_000)]).expect("written");
+        while store.busy() {
+            store.step().expect("a step");
+        }
     }
     store.close().expect("closed");
+    let log: u64 =
+        files(&folder.0, "log-").iter().map(|file| fs::metadata(file).expect("a file").len()).sum();
+    assert!(log < 1_000_000, "{log} bytes of log");
     let (store, found) = open(&folder.0);
     assert_eq!((found.number, found.tandem.log.len()), (120, 120));
     drop(store);
     // A file that was renamed into place after its sync is whole, or not to be trusted.
-    let state = folder.0.join("state");
-    assert!(state.exists(), "nothing was folded");
-    let mut file = OpenOptions::new().write(true).open(&state).expect("a file");
+    let states = files(&folder.0, "state-");
+    assert_eq!(states.len(), 1, "{states:?}");
+    let mut file = OpenOptions::new().write(true).open(&states[0]).expect("a file");
     file.seek(SeekFrom::Start(40)).expect("a place");
     file.write_all(&[0xff, 0xfe]).expect("written");
     drop(file);
-    assert!(matches!(Store::open(&folder.0), Err(Error::Spoilt(_))));
+    assert!(matches!(Store::open(Disk::new(&folder.0)), Err(Error::Spoilt(_))));
+}
+
+/// Guards members whose disk cannot be read: it comes back as one that has lost its disk, not as the first of all, and what was
+/// there is kept once.
+#[test]
+fn a_spoilt_disk_is_set_aside() {
+    let folder = Folder::new("spoilt");
+    for round in 0..3 {
+        let (mut store, found) = Store::open_anyhow(Disk::new(&folder.0), Limits::default()).expect("a disk");
+        assert_eq!(found, Kept { set_aside: round > 0, ..Kept::default() });
+        (1..=3).for_each(|number| store.write(vec![record(number, 300)]).expect("written"));
+        drop(store);
+        let segment = files(&folder.0, "log-").remove(0);
+        let mut bytes = fs::read(&segment).expect("a segment");
+        bytes[60] ^= 1;
+        fs::write(&segment, &bytes).expect("written");
+        assert!(matches!(Store::open(Disk::new(&folder.0)), Err(Error::Spoilt(_))));
+        assert!(files(&folder.0, "spoilt-").len() <= 1);
+    }
+}
+
+/// Guards disks of another format: refused, and nothing on it touched.
+#[test]
+fn another_format_is_refused() {
+    let folder = Folder::new("format");
+    fs::create_dir_all(&folder.0).expect("a folder");
+    fs::write(folder.0.join("wal-1"), b"okw\0").expect("written");
+    let opened = Store::open_anyhow(Disk::new(&folder.0), Limits::default());
+    assert!(matches!(opened, Err(Error::Format(_, 1))));
+    assert_eq!(files(&folder.0, "").len(), 1);
+}
+
+/// Guards the order of the log: what does not follow is refused before it is written.
+#[test]
+fn a_record_out_of_order_is_refused() {
+    let folder = Folder::new("order");
+    let (mut store, _) = open(&folder.0);
+    store.write(vec![record(1, 10)]).expect("written");
+    assert!(matches!(store.write(vec![record(3, 10)]), Err(Error::Order(2, 3))));
+    assert!(matches!(store.write(vec![record(1, 10)]), Err(Error::Order(2, 1))));
+    store.write(vec![record(2, 10)]).expect("written");
+    drop(store);
+    assert_eq!(open(&folder.0).1.number, 2);
+}
+
+/// Guards against a gap: once a record had no room, none after it is taken.
+#[test]
+fn a_queue_that_was_full_takes_no_more() {
+    let (queue, incoming) = queue();
+    queue.push(record(1, 33 << 20)).expect("the first may be long");
+    assert!(matches!(queue.push(record(2, 10)), Err(Error::Full(2))));
+    let folder = Folder::new("full");
+    let (store, _) = open(&folder.0);
+    let mut told = Vec::new();
+    // Room again, but not for what comes after the gap.
+    store.run(&incoming, |result| {
+        told.push(result.expect("written"));
+        false
+    });
+    assert!(matches!(queue.push(record(3, 10)), Err(Error::Full(3))));
+    assert_eq!(told, [1]);
 }
