Links prove both directions; an exchange out of touch hands out and confirms nothing

Each end now sends a numbered ping every 500 ms at least and answers with an echo (crates/cord: liveness, no I/O); an end takes a link for dead once the last answered ping is 2.5 s old, and takes nothing older. Who dials is asked for an echo before anything is taken; links are numbered as their hellos are read, so what is left of an earlier link or life is known as old (fence). Frames over 64 KiB go in parts with pings between them. `Pulse` became `Ping`; frame version 2.

A leave is acknowledged once a majority of the voters has it on disk, this exchange too; a receipt waits for every write that may hold the word. Before, hearing of it counted, synced or not.

--- a/crates/cord/src/lib.rs
+++ b/crates/cord/src/lib.rs
@@ -1,27 +1,38 @@
 //! Connections between processes of the system: frames over TCP, a bounded queue for what goes out, and an end to whatever
-//! has gone silent. Named after the cords by which an operator joins two lines.
+//! no longer carries both ways ([`liveness`]). Named after the cords by which an operator joins two lines.
 
-use bytes::{Bytes, BytesMut};
-use maplefall_signalling::{read, Broken, Frame};
+pub mod fence;
+pub mod liveness;
+
+use bytes::{Buf, Bytes, BytesMut};
+use liveness::{Came, Dead, Liveness, Millis, Side, DEAD};
+use maplefall_signalling::{read, write, Broken, Frame, Hello, Part, LONGEST};
 use socket2::SockRef;
+use std::cell::RefCell;
 use std::fmt;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::Instant;
 
 /// Frames that may wait to be written on one connection: one that lets more pile up is ended.
 pub const QUEUE: usize = 1024;
 /// How long the system waits for what it has sent to be confirmed.
 const UNCONFIRMED: Duration = Duration::from_millis(2000);
+/// A write that gets on by nothing for this long ends the connection.
+const STUCK: Duration = Duration::from_millis(DEAD as u64);
 /// How long a connection may take to come up.
 const COMES_UP: Duration = Duration::from_millis(400);
 /// Pauses before a connection is dialled again: the first, and the longest.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 /// Bytes read at a time.
 const READ: usize = 16 << 10;
+/// Longer frames go in parts of this many bytes, so that a ping never waits behind a whole one.
+const PART: usize = 64 << 10;
 
 /// Why a connection ended.
 #[derive(Debug)]
@@ -32,8 +43,10 @@
     Broke(io::Error),
     /// The other side closed it.
     Closed,
-    /// Nothing has come for too long.
-    Silent,
+    /// It no longer carries both ways, or nobody reads at its other end.
+    Dead(Dead),
+    /// The other side takes nothing.
+    Stuck,
     /// What came is no frame.
     Frame(Broken),
     /// This side lets it go, or too much waits to be written.
@@ -44,13 +57,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             End::Connect(address, error) => {
-                write!(f, "step=connect address={address} error={:?}", error.kind())
+                write!(f, "why=connect address={address} error={:?}", error.kind())
             }
-            End::Broke(error) => write!(f, "step=transfer error={:?}", error.kind()),
-            End::Closed => write!(f, "step=transfer end=closed"),
-            End::Silent => write!(f, "step=transfer end=silent"),
-            End::Frame(broken) => write!(f, "{broken}"),
-            End::LetGo => write!(f, "step=transfer end=let_go"),
+            End::Broke(error) => write!(f, "why=broke error={:?}", error.kind()),
+            End::Closed => write!(f, "why=closed"),
+            End::Dead(Dead::Unanswered) => write!(f, "why=unanswered"),
+            End::Dead(Dead::NoHello) => write!(f, "why=no_hello"),
+            End::Dead(Dead::Order) => write!(f, "why=order"),
+            End::Stuck => write!(f, "why=stuck"),
+            End::Frame(broken) => write!(f, "why=frame {broken}"),
+            End::LetGo => write!(f, "why=let_go"),
         }
     }
 }
@@ -84,62 +100,235 @@
     connect.map_err(|_| failed(io::ErrorKind::TimedOut.into()))?.map_err(failed)
 }
 
-/// Carries frames both ways until the connection ends. `silence` is how long nothing may come, `None` where nothing is to.
+/// Which end of a connection this is.
+#[derive(Clone, Debug)]
+pub enum Open {
+    /// This end has dialled, and says this first.
+    Dials(Hello),
+    /// The other end has, and says who it is.
+    Accepts,
+}
+
+/// What happens on a connection.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// Who was dialled reads and answers: what is put into the queue from here on is sent.
+    Up,
+    /// Somebody's hello has been read, and is asked to prove that it is new: links are numbered in this order.
+    Read,
+    /// Who has dialled says this, and was alive after it was read here.
+    Hello(Hello),
+    /// A frame.
+    Frame(Frame),
+}
+
+/// What the three parts of a connection's task share.
+struct Shared {
+    live: Liveness,
+    /// The echo and the ping that are to be written next: they go before everything else.
+    echo: Option<u64>,
+    ping: Option<u64>,
+}
+
+impl Shared {
+    /// What goes before the next write, `alone` or with something else.
+    fn first(&mut self, now: Millis, alone: bool) -> BytesMut {
+        if !alone && self.ping.is_none() {
+            self.ping = self.live.rides(now);
+        }
+        let mut bytes = BytesMut::new();
+        let frames = [self.echo.take().map(Frame::Echo), self.ping.take().map(Frame::Ping)];
+        frames.into_iter().flatten().for_each(|frame| bytes.extend_from_slice(&write(frame)));
+        bytes
+    }
+}
+
+/// Carries frames both ways until the connection ends, which is within [`liveness`]'s bound once it no longer carries both ways.
+/// `event` tells whether to go on.
 pub async fn carry(
     stream: TcpStream,
     mut outgoing: mpsc::Receiver<Bytes>,
-    silence: Option<Duration>,
-    mut frame: impl FnMut(Frame) -> bool,
+    open: Open,
+    mut event: impl FnMut(Event) -> bool,
 ) -> End {
     // Without these a connection that is cut off is noticed later.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(UNCONFIRMED));
     let (mut from, mut to) = stream.into_split();
+    let started = Instant::now();
+    let now = || started.elapsed().as_secs_f64() * 1000.0;
+    let (side, greeting) = match open {
+        Open::Dials(hello) => (Side::Dials, Some(write(Frame::Hello(hello)))),
+        Open::Accepts => (Side::Accepts, None),
+    };
+    let shared = RefCell::new(Shared { live: Liveness::new(side, now()), echo: None, ping: None });
+    // Something is to be written that is not in the queue; the time at which something is due has come nearer.
+    let (wake, sooner) = (Notify::new(), Notify::new());
     let reading = async {
-        let mut come = BytesMut::with_capacity(READ);
+        let (mut come, mut long) = (BytesMut::with_capacity(READ), BytesMut::new());
+        let mut hello = None;
         loop {
-            let more = from.read_buf(&mut come);
-            let more = match silence {
-                Some(silence) => match tokio::time::timeout(silence, more).await {
-                    Ok(more) => more,
-                    Err(_) => return End::Silent,
-                },
-                None => more.await,
-            };
-            match more {
+            match from.read_buf(&mut come).await {
                 Ok(0) => return End::Closed,
                 Ok(_) => {}
                 Err(error) => return End::Broke(error),
             }
             loop {
-                match read(&mut come) {
-                    Ok(Some(one)) => {
-                        if !frame(one) {
-                            return End::LetGo;
-                        }
-                    }
+                let frame = match read(&mut come).and_then(|frame| whole(frame, &mut long)) {
+                    Ok(Some(Taken::Frame(frame))) => frame,
+                    Ok(Some(Taken::Part)) => continue,
                     Ok(None) => break,
                     Err(broken) => return End::Frame(broken),
+                };
+                let came = match &frame {
+                    Frame::Hello(_) => Came::Hello,
+                    Frame::Ping(number) => Came::Ping(*number),
+                    Frame::Echo(number) => Came::Echo(*number),
+                    _ => Came::Other,
+                };
+                let todo = match shared.borrow_mut().live.came(now(), came) {
+                    Ok(todo) => todo,
+                    Err(dead) => return End::Dead(dead),
+                };
+                if todo.echo.is_some() || todo.ping.is_some() || todo.up {
+                    let mut shared = shared.borrow_mut();
+                    (shared.echo, shared.ping) = (todo.echo.or(shared.echo), todo.ping.or(shared.ping));
+                    wake.notify_one();
+                }
+                if todo.up {
+                    sooner.notify_one();
+                }
+                let on = match (frame, hello.take()) {
+                    (Frame::Hello(said), _) => {
+                        hello = Some(said);
+                        event(Event::Read)
+                    }
+                    (_, Some(said)) if todo.up => event(Event::Hello(said)),
+                    (_, None) if todo.up => event(Event::Up),
+                    (frame, _) if todo.take => event(Event::Frame(frame)),
+                    _ => true,
+                };
+                if !on {
+                    return End::LetGo;
                 }
             }
             come.reserve(READ);
         }
     };
+    let timing = async {
+        loop {
+            let due = shared.borrow().live.due();
+            let due = started + Duration::from_secs_f64(due.max(0.0) / 1000.0);
+            tokio::select! {
+                () = sooner.notified() => {}
+                () = tokio::time::sleep_until(due) => {}
+            }
+            let mut shared = shared.borrow_mut();
+            match shared.live.tick(now()) {
+                Ok(None) => {}
+                Ok(ping) => {
+                    shared.ping = ping;
+                    wake.notify_one();
+                }
+                Err(dead) => return End::Dead(dead),
+            }
+        }
+    };
     let writing = async {
-        while let Some(first) = outgoing.recv().await {
-            let mut bytes = BytesMut::from(first.as_ref());
-            while bytes.len() < READ {
-                let Ok(next) = outgoing.try_recv() else { break };
-                bytes.extend_from_slice(&next);
+        if let Some(greeting) = greeting {
+            if let Err(end) = put(&mut to, &greeting).await {
+                return end;
             }
-            if let Err(error) = to.write_all(&bytes).await {
-                return End::Broke(error);
+        }
+        loop {
+            let up = shared.borrow().live.is_up();
+            let next = tokio::select! {
+                biased;
+                next = outgoing.recv(), if up => match next {
+                    Some(next) => Some(next),
+                    None => return End::LetGo,
+                },
+                () = wake.notified() => None,
+            };
+            let mut bytes = shared.borrow_mut().first(now(), next.is_none());
+            let mut next = next;
+            while let Some(frame) = next.take() {
+                if frame.len() <= PART {
+                    bytes.extend_from_slice(&frame);
+                } else if let Err(end) =
+                    put_parts(&mut to, &mut bytes, frame, || shared.borrow_mut().first(now(), false)).await
+                {
+                    return end;
+                }
+                if bytes.len() < READ {
+                    next = outgoing.try_recv().ok();
+                }
+            }
+            if let Err(end) = put(&mut to, &bytes).await {
+                return end;
             }
         }
-        End::LetGo
     };
     tokio::select! {
         end = reading => end,
+        end = timing => end,
         end = writing => end,
     }
 }
+
+/// What a frame on the wire has brought.
+enum Taken {
+    /// A frame.
+    Frame(Frame),
+    /// A part of one that is not whole yet.
+    Part,
+}
+
+/// Puts long frames together; there is room for one of [`LONGEST`] at most.
+fn whole(frame: Option<Frame>, long: &mut BytesMut) -> Result<Option<Taken>, Broken> {
+    let Some(Frame::Part(part)) = frame else { return Ok(frame.map(Taken::Frame)) };
+    let length = long.len() + part.bytes.len();
+    if length > LONGEST + 4 {
+        return Err(Broken::TooLong(length));
+    }
+    long.extend_from_slice(&part.bytes);
+    if !part.last {
+        return Ok(Some(Taken::Part));
+    }
+    let frame = read(long)?.ok_or(Broken::Unreadable)?;
+    let left = std::mem::take(long);
+    if !left.is_empty() || matches!(frame, Frame::Part(_)) {
+        return Err(Broken::Unreadable);
+    }
+    Ok(Some(Taken::Frame(frame)))
+}
+
+/// Writes all, as long as it gets on.
+async fn put(to: &mut OwnedWriteHalf, mut bytes: &[u8]) -> Result<(), End> {
+    while !bytes.is_empty() {
+        match tokio::time::timeout(STUCK, to.write(bytes)).await {
+            Ok(Ok(0)) => return Err(End::Closed),
+            Ok(Ok(written)) => bytes.advance(written),
+            Ok(Err(error)) => return Err(End::Broke(error)),
+            Err(_) => return Err(End::Stuck),
+        }
+    }
+    Ok(())
+}
+
+/// Writes what waits and a long frame after it, in parts, with what is urgent between them.
+async fn put_parts(
+    to: &mut OwnedWriteHalf,
+    bytes: &mut BytesMut,
+    mut frame: Bytes,
+    first: impl Fn() -> BytesMut,
+) -> Result<(), End> {
+    while !frame.is_empty() {
+        let part = frame.split_to(frame.len().min(PART));
+        bytes.extend_from_slice(&first());
+        bytes.extend_from_slice(&write(Frame::Part(Part { bytes: part, last: frame.is_empty() })));
+        put(to, bytes).await?;
+        bytes.clear();
+    }
+    Ok(())
+}
--- a/crates/exchange/src/core/backends.rs
+++ b/crates/exchange/src/core/backends.rs
@@ -12,8 +12,9 @@
         self.acknowledge(now, number, &id, brought, leaving, out);
     }
 
-    /// Answers a backend. That it leaves is acknowledged once another exchange knows it too: it has to hold though this one
-    /// should be lost in the same moment.
+    /// Answers a backend. That it leaves is acknowledged once a majority of the exchanges has it on disk, this one among them: it has
+    /// to hold whichever exchanges are lost in the same moment. One that has been out of touch for long takes in what it is told and
+    /// acknowledges nothing: who beats here alone would be taken for lost by all others.
     pub(super) fn acknowledge(
         &mut self,
         now: Millis,
@@ -23,66 +24,96 @@
         leaving: bool,
         out: &mut Vec<Output>,
     ) {
-        let alone = self.tandem.voters().len() <= 1;
-        let known = !leaving || alone || self.shared.contains(id);
         let news = match brought {
             Brought::News(word) => {
-                self.tell(now, vec![word.clone()], out);
-                let call = (!known).then_some(number);
-                self.write(
-                    Stored { words: vec![word.clone()], ..Stored::default() },
-                    Wrote::Words(call),
-                    out,
-                );
+                self.tell(vec![word.clone()], out);
+                self.write(Stored { words: vec![word.clone()], ..Stored::default() }, Wrote::Words, out);
                 Some(word)
             }
             _ => None,
         };
-        if known {
-            out.push(Output::Answer(number, Answer::Done("{}".to_owned())));
-            if news.is_none() {
-                return;
+        let away = self.parted.is_some_and(|since| now - since > AWAY);
+        let known = !leaving || self.shared.contains(id);
+        if away || known {
+            let answer = if away { Answer::Unknown } else { Answer::Done("{}".to_owned()) };
+            out.push(Output::Answer(number, answer));
+            if let Some(word) = news {
+                out.push(Output::Peers(words(vec![word], false, 0)));
             }
+            return;
         }
-        let written = news.is_some();
         let Some(word) = news.or_else(|| self.directory.word(now, id)) else { return };
-        let mut receipt = 0;
-        if !known {
-            self.last_receipt += 1;
-            receipt = self.last_receipt;
-            self.receipts.insert(receipt, (id.to_owned(), number));
-            let waiting = Waiting { call: number, until: now + AGREE };
-            self.leaves.insert(number, (waiting, 1 + u8::from(written)));
+        self.last_receipt += 1;
+        let receipt = self.last_receipt;
+        let leave = Leave {
+            id: id.to_owned(),
+            waiting: Waiting { call: number, until: now + AGREE },
+            on_disk: self.writing.is_empty(),
+            receipts: BTreeSet::new(),
+        };
+        self.leaves.insert(receipt, leave);
+        if !self.writing.is_empty() {
+            // It may stand in any write that is under way, also where it is no news by now.
+            self.writing.push_back((self.last_write, Wrote::Leave(receipt)));
         }
-        out.push(Output::Peers(write(Frame::Words(Words { words: vec![word], all: false, receipt }))));
+        out.push(Output::Peers(words(vec![word], false, receipt)));
+        self.settle(receipt, out);
     }
 
-    /// One of the things has happened that the acknowledgement of a leave waits for.
-    pub(super) fn half_known(&mut self, call: Option<u64>, out: &mut Vec<Output>) {
-        let Some((call, waits)) = call.and_then(|call| Some((call, self.leaves.get_mut(&call)?))) else {
+    /// Acknowledges a leave if a majority has it on disk.
+    pub(super) fn settle(&mut self, receipt: u64, out: &mut Vec<Output>) {
+        let voters = self.tandem.voters();
+        let Some(leave) = self.leaves.get(&receipt) else { return };
+        let others = leave.receipts.iter().filter(|ip| voters.contains(*ip)).count();
+        let copies = others + usize::from(voters.contains(&self.me));
+        if !leave.on_disk || copies < voters.len() / 2 + 1 {
             return;
-        };
-        waits.1 -= 1;
-        if waits.1 == 0 {
-            self.leaves.remove(&call);
-            out.push(Output::Answer(call, Answer::Done("{}".to_owned())));
+        }
+        let Some(leave) = self.leaves.remove(&receipt) else { return };
+        if self.shared.len() < MOST_SHARED {
+            self.shared.insert(leave.id);
+        }
+        out.push(Output::Answer(leave.waiting.call, Answer::Done("{}".to_owned())));
+    }
+
+    /// Another exchange says something about backends, and may want to know when it is on disk here.
+    pub(super) fn told(&mut self, now: Millis, ip: &str, said: Words, out: &mut Vec<Output>) {
+        let mut news = Vec::new();
+        for word in said.words {
+            if let Brought::News(word) = self.directory.hear(now, word) {
+                news.push(word);
+            }
+        }
+        if !news.is_empty() {
+            self.write(Stored { words: news.clone(), ..Stored::default() }, Wrote::Words, out);
+        }
+        self.tell(news, out);
+        if said.receipt == 0 {
+            return;
+        }
+        if self.writing.is_empty() {
+            out.push(Output::Peer(ip.to_owned(), write(Frame::Heard(said.receipt))));
+        } else if self.receipts_due < MOST_RECEIPTS {
+            // What is no news may stand in any write that is under way. Beyond the bound whoever asks has no answer in time.
+            self.receipts_due += 1;
+            self.writing.push_back((self.last_write, Wrote::Heard(ip.to_owned(), said.receipt)));
         }
     }
 
     /// Tells all doors.
-    pub(super) fn tell(&mut self, now: Millis, words: Vec<Word>, out: &mut Vec<Output>) {
-        if words.is_empty() {
+    pub(super) fn tell(&mut self, news: Vec<Word>, out: &mut Vec<Output>) {
+        if news.is_empty() {
             return;
         }
-        for word in &words {
+        for word in &news {
             if matches!(word.state(), State::Leaving | State::Left) {
                 let state = if word.state() == State::Left { "left" } else { "leaving" };
                 out.push(Output::Log(format!("event={state} backend={} service={}", word.id, word.service)));
             }
         }
-        let bytes = write(Frame::Words(Words { words, all: false, receipt: 0 }));
+        let bytes = words(news, false, 0);
         for conn in self.doors.keys().copied().collect::<Vec<_>>() {
-            self.say(now, conn, bytes.clone(), out);
+            self.say(conn, bytes.clone(), out);
         }
     }
 
@@ -91,29 +122,53 @@
         now - self.born > self.silence && self.company.is_some_and(|since| now - since > self.silence)
     }
 
-    /// Tells a door all. One that is alone keeps what it found on its disk to itself: others may know that it is over.
+    /// Tells a door all. One that is out of touch keeps what it found on its disk to itself: others may know that it is over.
     pub(super) fn tell_all(&mut self, now: Millis, conn: u64, out: &mut Vec<Output>) {
         let all = self.knows_all(now);
-        if self.company.is_none() {
+        if !self.in_touch(now) {
             return;
         }
         let Some(door) = self.doors.get_mut(&conn) else { return };
         door.told_all = all;
-        let words = self.directory.words(now);
-        let serving = |word: &Word| matches!(word.state(), State::Serving | State::Leaving);
-        let words = words.into_iter().filter(serving).collect();
-        self.say(now, conn, write(Frame::Words(Words { words, all, receipt: 0 })), out);
+        let open = |word: &Word| matches!(word.state(), State::Serving | State::Leaving);
+        let known = self.directory.words(now).into_iter().filter(open).collect();
+        self.say(conn, words(known, all, 0), out);
     }
 
+    /// Whether a majority of the exchanges is known to be there.
+    pub(super) fn in_touch(&self, now: Millis) -> bool {
+        self.company.is_some() && self.tandem.in_company(now)
+    }
+
+    /// Notes when this exchange has come into touch with a majority, and when it has lost it.
     pub(super) fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
         if !self.tandem.in_company(now) {
-            self.company = None;
+            self.lose_company(now, out);
         } else if self.company.is_none() {
             self.company = Some(now);
+            let away = self.parted.take().map_or(0.0, |since| now - since);
+            out.push(Output::Log(format!("event=in_touch after_ms={away:.0}")));
             self.directory.excuse(now);
+            // Doors that have nothing have waited for this.
+            self.spread_plans(now, out);
             for conn in self.doors.keys().copied().collect::<Vec<_>>() {
                 self.tell_all(now, conn, out);
             }
         }
     }
+
+    pub(super) fn lose_company(&mut self, now: Millis, out: &mut Vec<Output>) {
+        if self.company.take().is_some() {
+            let since = now - self.tandem.contact(now).max(self.born);
+            let (linked, voters) = (self.linked.len(), self.tandem.voters().len());
+            out.push(Output::Log(format!(
+                "event=out_of_touch since_ms={since:.0} linked={linked} voters={voters}"
+            )));
+        }
+        self.parted.get_or_insert(now);
+    }
+}
+
+pub(super) fn words(words: Vec<Word>, all: bool, receipt: u64) -> Bytes {
+    write(Frame::Words(Words { words, all, receipt }))
 }
--- a/crates/exchange/src/core/doors.rs
+++ b/crates/exchange/src/core/doors.rs
@@ -11,7 +11,7 @@
             life: hello.life,
             index: hello.index,
             told_all: false,
-            spoken: now,
+            held_back: false,
         };
         self.doors.insert(conn, door);
         // Even where nothing has changed: the door learns which exchanges there are.
@@ -48,7 +48,7 @@
         for (node, lent) in answers {
             let conn = if node == mine { Some(conn) } else { self.conn_of(&node) };
             if let Some(conn) = conn {
-                self.say(now, conn, write(Frame::Lent(lent)), out);
+                self.say(conn, write(Frame::Lent(lent)), out);
             }
         }
     }
@@ -64,10 +64,16 @@
         }
     }
 
-    /// Tells a door what it lacks of the configuration.
+    /// Tells a door what it lacks of the configuration. One that has none gets it only from an exchange in touch with a majority: it
+    /// would serve by what may be long out of date. One that has some may stay with it, and news is news: its index only rises.
     pub(super) fn plans(&mut self, now: Millis, conn: u64, always: bool, out: &mut Vec<Output>) {
+        let in_touch = self.in_touch(now);
         let Some(door) = self.doors.get_mut(&conn) else { return };
-        let news = self.index > door.index;
+        let held_back = self.index > 0 && door.index == 0 && !in_touch;
+        let news = self.index > door.index && !held_back;
+        if held_back && !std::mem::replace(&mut door.held_back, true) {
+            out.push(Output::Log(format!("event=held_back node={} why=out_of_touch", door.node)));
+        }
         if !news && !always {
             return;
         }
@@ -83,12 +89,11 @@
                 plans.items = self.board.items().cloned().collect();
             }
         }
-        self.say(now, conn, write(Frame::Plans(plans)), out);
+        self.say(conn, write(Frame::Plans(plans)), out);
     }
 
-    pub(super) fn say(&mut self, now: Millis, conn: u64, bytes: Bytes, out: &mut Vec<Output>) {
-        if let Some(door) = self.doors.get_mut(&conn) {
-            door.spoken = now;
+    pub(super) fn say(&mut self, conn: u64, bytes: Bytes, out: &mut Vec<Output>) {
+        if self.doors.contains_key(&conn) {
             out.push(Output::Door(conn, bytes));
         }
     }
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -41,6 +41,10 @@
 const LONG_LOG: usize = 2000;
 /// Lives whose leaving is remembered as shared at most; of others it is shared again.
 const MOST_SHARED: usize = 50_000;
+/// Receipts at most that wait for the disk.
+const MOST_RECEIPTS: usize = 4096;
+/// An exchange that has been out of touch for this long acknowledges no beats. Longer than an election takes.
+const AWAY: Millis = 1500.0;
 /// Calls that wait at most; what comes beyond is sent on.
 const MOST_CALLS: usize = 512;
 
@@ -92,7 +96,8 @@
     life: u64,
     index: u64,
     told_all: bool,
-    spoken: Millis,
+    /// It has no configuration, and waits until this exchange is in touch.
+    held_back: bool,
 }
 
 /// What a write was for.
@@ -100,8 +105,22 @@
     Tandem(u64),
     /// A door's name: it may be lent to.
     Name(u64, Report),
-    /// Words about backends, and the call that waits for them.
-    Words(Option<u64>),
+    /// Words about backends.
+    Words,
+    /// Nothing of its own: all before it holds what this leave, by its receipt, says.
+    Leave(u64),
+    /// The same of words that this exchange wants a receipt for.
+    Heard(String, u64),
+}
+
+/// A leave that is to be acknowledged.
+struct Leave {
+    id: String,
+    waiting: Waiting,
+    /// Whether it is on this disk.
+    on_disk: bool,
+    /// Exchanges that have it on theirs.
+    receipts: BTreeSet<String>,
 }
 
 /// A call that waits.
@@ -125,15 +144,19 @@
     directory: Directory,
     /// Since when a majority has been heard without a break.
     company: Option<Millis>,
+    /// Since when it has not.
+    parted: Option<Millis>,
+    /// Exchanges to which there is a link that lives.
+    linked: BTreeSet<String>,
     /// Whom this exchange heard itself since it last told the others.
     heard: BTreeMap<String, u64>,
-    /// Lives whose leaving another exchange knows too.
+    /// Lives whose leaving a majority has on disk, this exchange too.
     shared: BTreeSet<String>,
-    /// Leaves that wait for another exchange's receipt, by its number.
-    receipts: BTreeMap<u64, (String, u64)>,
-    /// Calls that wait for the disk, for another exchange, or for both.
-    leaves: BTreeMap<u64, (Waiting, u8)>,
+    /// Leaves that wait for that, by the number of their receipt.
+    leaves: BTreeMap<u64, Leave>,
     last_receipt: u64,
+    /// Receipts that wait for the disk.
+    receipts_due: usize,
     doors: BTreeMap<u64, Door>,
     lender: Option<Lender>,
     lent_to: BTreeSet<String>,
@@ -179,11 +202,13 @@
             ring_after: 0,
             directory: Directory::default(),
             company: None,
+            parted: Some(now),
+            linked: BTreeSet::new(),
             heard: BTreeMap::new(),
             shared: BTreeSet::new(),
-            receipts: BTreeMap::new(),
             leaves: BTreeMap::new(),
             last_receipt: seed & 0xffff_ffff,
+            receipts_due: 0,
             doors: BTreeMap::new(),
             lender: None,
             last_write: kept.number,
@@ -219,7 +244,7 @@
     pub fn tick(&mut self, now: Millis, out: &mut Vec<Output>) {
         if now - self.ticked > FROZEN {
             out.push(Output::Log(format!("event=frozen ms={:.0}", now - self.ticked)));
-            self.company = None;
+            self.lose_company(now, out);
         }
         self.ticked = now;
         self.agree(now, out, |tandem, todo| tandem.tick(now, todo));
@@ -238,9 +263,9 @@
                 out.push(Output::Log(format!("event=lost backend={} service={}", word.id, word.service)));
             }
             if !lost.is_empty() {
-                self.write(Stored { words: lost.clone(), ..Stored::default() }, Wrote::Words(None), out);
+                self.write(Stored { words: lost.clone(), ..Stored::default() }, Wrote::Words, out);
             }
-            self.tell(now, lost, out);
+            self.tell(lost, out);
         }
         let whole = self.knows_all(now);
         let unaware: Vec<u64> =
@@ -248,15 +273,6 @@
         for conn in unaware {
             self.tell_all(now, conn, out);
         }
-        let quiet: Vec<u64> = self
-            .doors
-            .iter()
-            .filter(|(_, door)| now - door.spoken >= 2.0 * TELL - TICK)
-            .map(|(conn, _)| *conn)
-            .collect();
-        for conn in quiet {
-            self.say(now, conn, write(Frame::Pulse(0)), out);
-        }
     }
 
     /// All writes up to this number are on disk.
@@ -267,15 +283,37 @@
                     self.agree(now, out, |tandem, todo| tandem.written(now, number, todo))
                 }
                 Wrote::Name(conn, report) => self.reported(now, conn, &report, out),
-                Wrote::Words(call) => self.half_known(call, out),
+                Wrote::Words => {}
+                Wrote::Leave(receipt) => {
+                    if let Some(leave) = self.leaves.get_mut(&receipt) {
+                        leave.on_disk = true;
+                    }
+                    self.settle(receipt, out);
+                }
+                Wrote::Heard(ip, receipt) => {
+                    self.receipts_due -= 1;
+                    out.push(Output::Peer(ip, write(Frame::Heard(receipt))));
+                }
             }
         }
     }
 
-    /// Another exchange has opened a connection.
+    /// There is a new link to another exchange: what went to it before may be lost, so it is told all again.
     pub fn peer_up(&mut self, now: Millis, ip: &str, out: &mut Vec<Output>) {
-        let words = self.directory.words(now);
-        out.push(Output::Peer(ip.to_owned(), write(Frame::Words(Words { words, all: false, receipt: 0 }))));
+        self.linked.insert(ip.to_owned());
+        let known = backends::words(self.directory.words(now), false, 0);
+        out.push(Output::Peer(ip.to_owned(), known));
+        for (receipt, leave) in &self.leaves {
+            if let Some(word) = self.directory.word(now, &leave.id) {
+                out.push(Output::Peer(ip.to_owned(), backends::words(vec![word], false, *receipt)));
+            }
+        }
+    }
+
+    /// The link to another exchange is dead. What it may not have heard is told again when there is another; entries are sent again
+    /// until they are answered.
+    pub fn peer_down(&mut self, ip: &str) {
+        self.linked.remove(ip);
     }
 
     /// Another exchange says something.
@@ -284,29 +322,11 @@
             Frame::Tandem(message) => {
                 self.agree(now, out, |tandem, todo| tandem.receive(now, ip, message, todo));
             }
-            Frame::Words(words) => {
-                let mut news = Vec::new();
-                for word in words.words {
-                    if matches!(word.state(), State::Leaving | State::Left) && self.shared.len() < MOST_SHARED
-                    {
-                        self.shared.insert(word.id.clone());
-                    }
-                    if let Brought::News(word) = self.directory.hear(now, word) {
-                        news.push(word);
-                    }
-                }
-                if !news.is_empty() {
-                    self.write(Stored { words: news.clone(), ..Stored::default() }, Wrote::Words(None), out);
-                }
-                self.tell(now, news, out);
-                if words.receipt != 0 {
-                    out.push(Output::Peer(ip.to_owned(), write(Frame::Heard(words.receipt))));
-                }
-            }
+            Frame::Words(words) => self.told(now, ip, words, out),
             Frame::Heard(receipt) => {
-                if let Some((id, call)) = self.receipts.remove(&receipt) {
-                    self.shared.insert(id);
-                    self.half_known(Some(call), out);
+                if let Some(leave) = self.leaves.get_mut(&receipt) {
+                    leave.receipts.insert(ip.to_owned());
+                    self.settle(receipt, out);
                 }
             }
             Frame::Alive(alive) => {
--- a/crates/exchange/src/core/operator.rs
+++ b/crates/exchange/src/core/operator.rs
@@ -69,8 +69,6 @@
         };
         self.amends.retain(|_, waiting| unknown(waiting, out));
         self.reads.retain(|_, waiting| unknown(waiting, out));
-        self.leaves.retain(|_, (waiting, _)| unknown(waiting, out));
-        let leaves = &self.leaves;
-        self.receipts.retain(|_, (_, call)| leaves.contains_key(call));
+        self.leaves.retain(|_, leave| unknown(&leave.waiting, out));
     }
 }
--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -9,9 +9,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use maplefall_cord::{carry, dial, End, Pause, QUEUE};
+use maplefall_cord::fence::{Fence, Verdict};
+use maplefall_cord::{carry, dial, End, Event, Open, Pause, QUEUE};
 use maplefall_mainframe::{Settings, Watched};
-use maplefall_signalling::{write, Frame, Hello, VERSION};
+use maplefall_signalling::{Hello, VERSION};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -28,8 +29,6 @@
 const MOST_CALLERS: usize = 1024;
 /// How long a caller's connection may be without a request.
 const CALLER_IDLE: Duration = Duration::from_secs(10);
-/// A connection on which nothing comes for this long has ended.
-const SILENCE: Duration = Duration::from_millis(2000);
 /// Pause when the system has no descriptor for a new connection.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 /// Records that wait for the disk at most.
@@ -78,7 +77,8 @@
     /// What goes to other exchanges, by address.
     peers: RefCell<HashMap<String, mpsc::Sender<Bytes>>>,
     doors: RefCell<HashMap<u64, mpsc::Sender<Bytes>>>,
-    last_door: Cell<u64>,
+    /// Of each machine's door and exchange, the latest link that was taken from it: older ones say nothing more.
+    fence: RefCell<Fence<(String, bool)>>,
     calls: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     last_call: Cell<u64>,
     disk: std::sync::mpsc::SyncSender<Stored>,
@@ -182,7 +182,7 @@
         control,
         peers: RefCell::default(),
         doors: RefCell::default(),
-        last_door: Cell::new(0),
+        fence: RefCell::default(),
         calls: RefCell::default(),
         last_call: Cell::new(0),
         disk,
@@ -224,7 +224,7 @@
                         self.doors.borrow().get(&conn).is_some_and(|door| door.try_send(bytes).is_err());
                     if full {
                         // Its task sees the end of the queue and closes the connection.
-                        self.doors.borrow_mut().remove(&conn);
+                        self.drop_door(conn);
                     }
                 }
                 Output::Answer(number, answer) => {
@@ -270,23 +270,35 @@
             let address = SocketAddr::new(ip, self.port);
             let (mut known, mut pause) = (true, Pause::default());
             loop {
+                let mut up = false;
                 let end = match dial(self.ip, address).await {
                     Ok(stream) => {
                         let (sender, outgoing) = mpsc::channel(QUEUE);
-                        let _ = sender.try_send(write(Frame::Hello(self.hello.clone())));
-                        self.peers.borrow_mut().insert(name.clone(), sender);
-                        log::info!("event=peer_up peer={name}");
-                        (known, pause) = (true, Pause::default());
-                        self.drive(|core, now, out| core.peer_up(now, &name, out));
-                        // Nothing is said on it by the other side.
-                        carry(stream, outgoing, None, |_| true).await
+                        let mut sender = Some(sender);
+                        carry(stream, outgoing, Open::Dials(self.hello.clone()), |event| {
+                            // Nothing but that it reads is said on it by the other side.
+                            if let (Event::Up, Some(sender)) = (event, sender.take()) {
+                                up = true;
+                                self.peers.borrow_mut().insert(name.clone(), sender);
+                                log::info!("event=peer_up peer={name}");
+                                self.drive(|core, now, out| core.peer_up(now, &name, out));
+                            }
+                            true
+                        })
+                        .await
                     }
                     Err(end) => end,
                 };
+                if up {
+                    (known, pause) = (true, Pause::default());
+                }
                 if std::mem::take(&mut known) {
                     log::info!("event=peer_down peer={name} {end}");
                 }
                 self.peers.borrow_mut().insert(name.clone(), mpsc::channel(1).0);
+                if up {
+                    self.core.borrow_mut().peer_down(&name);
+                }
                 pause.wait().await;
             }
         });
@@ -306,48 +318,57 @@
     /// Serves a door or another exchange.
     async fn serve_inner(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
         let (sender, outgoing) = mpsc::channel(QUEUE);
-        let mut peer: Option<String> = None;
-        let mut door: Option<u64> = None;
-        let sender = RefCell::new(Some(sender));
-        let (exchange, mine) = (&self, &sender);
-        let end = carry(stream, outgoing, Some(SILENCE), |frame| {
-            match (frame, &peer, door) {
-                (Frame::Hello(hello), None, None) if hello.version == VERSION && hello.life != 0 => {
-                    // A machine speaks for itself alone.
-                    if hello.ip != from.ip().to_string() {
-                        return false;
+        let mut who: Option<(String, bool)> = None;
+        let mut sender = Some(sender);
+        let number = Cell::new(0);
+        let exchange = &self;
+        let end = carry(stream, outgoing, Open::Accepts, |event| match (event, &who) {
+            (Event::Read, None) => {
+                number.set(exchange.fence.borrow_mut().number());
+                true
+            }
+            (Event::Hello(hello), None) if hello.version == VERSION && hello.life != 0 => {
+                // A machine speaks for itself alone.
+                if hello.ip != from.ip().to_string() {
+                    return false;
+                }
+                let (link, speaker) = (number.get(), (hello.ip.clone(), hello.exchange));
+                let verdict = exchange.fence.borrow_mut().take(&speaker, link);
+                if verdict == Verdict::Old {
+                    log::info!("event=old_link peer={} life={}", hello.ip, hello.life);
+                    return false;
+                }
+                if hello.exchange {
+                    if let Ok(ip) = hello.ip.parse() {
+                        exchange.clone().dial_peer(ip);
                     }
-                    if hello.exchange {
-                        if let Ok(ip) = hello.ip.parse() {
-                            exchange.clone().dial_peer(ip);
-                        }
-                        peer = Some(hello.ip);
-                    } else {
-                        let conn = exchange.last_door.get() + 1;
-                        exchange.last_door.set(conn);
-                        door = Some(conn);
-                        if let Some(sender) = mine.borrow_mut().take() {
-                            exchange.doors.borrow_mut().insert(conn, sender);
-                        }
-                        exchange.drive(|core, now, out| core.door_up(now, conn, &hello, out));
+                } else {
+                    if let Verdict::InPlaceOf(before) = verdict {
+                        exchange.drop_door(before);
                     }
-                    true
-                }
-                (Frame::Hello(_), _, _) | (_, None, None) => false,
-                (frame, Some(ip), _) => {
-                    exchange.drive(|core, now, out| core.peer(now, ip, frame, out));
-                    true
+                    if let Some(sender) = sender.take() {
+                        exchange.doors.borrow_mut().insert(link, sender);
+                    }
+                    exchange.drive(|core, now, out| core.door_up(now, link, &hello, out));
                 }
-                (frame, None, Some(conn)) => {
-                    exchange.drive(|core, now, out| core.door(now, conn, frame, out));
-                    true
+                who = Some(speaker);
+                true
+            }
+            (Event::Frame(frame), Some(who)) if exchange.fence.borrow().holds(who, number.get()) => {
+                match who {
+                    (ip, true) => exchange.drive(|core, now, out| core.peer(now, ip, frame, out)),
+                    (_, false) => exchange.drive(|core, now, out| core.door(now, number.get(), frame, out)),
                 }
+                true
             }
+            _ => false,
         })
         .await;
-        if let Some(conn) = door {
-            self.doors.borrow_mut().remove(&conn);
-            self.drive(|core, _, out| core.door_down(conn, out));
+        if let Some(who) = &who {
+            self.fence.borrow_mut().ended(who, number.get());
+            if !who.1 {
+                self.drop_door(number.get());
+            }
         }
         log::debug!("event=inner_down from={from} {end}");
         if let End::Frame(broken) = end {
@@ -355,6 +376,14 @@
         }
     }
 
+    /// A door's link has ended, or a later one of the same door has come.
+    fn drop_door(self: &Rc<Self>, link: u64) {
+        // With its queue goes the connection.
+        if self.doors.borrow_mut().remove(&link).is_some() {
+            self.drive(|core, _, out| core.door_down(link, out));
+        }
+    }
+
     // ---- Callers ------------------------------------------------------------------------------------
 
     async fn accept_callers(self: Rc<Self>, listener: TcpListener) {
--- a/crates/signalling/src/lib.rs
+++ b/crates/signalling/src/lib.rs
@@ -11,7 +11,7 @@
 /// Longest frame.
 pub const LONGEST: usize = 64 << 20;
 /// What a hello begins with: who does not speak this does not belong here.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 
 /// Who opens a connection.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -104,7 +104,7 @@
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Envelope {
     /// What it holds.
-    #[prost(oneof = "Frame", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Frame", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub frame: Option<Frame>,
 }
 
@@ -135,9 +135,26 @@
     /// To a door.
     #[prost(message, tag = "8")]
     Lent(Lent),
-    /// The connection lives.
+    /// The receiver is to say [`Frame::Echo`] with this number.
     #[prost(uint64, tag = "9")]
-    Pulse(u64),
+    Ping(u64),
+    /// The ping of this number, and all before it, have been read.
+    #[prost(uint64, tag = "10")]
+    Echo(u64),
+    /// Bytes of a long frame: pings go between its parts.
+    #[prost(message, tag = "11")]
+    Part(Part),
+}
+
+/// Bytes of a long frame as [`write`] gives them, in order.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Part {
+    /// The bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub bytes: Bytes,
+    /// Whether they are its last.
+    #[prost(bool, tag = "2")]
+    pub last: bool,
 }
 
 /// Why bytes are no frame.
--- a/crates/signalling/tests/frames.rs
+++ b/crates/signalling/tests/frames.rs
@@ -11,7 +11,7 @@
 /// Guards against reads that end anywhere.
 #[test]
 fn frames_come_whole_wherever_they_are_cut() {
-    let bytes = [write(hello()), write(Frame::Pulse(3)), write(hello())].concat();
+    let bytes = [write(hello()), write(Frame::Ping(3)), write(hello())].concat();
     for cut in 0..=bytes.len() {
         let (mut come, mut got) = (BytesMut::new(), Vec::new());
         for part in [&bytes[..cut], &bytes[cut..]] {
@@ -20,7 +20,7 @@
                 got.push(frame);
             }
         }
-        assert_eq!(got, [hello(), Frame::Pulse(3), hello()], "cut at {cut}");
+        assert_eq!(got, [hello(), Frame::Ping(3), hello()], "cut at {cut}");
     }
 }
 
--- a/crates/switchboard/src/links.rs
+++ b/crates/switchboard/src/links.rs
@@ -1,16 +1,14 @@
 //! Connections to the exchanges: one to each, kept for as long as the door runs.
 
 use crate::door::Door;
-use maplefall_cord::{carry, dial, Pause, QUEUE};
-use maplefall_signalling::{write, Frame, Hello};
+use maplefall_cord::{carry, dial, Event, Open, Pause, QUEUE};
+use maplefall_signalling::Hello;
 use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// A connection on which nothing comes for this long has ended.
-const SILENCE: Duration = Duration::from_millis(2000);
 /// How long the others wait for the first to bring the configuration, so that not all of them do.
 const HEAD_START: Duration = Duration::from_millis(150);
 
@@ -40,29 +38,39 @@
     if !head_start.is_zero() {
         tokio::time::sleep(head_start).await;
     }
-    let (mut up, mut pause) = (true, Pause::default());
+    let (mut known, mut pause) = (true, Pause::default());
     loop {
+        let mut up = false;
         let end = match dial(from, address).await {
             Ok(stream) => {
                 let (sender, outgoing) = mpsc::channel(QUEUE);
+                let mut sender = Some(sender);
                 let hello = Hello { index: door.ask(|core| core.index()), ..hello.clone() };
-                let _ = sender.try_send(write(Frame::Hello(hello)));
-                door.exchanges.borrow_mut().insert(name.clone(), sender);
-                (up, pause) = (true, Pause::default());
-                log::info!("event=exchange_up exchange={name}");
-                door.drive(|core, now, out| core.exchange_up(now, &name, out));
-                let end = carry(stream, outgoing, Some(SILENCE), |frame| {
-                    door.drive(|core, now, out| core.heard(now, &name, frame, out));
+                carry(stream, outgoing, Open::Dials(hello), |event| {
+                    match (event, sender.take()) {
+                        (Event::Up, Some(sender)) => {
+                            up = true;
+                            door.exchanges.borrow_mut().insert(name.clone(), sender);
+                            log::info!("event=exchange_up exchange={name}");
+                            door.drive(|core, now, out| core.exchange_up(now, &name, out));
+                        }
+                        (Event::Frame(frame), _) => {
+                            door.drive(|core, now, out| core.heard(now, &name, frame, out));
+                        }
+                        _ => {}
+                    }
                     true
                 })
-                .await;
-                door.exchanges.borrow_mut().remove(&name);
-                door.ask(|core| core.exchange_down(&name));
-                end
+                .await
             }
             Err(end) => end,
         };
-        if std::mem::take(&mut up) {
+        if up {
+            (known, pause) = (true, Pause::default());
+            door.exchanges.borrow_mut().remove(&name);
+            door.ask(|core| core.exchange_down(&name));
+        }
+        if std::mem::take(&mut known) {
             log::info!("event=exchange_down exchange={name} {end}");
         }
         pause.wait().await;
