--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -263,6 +263,7 @@
                     }
                 }
                 Output::Log(line) => log::info!("{line}"),
+                Output::Debug(line) => log::debug!("{line}"),
             }
         }
     }
--- a/crates/exchange/tests/loss.rs
+++ b/crates/exchange/tests/loss.rs
@@ -19,7 +19,7 @@
         index: number - 1,
         term: 1 + (number - 1) / 50,
         voters: vec!["a".to_owned(), "b".to_owned()],
-        state,
+        state: state.into(),
     });
     let tandem = Record {
         term: Some(1 + number / 50),
@@ -212,7 +212,7 @@
 /// Guards a whole state that comes in one record: 8 MiB, cut at each step.
 #[test]
 fn a_long_snapshot_is_there_or_not() {
-    let snapshot = Snapshot { index: 900, term: 3, state: vec![7; 8 << 20], ..Snapshot::default() };
+    let snapshot = Snapshot { index: 900, term: 3, state: vec![7; 8 << 20].into(), ..Snapshot::default() };
     let tandem = Record { snapshot: Some(snapshot), ..Record::default() };
     let long = Stored { number: 6, tandem: Some(tandem), ..Stored::default() };
     for stop in 0..40 {
