Quotas are cut into slots; a lender has a lease, and a new owner waits

The first three of five own one each, the others get the two that nobody has lent. A slot that had an owner lends nothing for 23 s under the next (12 s that loans last, 9 s lease, 2 s for deposed leaders and clocks); whoever was not in touch with agreement for 9 s answers no door. A limit that shrinks shrinks every loan at once. That the wait is over stands on disk.

Ruled out: an entry by which the old owner confirms that all is back: one that is cut off for good never writes it, so the wait is needed anyway. Lending by the number of voters with a wait on both sides: every change moves parts of all.

Fencing: Report and Lent carry the lender's life; answers are numbered over all doors of a life; a report of an earlier connection or with an older number is passed over (connections are numbered as they are accepted: a frozen exchange may read a dead life's words after the new one's, and forgot what the new one held). A door repeats what it holds until it is answered. Found on the way: a second report was answered before the door's name was on disk; a disk that came empty counted as knowing all its doors at its second start (`lent_known` is on disk now).

--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -33,7 +33,7 @@
             out.push(if to.is_empty() { Output::Peers(bytes) } else { Output::Peer(to, bytes) });
         }
         if let Some(snapshot) = todo.installed {
-            self.install(&snapshot.state, snapshot.index);
+            self.install(now, &snapshot, out);
             self.spread_plans(now, out);
         }
         if !todo.agreed.is_empty() {
@@ -59,10 +59,14 @@
             let leader = self.led_by.as_deref().unwrap_or("none");
             out.push(Output::Log(format!("event=leader leader={leader} term={}", self.tandem.term())));
         }
-        self.lend(now);
+        self.keep_lending(now, out);
         self.keep_company(now, out);
         if self.tandem.length() > LONG_LOG {
-            let state = Whole { items: self.board.items().cloned().collect() }.encode_to_vec();
+            let state = Whole {
+                items: self.board.items().cloned().collect(),
+                owners: Some(self.shares.slots().clone()),
+            }
+            .encode_to_vec();
             self.agree(now, out, |tandem, todo| tandem.fold(state, todo));
         }
     }
@@ -84,6 +88,11 @@
                 }
                 self.index = entry.index;
             }
+            if entry.kind() == EntryKind::Voters {
+                let members = entry.voters.iter().cloned().collect();
+                let turns = self.shares.change(now, &members, entry.index);
+                self.slots_turned(now, turns, out);
+            }
             if let Some(waiting) = self.amends.remove(&entry.index) {
                 out.push(Output::Answer(waiting.call, Answer::Done("{}".to_owned())));
             }
@@ -91,12 +100,26 @@
         self.spread_plans(now, out);
     }
 
-    pub(super) fn install(&mut self, state: &[u8], index: u64) {
-        if let Ok(all) = Whole::decode(state) {
-            self.board = Board::of(all.items);
-        }
-        self.index = index;
-        self.ring_after = index;
+    pub(super) fn install(&mut self, now: Millis, snapshot: &Snapshot, out: &mut Vec<Output>) {
+        let whole = match Whole::decode(snapshot.state.as_slice()) {
+            Ok(whole) => whole,
+            Err(error) => {
+                out.push(Output::Log(format!("event=bad_snapshot index={} error={error}", snapshot.index)));
+                Whole::default()
+            }
+        };
+        // What an earlier program folded, or the first state of all, holds no slots: they follow from the members.
+        let slots =
+            whole.owners.unwrap_or_else(|| first_slots(&snapshot.voters, self.losses, snapshot.index));
+        let turns = self.shares.install(now, slots);
+        self.slots_turned(now, turns, out);
+        self.board = Board::of(whole.items);
+        self.index = snapshot.index;
+        self.ring_after = snapshot.index;
         self.ring.clear();
     }
 }
+
+pub(super) fn first_slots(members: &[String], losses: u32, index: u64) -> Slots {
+    Slots::first(&members.iter().cloned().collect(), losses, index)
+}
--- a/crates/exchange/src/core/doors.rs
+++ b/crates/exchange/src/core/doors.rs
@@ -12,6 +12,7 @@
             index: hello.index,
             told_all: false,
             spoken: now,
+            unanswered: None,
         };
         self.doors.insert(conn, door);
         // Even where nothing has changed: the door learns which exchanges there are.
@@ -32,19 +33,52 @@
         let Some(door) = self.doors.get(&conn) else { return };
         if !self.lent_to.contains(&door.node) && !report.last {
             // Before it is lent anything, its name is on disk: a later life asks it first.
-            self.lent_to.insert(door.node.clone());
-            let stored = Stored { lent_to: vec![door.node.clone()], ..Stored::default() };
-            self.write(stored, Wrote::Name(conn, report), out);
+            let name = door.node.clone();
+            self.lent_to.insert(name.clone());
+            self.naming.insert(name.clone());
+            let stored = Stored { lent_to: vec![name.clone()], ..Stored::default() };
+            self.write(stored, Wrote::Name(name, conn, report), out);
+            return;
+        }
+        if self.naming.contains(&door.node) {
+            // Its name is still on the way there: what it says next waits for the same write.
+            self.writing.push_back((self.last_write, Wrote::Name(door.node.clone(), conn, report)));
             return;
         }
         self.reported(now, conn, &report, out);
     }
 
+    /// A door's name is on disk.
+    pub(super) fn named(
+        &mut self,
+        now: Millis,
+        name: &str,
+        conn: u64,
+        report: &Report,
+        out: &mut Vec<Output>,
+    ) {
+        self.naming.remove(name);
+        self.reported(now, conn, report, out);
+    }
+
+    /// Whether doors may be answered: this exchange is known to be a member that had applied all that was agreed a short while ago.
+    fn leased(&self, now: Millis) -> bool {
+        self.tandem.trusted() && in_lease(now, self.tandem.contact(now))
+    }
+
     pub(super) fn reported(&mut self, now: Millis, conn: u64, report: &Report, out: &mut Vec<Output>) {
-        let (Some(door), Some(lender)) = (self.doors.get(&conn), &mut self.lender) else { return };
+        let leased = self.leased(now);
+        let Some(door) = self.doors.get_mut(&conn) else { return };
+        // A door that stops gives back: that is heard at any time.
+        if !leased && !report.last {
+            door.unanswered = Some((now, report.clone()));
+            return;
+        }
+        door.unanswered = None;
         let mine = door.node.clone();
         let tenants = self.board.standing(maplefall_numbering::Kind::Tenant).map(|item| item.name.as_str());
-        let answers = lender.report(now, &door.node, door.life, report, tenants);
+        let caller = Caller { name: &door.node, life: door.life, conn };
+        let answers = self.lender.report(now, caller, report, tenants);
         for (node, lent) in answers {
             let conn = if node == mine { Some(conn) } else { self.conn_of(&node) };
             if let Some(conn) = conn {
@@ -93,18 +127,57 @@
         }
     }
 
-    /// Begins to lend, or goes by another number of lenders.
-    pub(super) fn lend(&mut self, now: Millis) {
-        let voters = self.tandem.voters();
-        if !voters.contains(&self.me) || !self.tandem.trusted() {
+    /// Says what has become of this exchange's slots, and lends by them from now on.
+    pub(super) fn slots_turned(&mut self, now: Millis, turns: Vec<Turn>, out: &mut Vec<Output>) {
+        if turns.is_empty() {
             return;
         }
-        match &mut self.lender {
-            Some(lender) => lender.set_lenders(voters.len()),
-            None => {
-                let known = self.lent_known.then(|| self.lent_to.clone());
-                self.lender = Some(Lender::new(now, voters.len(), known));
+        for turn in turns {
+            let line = match turn {
+                Turn::Owned(since) => format!("event=slot_owned since={since}"),
+                Turn::Waits(since, ms) => format!("event=slot_waits since={since} ms={ms:.0}"),
+                Turn::Lost(since) => format!("event=slot_lost since={since}"),
+                Turn::Waited(since) => {
+                    // A later life with this disk need not wait again.
+                    let stored = Stored { waited: vec![since], ..Stored::default() };
+                    self.write(stored, Wrote::Note, out);
+                    format!("event=slot_owned since={since} waited=true")
+                }
+            };
+            out.push(Output::Log(line));
+        }
+        // What shrinks is said at once; whatever is answered from here on says it too.
+        for (node, lent) in self.lender.set_limit(self.shares.limit()) {
+            if let Some(conn) = self.conn_of(&node) {
+                self.say(now, conn, write(Frame::Lent(lent)), out);
+            }
+        }
+    }
+
+    /// Time passes for what is lent.
+    pub(super) fn keep_lending(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let turns = self.shares.tick(now);
+        self.slots_turned(now, turns, out);
+        if !self.lent_known && now - self.born >= LASTS + SKEW {
+            // What lives with an earlier disk have lent has run out.
+            self.lent_known = true;
+            self.write(Stored { lent_known: true, ..Stored::default() }, Wrote::Note, out);
+        }
+        let leased = self.leased(now);
+        if std::mem::replace(&mut self.was_leased, leased) != leased {
+            // Who asked just before need not ask again.
+            let asked = |door: &mut Door| door.unanswered.take().filter(|(at, _)| now - at < 2.0 * TELL);
+            let due: Vec<(u64, Report)> =
+                self.doors.iter_mut().filter_map(|(conn, door)| Some((*conn, asked(door)?.1))).collect();
+            for (conn, report) in due {
+                self.reported(now, conn, &report, out);
             }
+            let contact = now - self.tandem.contact(now);
+            out.push(Output::Log(if leased {
+                format!("event=lease limit={}", self.lender.limit())
+            } else {
+                format!("event=lease_over contact_ms={contact:.0}")
+            }));
         }
     }
 }
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -13,8 +13,8 @@
 use maplefall_mainframe::Settings;
 use maplefall_numbering::{read_call, Board, Change};
 use maplefall_signalling::{write, Alive, Frame, Hello, Numbered, Plans, Seen, Words};
-use maplefall_tandem::{Entry, EntryKind, Out, Tandem};
-use maplefall_toll::{Lender, Report};
+use maplefall_tandem::{Entry, EntryKind, Out, Snapshot, Tandem};
+use maplefall_toll::{in_lease, Caller, Lender, Report, Shares, Slots, Turn, LASTS, SKEW};
 pub use whole::Whole;
 
 use prost::Message;
@@ -93,15 +93,19 @@
     index: u64,
     told_all: bool,
     spoken: Millis,
+    /// Its last report, where that came while nothing could be answered, and when.
+    unanswered: Option<(Millis, Report)>,
 }
 
 /// What a write was for.
 enum Wrote {
     Tandem(u64),
     /// A door's name: it may be lent to.
-    Name(u64, Report),
+    Name(String, u64, Report),
     /// Words about backends, and the call that waits for them.
     Words(Option<u64>),
+    /// A note for later lives.
+    Note,
 }
 
 /// A call that waits.
@@ -135,9 +139,16 @@
     leaves: BTreeMap<u64, (Waiting, u8)>,
     last_receipt: u64,
     doors: BTreeMap<u64, Door>,
-    lender: Option<Lender>,
+    /// Which machines may be lost at once: how many slots the quotas are cut into follows from it at the first start.
+    losses: u32,
+    shares: Shares,
+    lender: Lender,
+    was_leased: bool,
     lent_to: BTreeSet<String>,
+    /// Whether that names all doors that may hold what this exchange has lent.
     lent_known: bool,
+    /// Doors whose names are on their way to the disk.
+    naming: BTreeSet<String>,
     last_write: u64,
     writing: VecDeque<(u64, Wrote)>,
     /// Calls that wait for their entry to be agreed on, by its index.
@@ -164,14 +175,26 @@
         let fresh = kept.tandem.is_empty();
         let first = settings.bootstrap.then_some(first.as_slice());
         let snapshot = kept.tandem.snapshot.clone();
+        let losses = settings.tolerance.machine_losses;
+        // The first disk of all has lent nothing; another that came empty may have.
+        let starts = fresh && settings.bootstrap;
+        let lent_known = kept.lent_known || starts;
+        let lent_to = lent_known.then(|| kept.lent_to.clone());
         let mut todo = Out::default();
         let tandem = Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
+        let lender = Lender::new(now, seed.max(1), 0, lent_to);
+        let (shares, _) = Shares::new(now, &me, Slots::default(), kept.waited);
         let mut core = Core {
             me,
             born: now,
             silence: MISSED * settings.heartbeat_s * 1000.0,
-            lent_known: !fresh || settings.bootstrap,
+            losses,
+            shares,
+            lender,
+            was_leased: false,
+            lent_known,
             lent_to: kept.lent_to,
+            naming: BTreeSet::new(),
             tandem,
             board: Board::default(),
             index: 0,
@@ -185,7 +208,6 @@
             leaves: BTreeMap::new(),
             last_receipt: seed & 0xffff_ffff,
             doors: BTreeMap::new(),
-            lender: None,
             last_write: kept.number,
             writing: VecDeque::new(),
             amends: BTreeMap::new(),
@@ -200,10 +222,13 @@
         for word in kept.words.into_values() {
             core.directory.hear(now, word);
         }
-        if snapshot.index > 0 {
-            core.install(&snapshot.state, snapshot.index);
+        if starts {
+            core.write(Stored { lent_known: true, ..Stored::default() }, Wrote::Note, out);
+            let voters: Vec<String> = core.tandem.voters().iter().cloned().collect();
+            core.install(now, &Snapshot { voters, ..Snapshot::default() }, out);
+        } else if !snapshot.voters.is_empty() {
+            core.install(now, &snapshot, out);
         }
-        core.lend(now);
         core.carry(now, todo, out);
         core
     }
@@ -213,6 +238,11 @@
         self.tandem.voters()
     }
 
+    /// Whether this exchange leads the others.
+    pub fn leads(&self) -> bool {
+        self.tandem.leads()
+    }
+
     // ---- Inputs -------------------------------------------------------------------------------------
 
     /// Time passes; to be called every [`TICK`].
@@ -225,6 +255,7 @@
         self.agree(now, out, |tandem, todo| tandem.tick(now, todo));
         self.keep_company(now, out);
         self.expire_calls(now, out);
+        self.keep_lending(now, out);
         if now - self.told < TELL {
             return;
         }
@@ -266,7 +297,8 @@
                 Wrote::Tandem(number) => {
                     self.agree(now, out, |tandem, todo| tandem.written(now, number, todo))
                 }
-                Wrote::Name(conn, report) => self.reported(now, conn, &report, out),
+                Wrote::Name(name, conn, report) => self.named(now, &name, conn, &report, out),
+                Wrote::Note => {}
                 Wrote::Words(call) => self.half_known(call, out),
             }
         }
--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -78,6 +78,7 @@
     /// What goes to other exchanges, by address.
     peers: RefCell<HashMap<String, mpsc::Sender<Bytes>>>,
     doors: RefCell<HashMap<u64, mpsc::Sender<Bytes>>>,
+    /// Number of the last connection that was opened to this exchange.
     last_door: Cell<u64>,
     calls: RefCell<HashMap<u64, oneshot::Sender<Answer>>>,
     last_call: Cell<u64>,
@@ -296,15 +297,18 @@
         loop {
             match listener.accept().await {
                 Ok((stream, from)) => {
-                    tokio::task::spawn_local(self.clone().serve_inner(stream, from));
+                    // Numbered as they were opened: what a later one of the same door says is later.
+                    let conn = self.last_door.get() + 1;
+                    self.last_door.set(conn);
+                    tokio::task::spawn_local(self.clone().serve_inner(stream, from, conn));
                 }
                 Err(_) => tokio::time::sleep(NO_DESCRIPTOR).await,
             }
         }
     }
 
-    /// Serves a door or another exchange.
-    async fn serve_inner(self: Rc<Self>, stream: TcpStream, from: SocketAddr) {
+    /// Serves a door or another exchange, on the connection of this number.
+    async fn serve_inner(self: Rc<Self>, stream: TcpStream, from: SocketAddr, conn: u64) {
         let (sender, outgoing) = mpsc::channel(QUEUE);
         let mut peer: Option<String> = None;
         let mut door: Option<u64> = None;
@@ -323,8 +327,6 @@
                         }
                         peer = Some(hello.ip);
                     } else {
-                        let conn = exchange.last_door.get() + 1;
-                        exchange.last_door.set(conn);
                         door = Some(conn);
                         if let Some(sender) = mine.borrow_mut().take() {
                             exchange.doors.borrow_mut().insert(conn, sender);
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -22,6 +22,8 @@
 const SEGMENT: u32 = 256 << 10;
 /// Bytes in one entry, about.
 const BATCH: usize = 4 << 20;
+/// Waits for slots of the quotas that are remembered at most: one that is forgotten is waited out again.
+const MOST_WAITED: usize = 64;
 /// What every segment begins with.
 const MAGIC: &[u8] = b"okw\0";
 
@@ -40,6 +42,12 @@
     /// Words about backends.
     #[prost(message, repeated, tag = "4")]
     pub words: Vec<Word>,
+    /// From here on `lent_to` names every door that may hold a loan of this exchange.
+    #[prost(bool, tag = "8")]
+    pub lent_known: bool,
+    /// Indices of entries whose slots of the quotas have been waited for.
+    #[prost(uint64, repeated, tag = "9")]
+    pub waited: Vec<u64>,
 }
 
 /// What one entry of the log holds.
@@ -83,6 +91,12 @@
     /// Words about backends.
     #[prost(message, repeated, tag = "9")]
     pub words: Vec<Word>,
+    /// Whether `lent_to` names every door that may hold a loan.
+    #[prost(bool, tag = "14")]
+    pub lent_known: bool,
+    /// Entries whose slots have been waited for.
+    #[prost(uint64, repeated, tag = "15")]
+    pub waited: Vec<u64>,
 }
 
 /// What is on a disk.
@@ -94,6 +108,10 @@
     pub lent_to: BTreeSet<String>,
     /// The last word about each backend that has not left.
     pub words: BTreeMap<String, Word>,
+    /// Whether `lent_to` names every door that may hold a loan: a disk that came empty does not know.
+    pub lent_known: bool,
+    /// Entries whose slots of the quotas have been waited for, the latest few.
+    pub waited: BTreeSet<u64>,
     /// Number of the last record.
     pub number: u64,
 }
@@ -109,6 +127,11 @@
             self.tandem.take(record);
         }
         self.lent_to.extend(stored.lent_to);
+        self.lent_known |= stored.lent_known;
+        self.waited.extend(stored.waited);
+        while self.waited.len() > MOST_WAITED {
+            self.waited.pop_first();
+        }
         for word in stored.words {
             if matches!(word.state(), State::Lost | State::Left) {
                 self.words.remove(&word.id);
@@ -129,6 +152,8 @@
             log: self.tandem.log.clone(),
             lent_to: self.lent_to.iter().cloned().collect(),
             words: self.words.values().cloned().collect(),
+            lent_known: self.lent_known,
+            waited: self.waited.iter().copied().collect(),
         }
     }
 
@@ -143,6 +168,8 @@
             },
             lent_to: folded.lent_to.into_iter().collect(),
             words: folded.words.into_iter().map(|word| (word.id.clone(), word)).collect(),
+            lent_known: folded.lent_known,
+            waited: folded.waited.into_iter().collect(),
             number: folded.number,
         }
     }
--- /dev/null
+++ b/crates/exchange/tests/lending.rs
@@ -0,0 +1,322 @@
+//! What exchanges lend, and when they answer doors at all: played with [`Core`] alone, without sockets and without waiting.
+
+use bytes::{Bytes, BytesMut};
+use maplefall_exchange::core::TICK;
+use maplefall_exchange::store::{Kept, Store, Stored};
+use maplefall_exchange::{Call, Core, Output};
+use maplefall_mainframe::Settings;
+use maplefall_signalling::{read, Frame, Hello, VERSION};
+use maplefall_toll::{Lent, Loan, Purse, Report, LASTS, LEASE, SKEW, WHOLE};
+use std::collections::{BTreeMap, VecDeque};
+use std::path::{Path, PathBuf};
+
+/// One tenant.
+const AMEND: &str = r#"{"Upsert":{"Tenants":{"ColumnNames":["Name","ApiKeys","RatePerS","BurstSize","Version"],"DataRows":[["t",["k"],100,100,"00000001"]]}}}"#;
+
+fn settings(ip: &str, seeds: &[&str], bootstrap: bool, losses: u32) -> Settings {
+    let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:8381\"")).collect();
+    let text = format!(
+        "Node = \"core-{ip}\"\nIp = \"{ip}\"\nInternalPorts = [7560, 7575]\nSeedAddrs = [{}]\nBootstrap = {bootstrap}\n\
+         QuorumMember = true\n[Tolerance]\nMachineLosses = {losses}\n",
+        seeds.join(", ")
+    );
+    Settings::read(&text, Path::new("local.toml")).expect("settings")
+}
+
+struct Node {
+    core: Core,
+    /// What it has written and is not yet told of.
+    writes: Vec<(u64, Stored)>,
+    /// Whether its disk holds its word back.
+    slow: bool,
+    kept: Vec<Stored>,
+    cut: bool,
+    lent: Vec<(u64, Lent)>,
+    log: Vec<String>,
+}
+
+/// Exchanges that hear one another at once.
+struct Play {
+    now: f64,
+    nodes: BTreeMap<String, Node>,
+    mail: VecDeque<(String, String, Frame)>,
+}
+
+fn frames(bytes: &Bytes) -> Frame {
+    read(&mut BytesMut::from(bytes.as_ref())).expect("a frame").expect("all of it")
+}
+
+impl Play {
+    fn new(ips: &[&str], losses: u32) -> Play {
+        let mut play = Play { now: 0.0, nodes: BTreeMap::new(), mail: VecDeque::new() };
+        for (n, ip) in ips.iter().enumerate() {
+            play.start(&settings(ip, ips, true, losses), Kept::default(), n as u64 + 7);
+        }
+        play
+    }
+
+    fn start(&mut self, settings: &Settings, kept: Kept, seed: u64) {
+        let mut out = Vec::new();
+        let core = Core::new(settings, self.now, seed, kept, &mut out);
+        let node = Node {
+            core,
+            writes: Vec::new(),
+            slow: false,
+            kept: Vec::new(),
+            cut: false,
+            lent: Vec::new(),
+            log: Vec::new(),
+        };
+        let ip = settings.ip.to_string();
+        self.nodes.insert(ip.clone(), node);
+        self.carry(&ip, out);
+        self.settle();
+    }
+
+    fn carry(&mut self, ip: &str, out: Vec<Output>) {
+        let others: Vec<String> = self.nodes.keys().filter(|other| *other != ip).cloned().collect();
+        let Some(node) = self.nodes.get_mut(ip) else { return };
+        for output in out {
+            match output {
+                Output::Write(number, stored) => node.writes.push((number, Stored { number, ..stored })),
+                Output::Peer(to, bytes) => self.mail.push_back((ip.to_owned(), to, frames(&bytes))),
+                Output::Peers(bytes) => {
+                    for to in &others {
+                        self.mail.push_back((ip.to_owned(), to.clone(), frames(&bytes)));
+                    }
+                }
+                Output::Door(conn, bytes) => {
+                    if let Frame::Lent(lent) = frames(&bytes) {
+                        node.lent.push((conn, lent));
+                    }
+                }
+                Output::Answer(..) => {}
+                Output::Log(line) => node.log.push(line),
+            }
+        }
+    }
+
+    fn drive(&mut self, ip: &str, step: impl FnOnce(&mut Core, f64, &mut Vec<Output>)) {
+        let mut out = Vec::new();
+        if let Some(node) = self.nodes.get_mut(ip) {
+            step(&mut node.core, self.now, &mut out);
+        }
+        self.carry(ip, out);
+        self.settle();
+    }
+
+    /// Disks and exchanges answer, until there is nothing more to say.
+    fn settle(&mut self) {
+        loop {
+            let due = self.nodes.iter().find(|(_, node)| !node.slow && !node.writes.is_empty());
+            if let Some(ip) = due.map(|(ip, _)| ip.clone()) {
+                let mut out = Vec::new();
+                if let Some(node) = self.nodes.get_mut(&ip) {
+                    let writes = std::mem::take(&mut node.writes);
+                    let last = writes.last().map_or(0, |(number, _)| *number);
+                    node.kept.extend(writes.into_iter().map(|(_, stored)| stored));
+                    node.core.written(self.now, last, &mut out);
+                }
+                self.carry(&ip, out);
+                continue;
+            }
+            let Some((from, to, frame)) = self.mail.pop_front() else { return };
+            let cut = |ip: &str| self.nodes.get(ip).is_none_or(|node| node.cut);
+            if cut(&from) || cut(&to) {
+                continue;
+            }
+            let mut out = Vec::new();
+            if let Some(node) = self.nodes.get_mut(&to) {
+                node.core.peer(self.now, &from, frame, &mut out);
+            }
+            self.carry(&to, out);
+        }
+    }
+
+    fn run(&mut self, ms: f64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += TICK;
+            for ip in self.nodes.keys().cloned().collect::<Vec<_>>() {
+                self.drive(&ip, |core, now, out| core.tick(now, out));
+            }
+        }
+    }
+
+    fn door(&mut self, ip: &str, conn: u64, node: &str, life: u64) {
+        let hello = Hello {
+            version: VERSION,
+            ip: "10.1.0.1".to_owned(),
+            node: node.to_owned(),
+            life,
+            exchange: false,
+            index: 0,
+        };
+        self.drive(ip, |core, now, out| core.door_up(now, conn, &hello, out));
+    }
+
+    fn report(&mut self, ip: &str, conn: u64, report: Report) -> Vec<Lent> {
+        self.lent(ip, conn);
+        self.drive(ip, |core, now, out| core.door(now, conn, Frame::Report(report), out));
+        self.lent(ip, conn)
+    }
+
+    /// What was said to a door since the last look.
+    fn lent(&mut self, ip: &str, conn: u64) -> Vec<Lent> {
+        let Some(node) = self.nodes.get_mut(ip) else { return Vec::new() };
+        let (mine, others) = std::mem::take(&mut node.lent).into_iter().partition(|(to, _)| *to == conn);
+        node.lent = others;
+        let mine: Vec<(u64, Lent)> = mine;
+        mine.into_iter().map(|(_, lent)| lent).collect()
+    }
+
+    /// A tenant comes into force.
+    fn amend(&mut self) {
+        for ip in self.nodes.keys().cloned().collect::<Vec<_>>() {
+            self.drive(&ip, |core, now, out| {
+                core.call(now, 1, Call::Amend(Bytes::from_static(AMEND.as_bytes())), out);
+            });
+        }
+        self.run(500.0);
+    }
+}
+
+fn parts(lent: &[Lent]) -> Vec<u32> {
+    lent.iter().flat_map(|lent| &lent.loans).map(|loan| loan.parts).collect()
+}
+
+/// Guards restarts of an exchange: whom it lends to must be on its disk first, also where a door reports twice in that moment.
+#[test]
+fn nothing_is_lent_before_the_doors_name_is_on_disk() {
+    let mut play = Play::new(&["10.0.0.1"], 0);
+    play.run(2000.0);
+    play.amend();
+    let mut purse = Purse::new(5);
+    purse.connected("x");
+    play.door("10.0.0.1", 1, "door", 5);
+    play.nodes.get_mut("10.0.0.1").expect("a node").slow = true;
+    for _ in 0..3 {
+        let report = purse.report(play.now, "x", Vec::new());
+        assert!(play.report("10.0.0.1", 1, report).is_empty());
+    }
+    play.nodes.get_mut("10.0.0.1").expect("a node").slow = false;
+    play.settle();
+    let lent = play.lent("10.0.0.1", 1);
+    assert_eq!(parts(&lent[..1]), [WHOLE]);
+    let kept = &play.nodes["10.0.0.1"].kept;
+    assert!(kept.iter().any(|stored| stored.lent_to == ["door"]));
+}
+
+/// Guards quotas while an exchange is cut off: it answers for as long as its lease lasts and no longer, and says so; once it is back it
+/// answers who asked meanwhile.
+#[test]
+fn an_exchange_that_is_out_of_touch_prolongs_nothing() {
+    let ips = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
+    let mut play = Play::new(&ips, 1);
+    play.run(5000.0);
+    play.amend();
+    for cut in ips {
+        let mut purse = Purse::new(5);
+        purse.connected("x");
+        play.door(cut, 1, "door", 5);
+        let report = purse.report(play.now, "x", Vec::new());
+        assert_eq!(parts(&play.report(cut, 1, report)), [WHOLE / 3]);
+        let led = play.nodes[cut].core.leads();
+        play.nodes.get_mut(cut).expect("a node").cut = true;
+        // A leader that hears nobody knows so after a second.
+        for half in 1..=(2.0 * LEASE / 500.0) as u32 + 4 {
+            play.run(500.0);
+            let report = purse.report(play.now, "x", Vec::new());
+            let answered = !play.report(cut, 1, report).is_empty();
+            let since = f64::from(half) * 500.0;
+            assert!(!answered || since < LEASE + 1500.0, "{cut} answers after {since} ms");
+            // How long a leader was in touch before it was cut off it need not know.
+            assert!(answered || led || since >= LEASE, "{cut} is silent after {since} ms");
+        }
+        let said = |play: &Play, what: &str| play.nodes[cut].log.iter().any(|line| line.starts_with(what));
+        assert!(said(&play, "event=lease_over"));
+        play.nodes.get_mut(cut).expect("a node").cut = false;
+        play.lent(cut, 1);
+        play.run(4000.0);
+        let report = purse.report(play.now, "x", Vec::new());
+        assert!(!play.report(cut, 1, report).is_empty());
+        play.drive(cut, |core, _, out| core.door_down(1, out));
+        play.run(1000.0);
+    }
+}
+
+/// Guards a first start with five exchanges of which three are told of: these lend a fifth each from the first moment on.
+#[test]
+fn three_of_five_lend_a_fifth_each() {
+    let mut play = Play::new(&["10.0.0.1", "10.0.0.2", "10.0.0.3"], 2);
+    play.run(5000.0);
+    play.amend();
+    for ip in ["10.0.0.1", "10.0.0.2", "10.0.0.3"] {
+        let mut purse = Purse::new(5);
+        purse.connected("x");
+        play.door(ip, 1, "door", 5);
+        let report = purse.report(play.now, "x", Vec::new());
+        assert_eq!(parts(&play.report(ip, 1, report)), [WHOLE / 5]);
+    }
+    // A fourth joins, and has one that nobody has lent.
+    let mut fourth = settings("10.0.0.4", &["10.0.0.1", "10.0.0.2", "10.0.0.3"], true, 2);
+    fourth.quorum_member = true;
+    play.start(&fourth, Kept::default(), 99);
+    play.run(5000.0);
+    let mut purse = Purse::new(5);
+    purse.connected("x");
+    play.door("10.0.0.4", 1, "door", 5);
+    let report = purse.report(play.now, "x", Vec::new());
+    assert_eq!(parts(&play.report("10.0.0.4", 1, report)), [WHOLE / 5]);
+}
+
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Guards the second start after a disk was lost: what is on it by then does not tell whom the life before the loss has lent to.
+#[test]
+fn a_disk_that_came_empty_knows_its_doors_only_once_all_has_run_out() {
+    let path = std::env::temp_dir().join(format!("maplefall-lending-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    let folder = Folder(path);
+    let mut play = Play::new(&["10.0.0.1"], 0);
+    play.run(2000.0);
+    play.amend();
+    // What a disk holds that does not say that it knows: the agreement, and no doors.
+    let mut kept = play.nodes["10.0.0.1"].kept.clone();
+    kept.iter_mut().for_each(|stored| stored.lent_known = false);
+    let again = |kept: Vec<Stored>| {
+        let (store, _) = Store::open(&folder.0).expect("a disk");
+        store.write(kept).expect("written");
+        store.close().expect("closed");
+        Store::open(&folder.0).expect("a disk").1
+    };
+    let found = again(kept);
+    assert!(!found.lent_known && !found.tandem.is_empty());
+    play.now += 1000.0;
+    let one = settings("10.0.0.1", &["10.0.0.1"], false, 0);
+    play.start(&one, found, 50);
+    play.run(2000.0);
+    // One door comes with nothing; another may hold what it was lent before the disk was lost.
+    let mut purse = Purse::new(5);
+    purse.connected("x");
+    play.door("10.0.0.1", 1, "door", 5);
+    let report = purse.report(play.now, "x", Vec::new());
+    let lent = play.report("10.0.0.1", 1, report);
+    assert!(parts(&lent).iter().all(|parts| *parts == 0), "{lent:?}");
+    // One that comes with a loan keeps it.
+    play.door("10.0.0.1", 2, "other", 6);
+    let held = vec![Loan { tenant: "t".to_owned(), parts: WHOLE / 2 }];
+    let report = Report { number: 1, first: true, held, ..Report::default() };
+    assert_eq!(parts(&play.report("10.0.0.1", 2, report)), [WHOLE / 2]);
+    play.run(LASTS + SKEW);
+    let report = purse.report(play.now, "x", Vec::new());
+    assert!(parts(&play.report("10.0.0.1", 1, report)).iter().sum::<u32>() > 0);
+    let kept = play.nodes["10.0.0.1"].kept.clone();
+    assert!(again(kept).lent_known);
+}
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -27,13 +27,14 @@
 #[derive(Clone, Debug)]
 struct Door {
     life: u64,
+    /// Its latest connection.
+    conn: u64,
     /// When all that it holds has run out.
     until: Millis,
     loans: BTreeMap<String, Out>,
     demand: BTreeMap<String, f64>,
     /// What the life before was asked, and until when that counts.
     inherited: (BTreeMap<String, f64>, Millis),
-    answered: u64,
     confirmed: u64,
     /// Its last report.
     report: u64,
@@ -49,9 +50,23 @@
     }
 }
 
+/// Which door reports.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    /// The door's name.
+    pub name: &'a str,
+    /// Its life.
+    pub life: u64,
+    /// Number of its connection to this life of the lender: later ones have higher numbers.
+    pub conn: u64,
+}
+
 /// Who lends parts of one share of every quota.
 #[derive(Clone, Debug)]
 pub struct Lender {
+    life: u64,
+    /// Number of the last answer to anybody.
+    answered: u64,
     /// Parts per million of each quota that are this lender's to lend.
     limit: u32,
     doors: BTreeMap<String, Door>,
@@ -63,20 +78,52 @@
 }
 
 impl Lender {
-    /// One of `lenders`. `lent_to` are the doors that an earlier life has lent to, `None` if that is not known.
-    pub fn new(now: Millis, lenders: usize, lent_to: Option<BTreeSet<String>>) -> Lender {
+    /// A lender of `limit` parts per million, in a life with this number that is never nought. `lent_to` are the doors that earlier
+    /// lives have lent to, `None` if that is not known; the last of them ended before `now`.
+    pub fn new(now: Millis, life: u64, limit: u32, lent_to: Option<BTreeSet<String>>) -> Lender {
         Lender {
-            limit: WHOLE / lenders.max(1) as u32,
+            life,
+            answered: 0,
+            limit,
             doors: BTreeMap::new(),
             unnamed: lent_to.is_none(),
             unknown: lent_to.unwrap_or_default(),
-            unknown_until: now + LASTS,
+            unknown_until: now + LASTS + SKEW,
+        }
+    }
+
+    /// What may be lent from now on. Growing takes effect with the next reports. If it shrinks, every loan shrinks by as much; doors
+    /// are to be told what is returned. Nothing above that is prolonged by any answer that comes after.
+    pub fn set_limit(&mut self, limit: u32) -> Vec<(String, Lent)> {
+        let before = std::mem::replace(&mut self.limit, limit);
+        if limit >= before {
+            return Vec::new();
         }
+        let count = self.doors.len() as u32;
+        let mut told = Vec::new();
+        for (name, door) in &mut self.doors {
+            self.answered += 1;
+            let mut loans = Vec::new();
+            for (tenant, loan) in &mut door.loans {
+                loan.said = (u64::from(loan.said) * u64::from(limit) / u64::from(before)) as u32;
+                loan.number = self.answered;
+                loans.push(Loan { tenant: tenant.clone(), parts: loan.said });
+            }
+            let (number, report, life) = (self.answered, door.report, door.life);
+            let lent = Lent { number, report, loans, doors: count, life, lender: self.life };
+            told.push((name.clone(), lent));
+        }
+        told
     }
 
-    /// So many lend from now on. Growing takes effect at once, and shrinking as loans are given back.
-    pub fn set_lenders(&mut self, lenders: usize) {
-        self.limit = WHOLE / lenders.max(1) as u32;
+    /// This life.
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
+    /// What may be lent, in parts per million.
+    pub fn limit(&self) -> u32 {
+        self.limit
     }
 
     /// Doors that are known.
@@ -90,16 +137,24 @@
     }
 
     /// Takes in a door's report; `tenants` are all that have a quota. Returns the answer, which is the first, and what other
-    /// doors are to be told: what they must give back, because this one lacks it, or what they get of what came back.
+    /// doors are to be told: what they must give back, because this one lacks it, or what they get of what came back. What an
+    /// earlier life or connection of the door has left behind is passed over.
     pub fn report<'a>(
         &mut self,
         now: Millis,
-        name: &str,
-        life: u64,
+        caller: Caller<'_>,
         report: &Report,
         tenants: impl Iterator<Item = &'a str>,
     ) -> Vec<(String, Lent)> {
+        let Caller { name, life, conn } = caller;
         self.doors.retain(|_, door| now < door.until);
+        if let Some(door) = self.doors.get(name) {
+            let same = door.life == life;
+            if conn < door.conn || (same && report.number <= door.report) || (!same && conn == door.conn) {
+                return Vec::new();
+            }
+        }
+        let confirmed = if report.lender == self.life { report.confirmed } else { 0 };
         if report.last {
             self.doors.remove(name);
             self.unknown.remove(name);
@@ -107,21 +162,23 @@
         }
         if self.doors.get(name).is_none_or(|door| door.life != life) {
             if self.doors.len() >= MOST_DOORS && !self.doors.contains_key(name) {
-                return vec![(name.to_owned(), Lent { report: report.number, life, ..Lent::default() })];
+                self.answered += 1;
+                let (number, lender) = (self.answered, self.life);
+                let lent = Lent { number, report: report.number, life, lender, ..Lent::default() };
+                return vec![(name.to_owned(), lent)];
             }
-            self.begin(now, name, life, report);
+            self.begin(now, caller, report);
         }
         self.unknown.remove(name);
         let Some(door) = self.doors.get_mut(name) else { return Vec::new() };
-        door.until = now + LASTS;
-        door.report = report.number;
-        door.confirmed = report.confirmed;
+        door.until = now + LASTS + SKEW;
+        (door.conn, door.report, door.confirmed) = (conn, report.number, confirmed);
         let demand = report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0));
         let before = std::mem::replace(&mut door.demand, demand.collect());
         let short: BTreeSet<String> =
             report.demand.iter().filter(|d| d.short).map(|d| d.tenant.clone()).collect();
         let mut freed = BTreeSet::new();
-        for (tenant, loan) in door.loans.iter_mut().filter(|(_, loan)| loan.number <= report.confirmed) {
+        for (tenant, loan) in door.loans.iter_mut().filter(|(_, loan)| loan.number <= confirmed) {
             if loan.most > loan.said {
                 freed.insert(tenant.clone());
             }
@@ -148,20 +205,21 @@
             let Some(door) = self.doors.get_mut(&to) else { continue };
             let mine = to == name;
             // What was said and is not confirmed is said again.
-            let again = |loan: &Out| mine && (loan.number > report.confirmed || report.first);
+            let again = |loan: &Out| mine && (loan.number > confirmed || report.first);
             let mut all: BTreeMap<String, u32> =
                 door.loans.iter().filter(|(_, loan)| again(loan)).map(|(t, l)| (t.clone(), l.said)).collect();
             all.extend(loans.into_iter().map(|loan| (loan.tenant, loan.parts)));
             if all.is_empty() && !mine {
                 continue;
             }
-            door.answered += 1;
+            self.answered += 1;
+            let number = self.answered;
             for tenant in all.keys() {
-                door.loans.entry(tenant.clone()).and_modify(|loan| loan.number = door.answered);
+                door.loans.entry(tenant.clone()).and_modify(|loan| loan.number = number);
             }
             let loans = all.into_iter().map(|(tenant, parts)| Loan { tenant, parts }).collect();
-            let life = door.life;
-            let lent = Lent { number: door.answered, report: door.report, loans, doors: count, life };
+            let (report, life, lender) = (door.report, door.life, self.life);
+            let lent = Lent { number, report, loans, doors: count, life, lender };
             if mine {
                 answers.insert(0, (to, lent));
             } else {
@@ -172,15 +230,15 @@
     }
 
     /// A new life of a door: what an earlier one held is over with it, and what it says that it holds is confirmed.
-    fn begin(&mut self, now: Millis, name: &str, life: u64, report: &Report) {
+    fn begin(&mut self, now: Millis, Caller { name, life, conn }: Caller<'_>, report: &Report) {
         let inherited = self.doors.remove(name).map(|door| door.demand).unwrap_or_default();
         let mut door = Door {
             life,
+            conn,
             until: now,
             loans: BTreeMap::new(),
             demand: BTreeMap::new(),
             inherited: (inherited, now + INHERITS),
-            answered: 0,
             confirmed: 0,
             report: 0,
             among: 0,
@@ -241,7 +299,9 @@
             }
             let loan = door.loans.entry(tenant.to_owned()).or_default();
             let free = if doubt { 0 } else { self.limit.saturating_sub(out) };
-            let next = aim.min(loan.most.saturating_add(free));
+            // While more is out than may be, nobody gets back what is to be given back.
+            let most = if out > self.limit { loan.said } else { loan.most };
+            let next = aim.min(most.saturating_add(free));
             if next > loan.said && worth(next, loan.said) && (freed || to == name) {
                 out += next.saturating_sub(loan.most);
                 (loan.said, loan.most) = (next, loan.most.max(next));
@@ -250,8 +310,14 @@
         }
     }
 
-    /// What is out of a tenant's quota at most.
+    /// What is out of a tenant's quota at most, as of the last report.
     pub fn out(&self, tenant: &str) -> u32 {
         self.doors.values().filter_map(|door| Some(door.loans.get(tenant)?.most)).sum()
     }
+
+    /// What is out of a tenant's quota at most, without what has run out by now.
+    pub fn out_at(&self, now: Millis, tenant: &str) -> u32 {
+        let doors = self.doors.values().filter(|door| now < door.until);
+        doors.filter_map(|door| Some(door.loans.get(tenant)?.most)).sum()
+    }
 }
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -1,20 +1,25 @@
-//! Shares of quotas. An exchange of n lends a part of one n-th of every quota to each door ([`Lender`]); a door adds up what
-//! it holds of all ([`Purse`]).
+//! Shares of quotas. Every quota is cut into equal slots, each of which one exchange at most may lend ([`Slots`], [`Shares`]);
+//! it lends parts of its slots to doors ([`Lender`]); a door adds up what it holds of all ([`Purse`]).
 //!
 //! **The inequality.** For one lender and one tenant, what is *out* never adds up to more than [`Lender`]'s limit: a loan counts as out
 //! at its highest value until the door has confirmed a lower one, until a new life of the door shows that the one that held it is over,
 //! or until it has run out. A door's loan runs from when the door asked, the lender's from when it answers, which is
-//! later. So at any moment, over all doors, living or cut off, what is held adds up to the whole at most.
+//! later, and [`SKEW`] longer. So at any moment, over all doors, living or cut off, what is held adds up to the whole at most.
 //! A lender that starts anew does not know what it has lent: until every door that it lent to has come forward, or all has run out, it
 //! lends nothing new, and confirms what doors say that they hold.
 //!
+//! **Changes of owners.** A lender answers only while [`in_lease`]; whoever takes over a slot lends nothing of it for [`INHERITED`]
+//! after it knows. The argument is in `docs/design/control-loans.md`.
+//!
 //! Fractions are parts per million of the whole quota. Nothing here does I/O.
 
 mod lender;
 mod purse;
+mod slots;
 
-pub use lender::Lender;
+pub use lender::{Caller, Lender};
 pub use purse::Purse;
+pub use slots::{Shares, Slot, Slots, Turn};
 
 /// Milliseconds on the caller's steady clock.
 pub type Millis = f64;
@@ -23,6 +28,21 @@
 pub const WHOLE: u32 = 1_000_000;
 /// How long a loan lasts without news.
 pub const LASTS: Millis = 12_000.0;
+/// By how much a lender counts a loan as out beyond [`LASTS`]: steady clocks may run apart by two in a hundred.
+pub const SKEW: Millis = 250.0;
+/// For how long a lender goes on after the last moment at which it is known to have been a member with all that was agreed.
+pub const LEASE: Millis = 9_000.0;
+/// How long after such a moment a leader that has been replaced may still have named it: a leader that hears no majority steps down
+/// within one second. The rest is for clocks that run apart.
+const MARGIN: Millis = 2_000.0;
+/// How long a new owner of a slot lends nothing of it: by then nothing that an earlier owner has lent is out.
+pub const INHERITED: Millis = LASTS + LEASE + MARGIN;
+
+/// Whether a lender may answer doors. `contact` is the latest moment, by its own clock, at which it is known to have been a member
+/// that had applied all that was agreed on.
+pub fn in_lease(now: Millis, contact: Millis) -> bool {
+    now - contact < LEASE
+}
 
 /// A fraction of a tenant's quota.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -58,7 +78,7 @@
     /// The last answer that was taken up.
     #[prost(uint64, tag = "2")]
     pub confirmed: u64,
-    /// What is held of this lender: all of it, in the first report on a connection.
+    /// What is held of this lender: all of it, in the reports on a connection until one is answered.
     #[prost(message, repeated, tag = "3")]
     pub held: Vec<Loan>,
     /// Whether `held` is told.
@@ -70,12 +90,15 @@
     /// The door stops, and spends nothing more.
     #[prost(bool, tag = "6")]
     pub last: bool,
+    /// The life of the lender whose answers `confirmed` numbers; nought before the first on a connection.
+    #[prost(fixed64, tag = "7")]
+    pub lender: u64,
 }
 
 /// A lender's answer.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Lent {
-    /// Number of this answer, rising.
+    /// Number of this answer, rising over all doors and connections of one life of a lender.
     #[prost(uint64, tag = "1")]
     pub number: u64,
     /// The report that is answered: the loans last from when it was sent.
@@ -90,4 +113,7 @@
     /// The life of the door that is meant.
     #[prost(uint64, tag = "5")]
     pub life: u64,
+    /// The life of the lender.
+    #[prost(fixed64, tag = "6")]
+    pub lender: u64,
 }
--- a/crates/toll/src/purse.rs
+++ b/crates/toll/src/purse.rs
@@ -13,8 +13,8 @@
     until: Millis,
     reports: u64,
     confirmed: u64,
-    /// Whether the next report is the first on its connection.
-    first: bool,
+    /// The life of the lender at the other end; nought until it has answered on this connection.
+    lender: u64,
     /// Number and time of reports that have no answer yet.
     asked: VecDeque<(u64, Millis)>,
     doors: u32,
@@ -37,7 +37,7 @@
     pub fn connected(&mut self, lender: &str) {
         let held = self.held.entry(lender.to_owned()).or_default();
         held.asked.clear();
-        (held.first, held.confirmed) = (true, 0);
+        (held.confirmed, held.lender) = (0, 0);
     }
 
     /// The next report for a lender, sent now.
@@ -51,7 +51,8 @@
             held.asked.pop_front();
         }
         held.asked.push_back((held.reports, now));
-        let first = std::mem::take(&mut held.first);
+        // Until an answer shows that it has come: a lender that is not in its lease passes reports over.
+        let first = held.lender == 0;
         let loans = held.loans.iter().filter(|_| first);
         Report {
             number: held.reports,
@@ -60,6 +61,7 @@
             first,
             demand,
             last: false,
+            lender: held.lender,
         }
     }
 
@@ -76,9 +78,14 @@
         let Some(at) = held.asked.iter().find(|(number, _)| *number == lent.report).map(|(_, at)| *at) else {
             return (false, false);
         };
+        // Another life of the lender than the one that answered first here, or an answer that is older than what is known.
+        if (held.lender != 0 && held.lender != lent.lender) || lent.number <= held.confirmed {
+            return (false, false);
+        }
+        held.lender = lent.lender;
         held.asked.retain(|(number, _)| *number >= lent.report);
         held.until = held.until.max(at + LASTS);
-        held.confirmed = held.confirmed.max(lent.number);
+        held.confirmed = lent.number;
         held.doors = lent.doors;
         let (mut less, mut more) = (false, false);
         for loan in &lent.loans {
--- a/crates/toll/tests/lender.rs
+++ b/crates/toll/tests/lender.rs
@@ -1,6 +1,6 @@
 //! What a lender does with doors that come one after the other, ask, and come back.
 
-use maplefall_toll::{Demand, Lender, Purse, WHOLE};
+use maplefall_toll::{Caller, Demand, Lender, Purse, WHOLE};
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Bench {
@@ -12,7 +12,7 @@
 
 impl Bench {
     fn new() -> Bench {
-        let lender = Lender::new(0.0, 1, Some(BTreeSet::new()));
+        let lender = Lender::new(0.0, 1, WHOLE, Some(BTreeSet::new()));
         Bench { tenants: vec!["t"], lender, purses: BTreeMap::new(), now: 0.0 }
     }
 
@@ -30,9 +30,8 @@
             let asked = Demand { tenant: "t".into(), rate: (rate * 1000.0) as u32, short };
             let demand = if rate > 0.0 { vec![asked] } else { Vec::new() };
             let report = purse.report(self.now, "lender", demand);
-            for (to, lent) in
-                self.lender.report(self.now, &door, *life, &report, self.tenants.iter().copied())
-            {
+            let caller = Caller { name: &door, life: *life, conn: *life };
+            for (to, lent) in self.lender.report(self.now, caller, &report, self.tenants.iter().copied()) {
                 let Some((_, purse)) = self.purses.get_mut(&to) else { continue };
                 let (less, _) = purse.lent(self.now, "lender", &lent);
                 if less {
