--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -33,7 +33,7 @@
             out.push(if to.is_empty() { Output::Peers(bytes) } else { Output::Peer(to, bytes) });
         }
         if let Some(snapshot) = todo.installed {
-            self.install(&snapshot.state, snapshot.index);
+            self.install(now, &snapshot, out);
             self.spread_plans(now, out);
         }
         if !todo.agreed.is_empty() {
@@ -56,10 +56,10 @@
             let leader = self.led_by.as_deref().unwrap_or("none");
             out.push(Output::Log(format!("event=leader leader={leader} term={}", self.tandem.term())));
         }
-        self.lend(now);
+        self.keep_lending(now, out);
         self.keep_company(now, out);
         if self.tandem.length() > LONG_LOG {
-            let state = Whole::of(&self.board).encode_to_vec();
+            let state = Whole::of(&self.board, self.shares.slots()).encode_to_vec();
             self.agree(now, out, |tandem, todo| tandem.fold(state, todo));
         }
     }
@@ -82,20 +82,39 @@
                 self.index = entry.index;
             }
             self.entry_agreed(entry.index, entry.term, out);
+            if entry.kind() == EntryKind::Voters {
+                let members = entry.voters.iter().cloned().collect();
+                let turns = self.shares.change(now, &members, entry.index);
+                self.slots_turned(turns, out);
+            }
         }
         self.spread_plans(now, out);
     }
 
-    pub(super) fn install(&mut self, state: &[u8], index: u64) {
+    pub(super) fn install(&mut self, now: Millis, snapshot: &Snapshot, out: &mut Vec<Output>) {
+        let whole = match Whole::decode(snapshot.state.as_ref()) {
+            Ok(whole) => whole,
+            Err(error) => {
+                out.push(Output::Log(format!("event=bad_snapshot index={} error={error}", snapshot.index)));
+                Whole::default()
+            }
+        };
+        // What an earlier program folded, or the first state of all, holds no slots: they follow from the members.
+        let slots =
+            whole.owners.unwrap_or_else(|| first_slots(&snapshot.voters, self.losses, snapshot.index));
+        let turns = self.shares.install(now, slots);
+        self.slots_turned(turns, out);
         // The state of the first start, and of what held nothing but members since: there is no configuration yet.
-        if state.is_empty() {
+        if snapshot.state.is_empty() {
             return;
         }
-        if let Ok(all) = Whole::decode(state) {
-            self.board = Board::restored(all.items, all.taken.unwrap_or_default());
-        }
-        self.index = index;
-        self.ring_after = index;
+        self.board = Board::restored(whole.items, whole.taken.unwrap_or_default());
+        self.index = snapshot.index;
+        self.ring_after = snapshot.index;
         self.ring.clear();
     }
 }
+
+pub(super) fn first_slots(members: &[String], losses: u32, index: u64) -> Slots {
+    Slots::first(&members.iter().cloned().collect(), losses, index)
+}
