--- /dev/null
+++ b/crates/busy-hour/tests/days.rs
@@ -0,0 +1,243 @@
+//! Days as they are drawn: each can be read again, holds what is listed and nothing else, and comes again from its seed.
+
+use maplefall_busy_hour::draw::{Drawer, Pile};
+use maplefall_busy_hour::kinds::{Kinds, Struck, BACKENDS, BESIDES, BUSY, CUTS, WHICH};
+use maplefall_busy_hour::site::Site;
+use std::collections::BTreeSet;
+use toml::{Table, Value};
+
+const KINDS: &str = "\
+Each entry has 'at' (seconds) and 'kind'. for_s: how long (5). share: part of the things, count: a number of them.
+For servers, 'how' may also hold across (of all copies) and all. For machines, 'how' may also hold leader or seed. After these may \
+stand meet (a change meets it), hard and, for roll_term, busy. Cuts are silent unless 'how' holds reset or refuse.
+closing = { kind = power_off_all | wipe_after_ack, down_s } strikes at the end (how timed: 5 to 400 ms after; how taken: right after)
+
+hot_tenant: one tenant sends x times its usual; count: its rank by size
+srv_crash: share (.15) of a service's servers are down for for_s; how: dark (silent, or so), gone (for good)
+answer_lost: share (.5) lose the answer of x (.03) of the requests
+node_kill: share (.1) of the machines: SIGKILL; how: power (dark for for_s)
+roll_term: share (1) get SIGTERM, x (1) at a time, each gap_s, and start again; how: remove (they leave)
+herd_kill: share (.6) are killed at once; how: power; on core: all of them; how taken: all lose power
+after_ack_kill: the machine that acknowledges a change (and count - 1 more) loses power; how: kill, timed (later), taken (other)
+after_ack_wipe: the same, or counted machines drawn by lot, and they come back with empty disks
+disk_stall: count (1) disks answer nothing
+clock_step: the time of day jumps by x ms (2000) on share (.3) of all machines and back after for_s; how: back ahead
+core_cut: count (1) counted machines are cut off; how: one_way, seeds (new seeds begin; others, too), both (one, then others)
+node_cut: share (.1) are cut off from all counted machines; how: servers (share of the servers, from all machines)
+config_change: how: route weights
+config_race: count (1) pairs of changes on the same version, each gap_s
+bad_config: count (1), each gap_s; how: cut_short old_version
+solar_flare: x (4) of whatever there is; how: left right
+";
+
+const SITE: &str = r#"
+name = "tiny"
+length_s = 20.0
+zones = [{ name = "north", region = "r" }, { name = "south", region = "r" }]
+services = [{ name = "maps" }, { name = "mail" }]
+machines = [{ class = "front", count = 2 }, { class = "core", count = 1 }]
+troubles = [{ kind = "garble", how = "extra late" }, { kind = "hot_tenant", x = 7.5, for_s = 6.5 }]
+[tolerate]
+machines = 1
+[[day]]
+name = "calm"
+slot = "quiet"
+seed = 1
+goal = { floor = 0.5 }
+traffic = [{ zone = "north", mix = { look = 4.4 }, per_s = 70.6, shape = { kind = "wave", swing = 0.15 } }]
+plan = [{ at = 1.0, kind = "config_change", how = "idle" }]
+faults = []
+[[day]]
+name = "rough"
+slot = "trouble"
+seed = 2
+goal = { floor = 0.4 }
+traffic = [{ zone = "south", mix = { look = 4.4 }, per_s = 50.0 }]
+closing = { kind = "wipe_after_ack", down_s = 1.0, how = "aimed" }
+plan = []
+faults = [{ at = 2, kind = "herd_kill", share = 0.4 }]
+"#;
+
+const PILES: [Pile; 4] = [Pile::Mixed, Pile::Control, Pile::Answers, Pile::Long];
+
+fn site() -> Site {
+    Site::read(SITE).expect("the test's site can be read")
+}
+
+fn drawn(pile: Pile, seed: u64, days: u32) -> Vec<(String, Table)> {
+    let (site, kinds) = (site(), Kinds::read(KINDS));
+    let mut drawer = Drawer::new(&site, &kinds, pile, seed);
+    let days = (0..days).map(|number| drawer.day(number).expect("the site has days"));
+    days.map(|day| (day.name.clone(), toml::from_str(&day.text()).expect("a day can be read again")))
+        .collect()
+}
+
+fn entries<'a>(day: &'a Table, list: &str) -> Vec<&'a Table> {
+    let list = day.get(list).and_then(Value::as_array).expect("a day has both lists");
+    list.iter().map(|entry| entry.as_table().expect("an entry is a table")).collect()
+}
+
+fn text<'a>(entry: &'a Table, field: &str) -> &'a str {
+    entry.get(field).and_then(Value::as_str).unwrap_or_default()
+}
+
+fn number(entry: &Table, field: &str) -> Option<f64> {
+    let value = entry.get(field)?;
+    value.as_float().or_else(|| value.as_integer().map(|whole| whole as f64))
+}
+
+#[test]
+fn the_list_is_read() {
+    let kinds = Kinds::read(KINDS);
+    assert_eq!(kinds.kinds.len(), 16);
+    let hows = |name: &str| kinds.kind(name).expect("listed").hows.join(" ");
+    assert_eq!(hows("srv_crash"), "dark gone");
+    assert_eq!(hows("herd_kill"), "power taken");
+    assert_eq!(hows("after_ack_kill"), "kill timed taken");
+    assert_eq!(hows("after_ack_wipe"), "kill timed taken", "it does the same as the one before it");
+    assert_eq!(hows("core_cut"), "one_way seeds both");
+    assert_eq!(hows("clock_step"), "back ahead");
+    assert_eq!(hows("solar_flare"), "left right");
+    let field = |name: &str, field: &str| kinds.kind(name).expect("listed").fields.get(field).copied();
+    assert_eq!(field("clock_step", "x"), Some(Some(2000.0)));
+    assert_eq!(field("srv_crash", "share"), Some(Some(0.15)));
+    assert_eq!(field("hot_tenant", "x"), Some(None));
+    assert_eq!(field("disk_stall", "share"), None);
+    let struck = |name: &str| kinds.kind(name).expect("listed").struck;
+    assert_eq!(struck("disk_stall"), Struck::Counted);
+    assert_eq!(struck("after_ack_wipe"), Struck::Counted);
+    assert_eq!(struck("core_cut"), Struck::Counted);
+    assert_eq!(struck("roll_term"), Struck::Machines);
+    assert_eq!(struck("node_cut"), Struck::Machines);
+    assert_eq!(struck("srv_crash"), Struck::Backends);
+    assert_eq!(struck("config_race"), Struck::Orders);
+    assert_eq!(struck("solar_flare"), Struck::Other);
+    assert_eq!(kinds.closings, ["power_off_all", "wipe_after_ack"]);
+    assert_eq!(kinds.closing_hows, ["timed", "taken"]);
+    // Words that the head does not name are not used.
+    assert!(!kinds.words.contains("race") && !kinds.words.contains("reader"));
+}
+
+#[test]
+fn only_what_is_listed_comes_and_within_the_day() {
+    let kinds = Kinds::read(KINDS);
+    let site = site();
+    let general: BTreeSet<&str> = WHICH
+        .iter()
+        .chain(&BESIDES)
+        .chain(&BACKENDS)
+        .chain(&CUTS)
+        .chain([&BUSY])
+        .copied()
+        .filter(|word| kinds.words.contains(*word))
+        .collect();
+    for pile in PILES {
+        for (name, day) in drawn(pile, 11, 40) {
+            assert_eq!(text(&day, "name"), name);
+            for list in ["plan", "faults"] {
+                let mut last = 0.0;
+                for entry in entries(&day, list) {
+                    let kind = kinds.kind(text(entry, "kind")).expect("a kind that is listed");
+                    let at = number(entry, "at").expect("an entry has a moment");
+                    assert!(at >= last && at > 0.0 && at < site.length_s, "{name}: {entry}");
+                    last = at;
+                    for word in text(entry, "how").split(' ').filter(|word| !word.is_empty()) {
+                        let own = kind.hows.iter().any(|how| how == word);
+                        let seen = site.hows.get(&kind.name).is_some_and(|hows| hows.contains(word));
+                        assert!(own || seen || general.contains(word), "{name}: {entry}");
+                    }
+                    let share = number(entry, "share").unwrap_or(0.5);
+                    assert!(share > 0.0 && share <= 1.0, "{name}: {entry}");
+                    assert!(number(entry, "count").unwrap_or(1.0) >= 1.0, "{name}: {entry}");
+                    assert!(number(entry, "for_s").unwrap_or(1.0) > 0.0, "{name}: {entry}");
+                }
+            }
+            if let Some(closing) = day.get("closing").and_then(Value::as_table) {
+                assert!(kinds.closings.iter().any(|kind| kind == text(closing, "kind")));
+                let how = text(closing, "how");
+                let aimed = how == "aimed" && text(closing, "kind") == "wipe_after_ack";
+                assert!(how.is_empty() || aimed || kinds.closing_hows.iter().any(|one| one == how));
+            }
+        }
+    }
+}
+
+#[test]
+fn many_troubles_come_and_planned_work_is_planned() {
+    let planned = ["config_change", "config_race", "bad_config", "roll_term"];
+    let mut seen = BTreeSet::new();
+    for (name, day) in drawn(Pile::Mixed, 3, 60) {
+        let (plan, faults) = (entries(&day, "plan"), entries(&day, "faults"));
+        assert!((3..=40).contains(&plan.len()), "{name}: {} works", plan.len());
+        assert!((4..=12).contains(&faults.len()), "{name}: {} faults", faults.len());
+        assert!(plan.iter().all(|entry| planned.contains(&text(entry, "kind"))), "{name}");
+        assert!(faults.iter().all(|entry| !planned.contains(&text(entry, "kind"))), "{name}");
+        for entry in plan.iter().chain(&faults) {
+            seen.insert(text(entry, "kind").to_owned());
+        }
+    }
+    let all: BTreeSet<String> = Kinds::read(KINDS).kinds.into_iter().map(|kind| kind.name).collect();
+    assert_eq!(seen, all, "every kind comes, also one that nobody here knows");
+}
+
+#[test]
+fn long_days_hold_hundreds_of_changes_and_control_strikes_the_core() {
+    for (name, day) in drawn(Pile::Long, 5, 10) {
+        let changes =
+            entries(&day, "plan").iter().filter(|entry| text(entry, "kind") == "config_change").count();
+        assert!(changes >= 120, "{name}: {changes} changes");
+    }
+    let of_core = |pile: Pile| -> f64 {
+        let (mut core, mut all) = (0, 0);
+        for (_, day) in drawn(pile, 6, 60) {
+            for entry in entries(&day, "faults") {
+                let kind = Kinds::read(KINDS).kind(text(entry, "kind")).expect("listed").struck;
+                all += 1;
+                core += u32::from(kind == Struck::Counted || text(entry, "on") == "core");
+            }
+        }
+        f64::from(core) / f64::from(all)
+    };
+    assert!(of_core(Pile::Control) > 0.6, "{}", of_core(Pile::Control));
+    assert!(of_core(Pile::Answers) < 0.2, "{}", of_core(Pile::Answers));
+}
+
+#[test]
+fn every_closing_comes_with_every_variant() {
+    let mut seen = BTreeSet::new();
+    for (_, day) in drawn(Pile::Control, 8, 200) {
+        match day.get("closing").and_then(Value::as_table) {
+            Some(closing) => seen.insert(format!("{} {}", text(closing, "kind"), text(closing, "how"))),
+            None => seen.insert("none".to_owned()),
+        };
+    }
+    let all = ["none", "power_off_all ", "power_off_all taken", "power_off_all timed", "wipe_after_ack "];
+    let all = all.into_iter().chain(["wipe_after_ack aimed", "wipe_after_ack taken", "wipe_after_ack timed"]);
+    assert_eq!(seen, all.map(str::to_owned).collect());
+}
+
+#[test]
+fn the_same_seed_draws_the_same_days() {
+    for pile in PILES {
+        assert_eq!(drawn(pile, 42, 12), drawn(pile, 42, 12));
+        assert_ne!(drawn(pile, 42, 12), drawn(pile, 43, 12));
+    }
+}
+
+#[test]
+fn the_standard_days_lend_their_traffic_and_floors() {
+    for (name, day) in drawn(Pile::Mixed, 9, 20) {
+        let base = site().days.into_iter().find(|base| base.get("slot") == day.get("slot"));
+        let base = base.expect("a day comes from a standard day");
+        assert_eq!(day.get("traffic"), base.get("traffic"), "{name}");
+        assert_eq!(day.get("goal"), base.get("goal"), "{name}");
+    }
+}
+
+#[test]
+fn a_site_that_cannot_be_used_is_told() {
+    assert!(Site::read("name = 1").is_err());
+    assert!(Site::read("name = \"a\"\nlength_s = 20.0").expect_err("no day").contains("no day"));
+    assert!(Site::read("name = \"a\"\nlength_s = 1.0\n[[day]]\nname = \"x\"").is_err());
+    assert_eq!(Kinds::read("nothing here\n").kinds, []);
+}
