--- a/crates/busy-hour/src/draw.rs
+++ b/crates/busy-hour/src/draw.rs
@@ -1,6 +1,6 @@
 //! Days, drawn by chance from the kinds that there are.
 
-use crate::kinds::{Kind, Kinds, Struck, BACKENDS, BESIDES, BUSY, CUTS, WHICH};
+use crate::kinds::{Kind, Kinds, Leaves, Struck, BACKENDS, BESIDES, BUSY, CUTS, WHICH};
 use crate::luck::Luck;
 use crate::site::Site;
 use toml::{Table, Value};
@@ -41,6 +41,13 @@
 const LONG_PLAN: (u32, u32) = (150, 450);
 /// Faults of a clump are this far from each other at most, in seconds.
 const CLUMP_S: f64 = 3.0;
+/// The part of the doors, and of the backends, that leaves for good in a day at most: where nobody is left, nobody can serve, and
+/// what is broken then is nobody's fault. Counted machines that leave have successors.
+const LEAVE_AT_MOST: f64 = 0.5;
+/// Draws for each entry at most.
+const TRIES: u32 = 8;
+/// Less than this is not worth an entry.
+const LEAST_SHARE: f64 = 0.02;
 /// Nothing starts before the first of these, nor later than the second before the end of the day, in seconds.
 const EDGES_S: (f64, f64) = (0.8, 2.0);
 /// How the fields of an entry follow one another in a file; others come after them.
@@ -97,16 +104,19 @@
     pile: Pile,
     luck: Luck,
     seed: u64,
+    /// What may still leave for good on the day that is drawn: of the doors, of the backends.
+    may_leave: [f64; 2],
 }
 
 impl<'a> Drawer<'a> {
     /// What days of a site are drawn with.
     pub fn new(site: &'a Site, kinds: &'a Kinds, pile: Pile, seed: u64) -> Drawer<'a> {
-        Drawer { site, kinds, pile, luck: Luck::new(seed), seed }
+        Drawer { site, kinds, pile, luck: Luck::new(seed), seed, may_leave: [0.0; 2] }
     }
 
     /// The next day. `None` if the site has none to start from.
     pub fn day(&mut self, number: u32) -> Option<Day> {
+        self.may_leave = [LEAVE_AT_MOST; 2];
         let mut table = self.luck.one_of(&self.site.days)?.clone();
         let pile = match self.pile {
             Pile::Mixed => "mixed",
@@ -163,7 +173,11 @@
         // All but some are single changes: works that take machines away wait for each other.
         let single = if self.pile == Pile::Long { 0.98 } else { 0.7 };
         let mut entries = Vec::new();
-        for _ in 0..many {
+        // What would take away too much is drawn anew.
+        for _ in 0..TRIES * many {
+            if entries.len() >= many as usize {
+                break;
+            }
             let weights: Vec<(f64, &Kind)> = planned.iter().map(|kind| (self.weight(kind), *kind)).collect();
             let kind = if !changes.is_empty() && self.luck.chance(single) {
                 self.luck.one_of(&changes).copied()
@@ -172,7 +186,7 @@
             };
             let Some(kind) = kind else { break };
             let at = self.moment();
-            entries.push((at, self.entry(kind, at)));
+            entries.extend(self.entry(kind, at).map(|entry| (at, entry)));
         }
         in_order(entries)
     }
@@ -188,7 +202,11 @@
             })
             .collect();
         let mut entries = Vec::new();
-        for _ in 0..many {
+        // What would take away too much is drawn anew.
+        for _ in 0..TRIES * many {
+            if entries.len() >= many as usize {
+                break;
+            }
             let clump = if self.luck.chance(0.55) { self.luck.one_of(&clumps).copied() } else { None };
             let (kind, at) = match clump {
                 Some((at, struck)) => {
@@ -200,7 +218,7 @@
                 None => (self.draw_of(&faults), self.moment()),
             };
             let Some(kind) = kind else { break };
-            entries.push((at, self.entry(kind, at)));
+            entries.extend(self.entry(kind, at).map(|entry| (at, entry)));
         }
         in_order(entries)
     }
@@ -214,7 +232,8 @@
         self.luck.between(EDGES_S.0, self.site.length_s - EDGES_S.1)
     }
 
-    fn entry(&mut self, kind: &Kind, at: f64) -> Value {
+    /// Draws an entry. `None` if it would take away what has to stay.
+    fn entry(&mut self, kind: &Kind, at: f64) -> Option<Value> {
         let mut entry = Table::new();
         entry.insert("at".to_owned(), rounded(at, 2));
         entry.insert("kind".to_owned(), kind.name.clone().into());
@@ -225,7 +244,28 @@
             entry.insert("how".to_owned(), how.into());
         }
         self.place(kind, core, &mut entry);
-        Value::Table(entry)
+        (core || self.stays(kind, &mut entry)).then_some(Value::Table(entry))
+    }
+
+    /// Cuts an entry down to what may leave for good.
+    fn stays(&mut self, kind: &Kind, entry: &mut Table) -> bool {
+        let how = entry.get("how").and_then(Value::as_str).unwrap_or_default();
+        let leaves = match &kind.leaves {
+            Leaves::Never => false,
+            Leaves::With(word) => how.split(' ').any(|one| one == word),
+            Leaves::Always => true,
+        };
+        if !leaves {
+            return true;
+        }
+        let left = &mut self.may_leave[usize::from(kind.struck == Struck::Backends)];
+        let share = entry.get("share").and_then(Value::as_float).unwrap_or(1.0).min(*left);
+        if share < LEAST_SHARE {
+            return false;
+        }
+        *left -= share;
+        entry.insert("share".to_owned(), rounded(share, 2));
+        true
     }
 
     /// Draws the class of the machines that are struck; true if they are counted ones.
--- a/crates/busy-hour/src/kinds.rs
+++ b/crates/busy-hour/src/kinds.rs
@@ -38,6 +38,19 @@
     pub fields: BTreeMap<String, Option<f64>>,
     /// What it strikes.
     pub struck: Struck,
+    /// Whether what it strikes stays away.
+    pub leaves: Leaves,
+}
+
+/// Whether what a kind strikes stays away for the rest of the day.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Leaves {
+    /// It comes back, or others come for it.
+    Never,
+    /// With this word among its `how`.
+    With(String),
+    /// It does.
+    Always,
 }
 
 /// All kinds, and what the head of the list says of all of them.
@@ -111,12 +124,17 @@
     fn read(name: &str, text: &str, before: Option<&Kind>) -> Kind {
         let mut hows = Vec::new();
         let mut told = Vec::new();
+        let mut leaves = Leaves::Never;
         for part in split(text, ';') {
             let part = part.trim();
             match part.strip_prefix("how") {
                 // `how: a, b (what b is)`, and words alone where there is nothing to say about them: `how: a b`.
                 Some(rest) if rest.starts_with(':') => {
                     for one in split(&rest[1..], ',') {
+                        if one.contains("leave") || one.contains("for good") {
+                            leaves =
+                                words(one).next().map_or(Leaves::Never, |word| Leaves::With(word.to_owned()));
+                        }
                         hows.extend(words(&outside(one)).filter(|word| is_name(word)).map(str::to_owned));
                     }
                 }
@@ -131,12 +149,16 @@
         let told = told.join("; ");
         let fields = FIELDS.iter().filter_map(|field| Some(((*field).to_owned(), field_of(&told, field)?)));
         let mut fields: BTreeMap<String, Option<f64>> = fields.collect();
+        if words(&told).any(|word| word == "leave") {
+            leaves = Leaves::Always;
+        }
         // What does the same as the kind before it has the same variants and numbers.
         if let Some(before) = before.filter(|_| told.starts_with("the same")) {
             hows.extend(before.hows.iter().filter(|how| !hows.contains(how)).cloned().collect::<Vec<_>>());
             fields.extend(before.fields.clone());
         }
-        Kind { name: name.to_owned(), struck: struck(name, &told), text: text.to_owned(), hows, fields }
+        let struck = struck(name, &told);
+        Kind { name: name.to_owned(), text: text.to_owned(), hows, fields, struck, leaves }
     }
 
     /// Whether the kind has this number.
--- a/crates/busy-hour/tests/days.rs
+++ b/crates/busy-hour/tests/days.rs
@@ -1,7 +1,7 @@
 //! Days as they are drawn: each can be read again, holds what is listed and nothing else, and comes again from its seed.
 
 use maplefall_busy_hour::draw::{Drawer, Pile};
-use maplefall_busy_hour::kinds::{Kinds, Struck, BACKENDS, BESIDES, BUSY, CUTS, WHICH};
+use maplefall_busy_hour::kinds::{Kinds, Leaves, Struck, BACKENDS, BESIDES, BUSY, CUTS, WHICH};
 use maplefall_busy_hour::site::Site;
 use std::collections::BTreeSet;
 use toml::{Table, Value};
@@ -14,6 +14,7 @@
 
 hot_tenant: one tenant sends x times its usual; count: its rank by size
 srv_crash: share (.15) of a service's servers are down for for_s; how: dark (silent, or so), gone (for good)
+scale_in: share (.15) drain and leave; how: spot (they are gone x s (2) after the notice; others come 4 s later)
 answer_lost: share (.5) lose the answer of x (.03) of the requests
 node_kill: share (.1) of the machines: SIGKILL; how: power (dark for for_s)
 roll_term: share (1) get SIGTERM, x (1) at a time, each gap_s, and start again; how: remove (they leave)
@@ -89,7 +90,7 @@
 #[test]
 fn the_list_is_read() {
     let kinds = Kinds::read(KINDS);
-    assert_eq!(kinds.kinds.len(), 16);
+    assert_eq!(kinds.kinds.len(), 17);
     let hows = |name: &str| kinds.kind(name).expect("listed").hows.join(" ");
     assert_eq!(hows("srv_crash"), "dark gone");
     assert_eq!(hows("herd_kill"), "power taken");
@@ -112,6 +113,11 @@
     assert_eq!(struck("srv_crash"), Struck::Backends);
     assert_eq!(struck("config_race"), Struck::Orders);
     assert_eq!(struck("solar_flare"), Struck::Other);
+    let leaves = |name: &str| kinds.kind(name).expect("listed").leaves.clone();
+    assert_eq!(leaves("roll_term"), Leaves::With("remove".to_owned()));
+    assert_eq!(leaves("srv_crash"), Leaves::With("gone".to_owned()));
+    assert_eq!(leaves("scale_in"), Leaves::Always);
+    assert_eq!(leaves("node_kill"), Leaves::Never);
     assert_eq!(kinds.closings, ["power_off_all", "wipe_after_ack"]);
     assert_eq!(kinds.closing_hows, ["timed", "taken"]);
     // Words that the head does not name are not used.
@@ -164,7 +170,7 @@
 
 #[test]
 fn many_troubles_come_and_planned_work_is_planned() {
-    let planned = ["config_change", "config_race", "bad_config", "roll_term"];
+    let planned = ["config_change", "config_race", "bad_config", "roll_term", "scale_in"];
     let mut seen = BTreeSet::new();
     for (name, day) in drawn(Pile::Mixed, 3, 60) {
         let (plan, faults) = (entries(&day, "plan"), entries(&day, "faults"));
@@ -216,6 +222,29 @@
     assert_eq!(seen, all.map(str::to_owned).collect());
 }
 
+#[test]
+fn half_of_the_doors_and_of_the_backends_stay() {
+    for pile in PILES {
+        for (name, day) in drawn(pile, 21, 60) {
+            let (mut doors, mut backends) = (0.0, 0.0);
+            for entry in entries(&day, "plan").into_iter().chain(entries(&day, "faults")) {
+                let how: Vec<&str> = text(entry, "how").split(' ').collect();
+                let share = number(entry, "share").unwrap_or(1.0);
+                match text(entry, "kind") {
+                    "roll_term" if how.contains(&"remove") && text(entry, "on") != "core" => doors += share,
+                    "srv_crash" if how.contains(&"gone") => backends += share,
+                    "scale_in" => backends += share,
+                    _ => {}
+                }
+            }
+            assert!(
+                doors < 0.52 && backends < 0.52,
+                "{name}: {doors} of the doors, {backends} of the backends"
+            );
+        }
+    }
+}
+
 #[test]
 fn the_same_seed_draws_the_same_days() {
     for pile in PILES {
--- a/rehearsals/days/play.sh
+++ b/rehearsals/days/play.sh
@@ -2,6 +2,10 @@
 # play.sh F SITE DIR [JOBS]: plays every day of a folder on the users' bench, JOBS at a time (default 6), and sums up.
 #
 #   F     the bench's program            SITE  a site file            DIR   a folder of days (*.toml)
+#
+# Of the folder it plays the days whose traffic comes from the site's zones. Days with -five in their names are for a site file
+# with five in its name (five core machines, two may be lost); on such a site only these are played, if there are any.
+#
 #   RUNS=N   each day N times (default 1): thread timing differs from run to run, so a day may break in some only
 #   LOG=core --log of each run: the output of machines whose names begin so (default none)
 #   NO_CPU=1 processor time isn't counted (default: it is)
@@ -31,7 +35,18 @@
     "$bench" run "$site" "$day" --jobs 1 --why "$why" "${options[@]}" > "$out/$name.txt" 2>&1 || true
 }
 export -f play
+fits() {
+    local zone
+    zone=$(grep -o 'zone = "[^"]*"' <(sed -n '/^traffic/,$p' "$1") | head -n 1)
+    if ! sed -n '/^zones/,/^]/p' "$site" | grep -qF "{ name = ${zone#zone = }"; then return 1; fi
+    case $(basename "$site"),$(basename "$1") in
+        *five*,*-five*) return 0 ;;
+        *five*,*) ! compgen -G "$days/*-five*.toml" > /dev/null ;;
+        *,*-five*) return 1 ;;
+    esac
+}
 find "$days" -maxdepth 1 -name '*.toml' | sort | while read -r day; do
+    if ! fits "$day"; then continue; fi
     for run in $(seq "$runs"); do printf '%s\0%s\0' "$day" "$run"; done
 done | xargs -0 -r -n 2 -P "$jobs" bash -c 'play "$@"' play "$bench" "$site" "$out" "$why"
 
