--- a/crates/busy-hour/src/draw.rs
+++ b/crates/busy-hour/src/draw.rs
@@ -1,6 +1,6 @@
 //! Days, drawn by chance from the kinds that there are.
 
-use crate::kinds::{Kind, Kinds, Leaves, Struck, BACKENDS, BESIDES, BUSY, CUTS, WHICH};
+use crate::kinds::{Kind, Kinds, Leaves, Struck, BACKENDS, BESIDES, BUSY, CUTS, NONE_SPARED, WHICH};
 use crate::luck::Luck;
 use crate::site::Site;
 use toml::{Table, Value};
@@ -258,6 +258,10 @@
         if !leaves {
             return true;
         }
+        // Where none is spared, the share says nothing.
+        if how.split(' ').any(|one| one == NONE_SPARED) {
+            return false;
+        }
         let left = &mut self.may_leave[usize::from(kind.struck == Struck::Backends)];
         let share = entry.get("share").and_then(Value::as_float).unwrap_or(1.0).min(*left);
         if share < LEAST_SHARE {
@@ -380,9 +384,9 @@
             Struck::Orders | Struck::Other => {}
         }
         let mut kept: Vec<String> = Vec::new();
-        for word in words {
-            if !kept.contains(&word) {
-                kept.push(word);
+        for word in words.iter().flat_map(|how| how.split(' ')) {
+            if !kept.iter().any(|one| one == word) {
+                kept.push(word.to_owned());
             }
         }
         kept.join(" ")
--- a/crates/busy-hour/src/kinds.rs
+++ b/crates/busy-hour/src/kinds.rs
@@ -71,7 +71,9 @@
 /// Words for what is done besides, after those for which machine.
 pub const BESIDES: [&str; 4] = ["meet", "race", "hard", "drain"];
 /// Words for which backends are struck.
-pub const BACKENDS: [&str; 2] = ["across", "all"];
+pub const BACKENDS: [&str; 2] = ["across", NONE_SPARED];
+/// The word with which all of a service's backends are struck, whatever the share.
+pub const NONE_SPARED: &str = "all";
 /// Words for how a cut shows.
 pub const CUTS: [&str; 2] = ["reset", "refuse"];
 /// The word for a stop in the middle of an answer; the head says for which kind.
--- a/crates/busy-hour/tests/days.rs
+++ b/crates/busy-hour/tests/days.rs
@@ -229,7 +229,9 @@
             let (mut doors, mut backends) = (0.0, 0.0);
             for entry in entries(&day, "plan").into_iter().chain(entries(&day, "faults")) {
                 let how: Vec<&str> = text(entry, "how").split(' ').collect();
-                let share = number(entry, "share").unwrap_or(1.0);
+                // With this word a service's backends are struck, whatever the share.
+                let all = how.contains(&"all");
+                let share = if all { 1.0 } else { number(entry, "share").unwrap_or(1.0) };
                 match text(entry, "kind") {
                     "roll_term" if how.contains(&"remove") && text(entry, "on") != "core" => doors += share,
                     "srv_crash" if how.contains(&"gone") => backends += share,
