--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -108,9 +108,11 @@
                 Whole::default()
             }
         };
-        // What an earlier program folded, or the first state of all, holds no slots: they follow from the members.
-        let slots =
-            whole.owners.unwrap_or_else(|| first_slots(&snapshot.voters, self.losses, snapshot.index));
+        // The first state of all is empty. What an earlier program folded holds no slots either; by then others may have lent.
+        let slots = whole.owners.unwrap_or_else(|| {
+            let members = snapshot.voters.iter().cloned().collect();
+            Slots::first(&members, self.losses, snapshot.index, !snapshot.state.is_empty())
+        });
         let turns = self.shares.install(now, slots);
         self.slots_turned(now, turns, out);
         self.board = Board::of(whole.items);
@@ -119,7 +121,3 @@
         self.ring.clear();
     }
 }
-
-pub(super) fn first_slots(members: &[String], losses: u32, index: u64) -> Slots {
-    Slots::first(&members.iter().cloned().collect(), losses, index)
-}
--- a/crates/exchange/src/core/doors.rs
+++ b/crates/exchange/src/core/doors.rs
@@ -32,6 +32,9 @@
         let Frame::Report(report) = frame else { return };
         let Some(door) = self.doors.get(&conn) else { return };
         if !self.lent_to.contains(&door.node) && !report.last {
+            if self.lent_to.len() >= MOST_NAMED {
+                return;
+            }
             // Before it is lent anything, its name is on disk: a later life asks it first.
             let name = door.node.clone();
             self.lent_to.insert(name.clone());
@@ -163,6 +166,19 @@
             self.lent_known = true;
             self.write(Stored { lent_known: true, ..Stored::default() }, Wrote::Note, out);
         }
+        if self.lent_known && now - self.struck >= STRIKE {
+            self.struck = now;
+            let (lender, naming) = (&self.lender, &self.naming);
+            let over = |name: &&String| !lender.may_owe(now, name) && !naming.contains(*name);
+            let forgotten: Vec<String> = self.lent_to.iter().filter(over).cloned().collect();
+            if !forgotten.is_empty() {
+                // A door that comes again is written down again, after this.
+                forgotten.iter().for_each(|name| {
+                    self.lent_to.remove(name);
+                });
+                self.write(Stored { forgotten, ..Stored::default() }, Wrote::Note, out);
+            }
+        }
         let leased = self.leased(now);
         if std::mem::replace(&mut self.was_leased, leased) != leased {
             // Who asked just before need not ask again.
@@ -170,7 +186,7 @@
             let due: Vec<(u64, Report)> =
                 self.doors.iter_mut().filter_map(|(conn, door)| Some((*conn, asked(door)?.1))).collect();
             for (conn, report) in due {
-                self.reported(now, conn, &report, out);
+                self.door(now, conn, Frame::Report(report), out);
             }
             let contact = now - self.tandem.contact(now);
             out.push(Output::Log(if leased {
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -41,6 +41,10 @@
 const LONG_LOG: usize = 2000;
 /// Lives whose leaving is remembered as shared at most; of others it is shared again.
 const MOST_SHARED: usize = 50_000;
+/// Doors whose names are on disk at most: others are lent nothing.
+const MOST_NAMED: usize = 8192;
+/// How often names of doors that hold nothing any more are struck off.
+const STRIKE: Millis = 30_000.0;
 /// Calls that wait at most; what comes beyond is sent on.
 const MOST_CALLS: usize = 512;
 
@@ -149,6 +153,7 @@
     lent_known: bool,
     /// Doors whose names are on their way to the disk.
     naming: BTreeSet<String>,
+    struck: Millis,
     last_write: u64,
     writing: VecDeque<(u64, Wrote)>,
     /// Calls that wait for their entry to be agreed on, by its index.
@@ -195,6 +200,7 @@
             lent_known,
             lent_to: kept.lent_to,
             naming: BTreeSet::new(),
+            struck: now,
             tandem,
             board: Board::default(),
             index: 0,
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -48,6 +48,9 @@
     /// Indices of entries whose slots of the quotas have been waited for.
     #[prost(uint64, repeated, tag = "9")]
     pub waited: Vec<u64>,
+    /// Doors that hold nothing any more.
+    #[prost(string, repeated, tag = "10")]
+    pub forgotten: Vec<String>,
 }
 
 /// What one entry of the log holds.
@@ -126,6 +129,9 @@
         if let Some(record) = stored.tandem {
             self.tandem.take(record);
         }
+        for name in &stored.forgotten {
+            self.lent_to.remove(name);
+        }
         self.lent_to.extend(stored.lent_to);
         self.lent_known |= stored.lent_known;
         self.waited.extend(stored.waited);
--- a/crates/exchange/tests/lending.rs
+++ b/crates/exchange/tests/lending.rs
@@ -270,6 +270,44 @@
     assert_eq!(parts(&play.report("10.0.0.4", 1, report)), [WHOLE / 5]);
 }
 
+/// Guards the disk against names without end, and restarts against waiting for doors that are gone for good.
+#[test]
+fn doors_that_hold_nothing_any_more_are_forgotten() {
+    let path = std::env::temp_dir().join(format!("maplefall-forgotten-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    let folder = Folder(path);
+    let mut play = Play::new(&["10.0.0.1"], 0);
+    play.run(2000.0);
+    play.amend();
+    let mut stays = Purse::new(5);
+    stays.connected("x");
+    play.door("10.0.0.1", 1, "stays", 5);
+    play.door("10.0.0.1", 2, "goes", 6);
+    play.report("10.0.0.1", 2, Report { number: 1, first: true, ..Report::default() });
+    play.drive("10.0.0.1", |core, _, out| core.door_down(2, out));
+    let named = |play: &Play| {
+        let (store, _) = Store::open(&folder.0).expect("a disk");
+        store.write(play.nodes["10.0.0.1"].kept.clone()).expect("written");
+        store.close().expect("closed");
+        Store::open(&folder.0).expect("a disk").1.lent_to
+    };
+    for turn in 0..90 {
+        play.run(500.0);
+        let report = stays.report(play.now, "x", Vec::new());
+        for lent in play.report("10.0.0.1", 1, report) {
+            stays.lent(play.now, "x", &lent);
+        }
+        if turn == 10 {
+            assert_eq!(named(&play).into_iter().collect::<Vec<_>>(), ["goes", "stays"]);
+        }
+    }
+    assert_eq!(named(&play).into_iter().collect::<Vec<_>>(), ["stays"]);
+    // Who comes again is written down again.
+    play.door("10.0.0.1", 3, "goes", 6);
+    play.report("10.0.0.1", 3, Report { number: 2, first: true, ..Report::default() });
+    assert_eq!(named(&play).into_iter().collect::<Vec<_>>(), ["goes", "stays"]);
+}
+
 struct Folder(PathBuf);
 
 impl Drop for Folder {
--- a/crates/switchboard/tests/quotas.rs
+++ b/crates/switchboard/tests/quotas.rs
@@ -47,7 +47,7 @@
     /// The slots as they follow from the first entries, so many.
     fn slots(&self, entries: usize) -> Slots {
         let (index, first) = &self.entries[0];
-        let mut slots = Slots::first(first, self.losses, *index);
+        let mut slots = Slots::first(first, self.losses, *index, false);
         for (index, members) in &self.entries[1..entries] {
             slots.change(members, *index);
         }
@@ -97,6 +97,8 @@
     alone: (f64, f64),
     /// Cut off from the doors until then.
     away: f64,
+    /// It ends once more then, and comes back with its disk.
+    again: f64,
 }
 
 impl Exchange {
@@ -186,6 +188,7 @@
             frozen: 0.0,
             alone: (0.0, 0.0),
             away: 0.0,
+            again: f64::INFINITY,
         })
         .collect();
     let first: Members = (0..3).map(|n| exchanges[n].name.clone()).collect();
@@ -266,6 +269,7 @@
                     it.starts = now + draw() * 3000.0;
                     if lost {
                         it.disk = Disk::default();
+                        it.again = it.starts + 500.0 + draw() * 6000.0;
                     } else if draw() < 0.5 {
                         it.disk.folded = it.disk.folded.max(1);
                     }
@@ -279,8 +283,8 @@
                         0 => (exchanges[hit].life, exchanges[hit].starts) = (None, f64::INFINITY),
                         1 => exchanges[hit].frozen = now + 2000.0 + draw() * 25_000.0,
                         2 => exchanges[hit].alone = (now, now + 10_000.0 + draw() * 30_000.0),
-                        // It runs and can be reached: it may hear of it or not.
-                        _ => {}
+                        // It runs and can be reached: it may hear of it or not, and be taken in again soon.
+                        _ => joins.push(now + draw() * 20_000.0),
                     }
                     let mut members = agreed.members().clone();
                     members.remove(&exchanges[hit].name);
@@ -321,6 +325,9 @@
         }
         // What the exchanges hear of one another.
         for (n, it) in exchanges.iter_mut().enumerate() {
+            if it.life.is_some() && now >= it.again {
+                (it.life, it.starts, it.again) = (None, now + draw() * 300.0, f64::INFINITY);
+            }
             if it.life.is_none() && now >= it.starts && next > n {
                 it.starts = f64::INFINITY;
                 it.start(now, lives, &agreed);
@@ -351,7 +358,8 @@
             // Followers of a leader that has been replaced since the cut may not know for a while.
             let led = !cut || now < it.alone.0 + DEPOSED;
             if let Some(life) = it.life.as_mut().filter(|life| led && spoken && life.applied > 0) {
-                if (cut || life.applied == there) && life.shares.slots().of(&it.name).next().is_some() {
+                let counted = agreed.entries[life.applied - 1].1.contains(&it.name);
+                if (cut || life.applied == there) && counted {
                     life.contact = clock;
                 }
             }
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -131,6 +131,12 @@
         self.doors.len()
     }
 
+    /// Whether a door of this name may hold anything: what this life has lent to it, or an earlier one that is known by name.
+    pub fn may_owe(&self, now: Millis, name: &str) -> bool {
+        let earlier = now < self.unknown_until && self.unknown.contains(name);
+        earlier || self.doors.get(name).is_some_and(|door| now < door.until)
+    }
+
     /// Whether what earlier lives have lent may still be out.
     pub fn in_doubt(&self, now: Millis) -> bool {
         now < self.unknown_until && (self.unnamed || !self.unknown.is_empty())
--- a/crates/toll/src/slots.rs
+++ b/crates/toll/src/slots.rs
@@ -34,11 +34,11 @@
 
 impl Slots {
     /// The slots at the first start: enough for the fewest exchanges of which `losses` may be lost, and one for each of the first.
-    /// `index` is the entry up to which the members are known; where it is not nought, others may have lent before.
-    pub fn first(members: &BTreeSet<String>, losses: u32, index: u64) -> Slots {
+    /// `index` is the entry up to which the members are known, and `used` whether others may have lent before it.
+    pub fn first(members: &BTreeSet<String>, losses: u32, index: u64, used: bool) -> Slots {
         let fewest = if members.len() < SEEDS { 0 } else { (losses as usize).saturating_mul(2) + 1 };
         let count = fewest.max(members.len()).clamp(1, MOST_SLOTS);
-        let free = Slot { owner: String::new(), since: index, used: index > 0 };
+        let free = Slot { owner: String::new(), since: index, used };
         let mut slots = Slots { all: vec![free; count] };
         slots.change(members, index);
         slots
--- a/crates/toll/tests/lender.rs
+++ b/crates/toll/tests/lender.rs
@@ -1,6 +1,6 @@
 //! What a lender does with doors that come one after the other, ask, and come back.
 
-use maplefall_toll::{Caller, Demand, Lender, Purse, WHOLE};
+use maplefall_toll::{Caller, Demand, Lender, Lent, Loan, Purse, Report, LASTS, SKEW, WHOLE};
 use std::collections::{BTreeMap, BTreeSet};
 
 struct Bench {
@@ -114,3 +114,137 @@
     assert!(bench.part("a") > 0.8, "{}", bench.part("a"));
     assert!(bench.lender.out("t") <= WHOLE);
 }
+
+fn caller(name: &str, life: u64, conn: u64) -> Caller<'_> {
+    Caller { name, life, conn }
+}
+
+fn said(answers: &[(String, Lent)], to: &str) -> Vec<u32> {
+    let mine = answers.iter().filter(|(name, _)| name == to);
+    mine.flat_map(|(_, lent)| &lent.loans).map(|loan| loan.parts).collect()
+}
+
+/// Guards an exchange that thaws: it may read what an earlier life of a door has left behind after the words of the present one.
+#[test]
+fn what_an_earlier_life_or_connection_left_behind_is_passed_over() {
+    let mut lender = Lender::new(0.0, 9, WHOLE, Some(BTreeSet::new()));
+    let (mut old, mut new) = (Purse::new(1), Purse::new(2));
+    old.connected("x");
+    new.connected("x");
+    let report = new.report(0.0, "x", Vec::new());
+    assert_eq!(said(&lender.report(0.0, caller("a", 2, 5), &report, ["t"].into_iter()), "a"), [WHOLE]);
+    let late = old.report(0.0, "x", Vec::new());
+    let last = Report { last: true, ..old.report(0.0, "x", Vec::new()) };
+    for report in [&late, &last] {
+        assert!(lender.report(1.0, caller("a", 1, 4), report, ["t"].into_iter()).is_empty());
+        assert_eq!(lender.out("t"), WHOLE);
+    }
+    // Neither on the same connection, nor an older number of the same life on another one.
+    assert!(lender.report(1.0, caller("a", 1, 5), &late, ["t"].into_iter()).is_empty());
+    assert!(lender.report(1.0, caller("a", 2, 6), &report, ["t"].into_iter()).is_empty());
+    assert_eq!(lender.out("t"), WHOLE);
+    // A later life on a later connection proves that the one before is over.
+    let report = Purse::new(3).report(2.0, "x", Vec::new());
+    lender.report(2.0, caller("a", 3, 6), &report, ["t"].into_iter());
+    assert_eq!(lender.out("t"), WHOLE);
+}
+
+/// Guards a door against what another life of a lender has said, and against answers that are older than what it knows.
+#[test]
+fn an_answer_of_another_life_or_an_older_one_is_passed_over() {
+    let mut purse = Purse::new(1);
+    purse.connected("x");
+    let number = purse.report(0.0, "x", Vec::new()).number;
+    let lent = |lender: u64, number: u64, report: u64, parts: u32| Lent {
+        number,
+        report,
+        loans: vec![Loan { tenant: "t".into(), parts }],
+        doors: 1,
+        life: 1,
+        lender,
+    };
+    purse.lent(1.0, "x", &lent(7, 4, number, WHOLE / 2));
+    purse.lent(1.0, "x", &lent(8, 5, number, WHOLE));
+    purse.lent(1.0, "x", &lent(7, 4, number, WHOLE));
+    purse.lent(1.0, "x", &lent(7, 3, number, WHOLE));
+    assert!((purse.part(1.0, "t") - 0.5).abs() < 1e-9);
+    // It says whose answers it confirms; a new connection begins anew, and tells what it holds until it is answered.
+    let report = purse.report(1.0, "x", Vec::new());
+    assert_eq!((report.lender, report.confirmed, report.first), (7, 4, false));
+    purse.connected("x");
+    purse.lent(2.0, "x", &lent(7, 9, report.number, WHOLE));
+    assert!((purse.part(2.0, "t") - 0.5).abs() < 1e-9);
+    for _ in 0..2 {
+        let report = purse.report(2.0, "x", Vec::new());
+        assert_eq!((report.lender, report.confirmed, report.first, report.held.len()), (0, 0, true, 1));
+    }
+}
+
+/// Guards lenders that start anew: a number that an earlier life's answer had confirms nothing of this one's.
+#[test]
+fn what_is_confirmed_of_another_life_counts_for_nothing() {
+    let mut lender = Lender::new(0.0, 9, WHOLE, Some(BTreeSet::new()));
+    let report = Report { number: 1, first: true, ..Report::default() };
+    lender.report(0.0, caller("a", 1, 1), &report, ["t"].into_iter());
+    let short = vec![Demand { tenant: "t".into(), rate: 9000, short: true }];
+    let report = Report { number: 1, first: true, demand: short, ..Report::default() };
+    let answers = lender.report(0.0, caller("b", 1, 2), &report, ["t"].into_iter());
+    assert!(said(&answers, "a")[0] < WHOLE && said(&answers, "b").iter().sum::<u32>() == 0);
+    for (life, freed) in [(8, false), (9, true)] {
+        let report = Report { number: life, confirmed: 1000, lender: life, ..Report::default() };
+        let answers = lender.report(1.0, caller("a", 1, 1), &report, ["t"].into_iter());
+        assert_eq!(said(&answers, "b").iter().sum::<u32>() > 0, freed, "{answers:?}");
+    }
+}
+
+/// Guards slots that go to another: what shrinks shrinks for every door at once, whatever they ask, and nobody gets back what is not
+/// given back yet.
+#[test]
+fn a_limit_that_shrinks_takes_back_at_once() {
+    let mut lender = Lender::new(0.0, 9, WHOLE, Some(BTreeSet::new()));
+    let mut purses: Vec<Purse> = (0..4).map(|_| Purse::new(1)).collect();
+    let names = ["a", "b", "c", "d"];
+    let mut now = 0.0;
+    let busy = |who: usize| match who {
+        0 => vec![Demand { tenant: "t".into(), rate: 50_000, short: true }],
+        _ => Vec::new(),
+    };
+    purses.iter_mut().for_each(|purse| purse.connected("x"));
+    let turn = |lender: &mut Lender, purses: &mut Vec<Purse>, deaf: Option<usize>, now: f64| {
+        for who in 0..4 {
+            let report = purses[who].report(now, "x", busy(who));
+            for (to, lent) in lender.report(now, caller(names[who], 1, 1), &report, ["t"].into_iter()) {
+                let to = names.iter().position(|name| *name == to).expect("a door");
+                if deaf != Some(to) {
+                    purses[to].lent(now, "x", &lent);
+                }
+            }
+        }
+    };
+    for _ in 0..6 {
+        now += 100.0;
+        turn(&mut lender, &mut purses, None, now);
+    }
+    assert!(lender.out("t") <= WHOLE && lender.out("t") > WHOLE * 9 / 10);
+    let told = lender.set_limit(WHOLE / 5);
+    let sum: u32 = names.iter().flat_map(|name| said(&told, name)).sum();
+    assert!(told.len() == 4 && sum <= WHOLE / 5, "{told:?}");
+    // Not a word of that comes to one of them; the others ask on.
+    for _ in 0..8 {
+        now += 100.0;
+        turn(&mut lender, &mut purses, Some(1), now);
+        let heard: f64 = [0, 2, 3].iter().map(|who: &usize| purses[*who].part(now, "t")).sum();
+        assert!(heard <= 0.2 + 1e-6, "{heard}");
+    }
+    now += LASTS + SKEW;
+    turn(&mut lender, &mut purses, None, now);
+    turn(&mut lender, &mut purses, None, now + 100.0);
+    let held: f64 = purses.iter().map(|purse| purse.part(now + 100.0, "t")).sum();
+    assert!(held <= 0.2 + 1e-6 && lender.out("t") <= WHOLE / 5, "{held}");
+    // Taken out: nothing is left.
+    lender.set_limit(0);
+    turn(&mut lender, &mut purses, None, now + 200.0);
+    turn(&mut lender, &mut purses, None, now + 300.0);
+    assert_eq!(purses.iter().map(|purse| purse.part(now + 300.0, "t")).sum::<f64>(), 0.0);
+    assert_eq!(lender.out("t"), 0);
+}
--- a/crates/toll/tests/slots.rs
+++ b/crates/toll/tests/slots.rs
@@ -22,7 +22,7 @@
     /// that follow the same entries, one of them from a snapshot, agree.
     fn slots_follow_from_the_members(first: u8, losses: u8, changes: Vec<u8>, folded: usize) -> bool {
         let first = members(first);
-        let mut slots = Slots::first(&first, u32::from(losses % 4), 0);
+        let mut slots = Slots::first(&first, u32::from(losses % 4), 0, false);
         let mut other = None;
         let count = slots.all.len();
         for (index, bits) in changes.iter().enumerate() {
@@ -57,7 +57,7 @@
         let first = members(0b111);
         let mut log = vec![first.clone()];
         let fold = |log: &[BTreeSet<String>]| {
-            let mut slots = Slots::first(&log[0], u32::from(losses % 3), 0);
+            let mut slots = Slots::first(&log[0], u32::from(losses % 3), 0, false);
             for (index, members) in log.iter().enumerate().skip(1) {
                 slots.change(members, index as u64);
             }
@@ -113,7 +113,7 @@
 /// Guards the first start with five: the three that are told of first own one slot of five each, and nobody ever takes one back.
 #[test]
 fn three_that_become_five_take_nothing_back() {
-    let mut slots = Slots::first(&set(&["a", "b", "c"]), 2, 0);
+    let mut slots = Slots::first(&set(&["a", "b", "c"]), 2, 0, false);
     assert_eq!(owners(&slots), ["a", "b", "c", "", ""]);
     slots.change(&set(&["a", "b", "c", "e"]), 7);
     slots.change(&set(&["a", "b", "c", "d", "e"]), 9);
@@ -130,9 +130,9 @@
 /// Guards small systems: where a first start is told of one or two, there are no more, and they lend all.
 #[test]
 fn fewer_than_three_lend_the_whole() {
-    let slots = Slots::first(&set(&["a"]), 1, 0);
+    let slots = Slots::first(&set(&["a"]), 1, 0, false);
     assert_eq!((slots.all.len(), slots.part()), (1, WHOLE));
-    let slots = Slots::first(&set(&["a", "b"]), 1, 0);
+    let slots = Slots::first(&set(&["a", "b"]), 1, 0, false);
     assert_eq!((slots.all.len(), slots.part()), (2, WHOLE / 2));
 }
 
@@ -140,7 +140,7 @@
 /// over waits in full again, one after it does not.
 #[test]
 fn a_new_owner_waits_and_a_later_life_knows() {
-    let first = Slots::first(&set(&["a", "b", "c"]), 1, 0);
+    let first = Slots::first(&set(&["a", "b", "c"]), 1, 0, false);
     let (mut d, turns) = Shares::new(0.0, "d", first.clone(), BTreeSet::new());
     assert!(turns.is_empty() && d.limit() == 0);
     let turns = d.change(1000.0, &set(&["a", "c", "d"]), 5);
