--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -45,6 +45,10 @@
 const MOST_RECEIPTS: usize = 4096;
 /// An exchange that has been out of touch for this long acknowledges no beats. Longer than an election takes.
 const AWAY: Millis = 1500.0;
+/// Doors whose names are on disk at most: others are lent nothing.
+const MOST_NAMED: usize = 8192;
+/// How often names of doors that hold nothing any more are struck off.
+const STRIKE: Millis = 30_000.0;
 /// Calls that wait at most; what comes beyond is sent on.
 const MOST_CALLS: usize = 512;
 
@@ -198,6 +202,7 @@
     lent_known: bool,
     /// Doors whose names are on their way to the disk.
     naming: BTreeSet<String>,
+    struck: Millis,
     last_write: u64,
     writing: VecDeque<(u64, Wrote)>,
     /// What is on its way, for the judgement of calls.
@@ -247,6 +252,7 @@
             lent_known,
             lent_to: kept.lent_to,
             naming: BTreeSet::new(),
+            struck: now,
             tandem,
             board: Board::default(),
             index: 0,
