--- a/crates/exchange/src/core/backends.rs
+++ b/crates/exchange/src/core/backends.rs
@@ -13,7 +13,7 @@
     }
 
     /// Answers a backend. That it leaves is acknowledged once a majority of the exchanges has it on disk, this one among them: it has
-    /// to hold whichever exchanges are lost in the same moment. One that has been out of touch for long takes in what it is told and
+    /// to hold whichever exchanges are lost in the same moment. One that has been out of touch for long, or that a majority does not hear, takes in what it is told and
     /// acknowledges nothing: who beats here alone would be taken for lost by all others.
     pub(super) fn acknowledge(
         &mut self,
@@ -32,7 +32,7 @@
             }
             _ => None,
         };
-        let away = self.parted.is_some_and(|since| now - since > AWAY);
+        let away = !self.is_linked() || self.parted.is_some_and(|since| now - since > AWAY);
         let known = !leaving || self.shared.contains(id);
         if away || known {
             let answer = if away { Answer::Unknown } else { Answer::Done("{}".to_owned()) };
@@ -140,6 +140,23 @@
         self.company.is_some() && self.tandem.in_company(now)
     }
 
+    /// Whether a majority of the exchanges hears this one: there are links to them that live.
+    fn is_linked(&self) -> bool {
+        let voters = self.tandem.voters();
+        let near = voters.iter().filter(|ip| **ip == self.me || self.linked.contains(*ip)).count();
+        near > voters.len() / 2
+    }
+
+    /// For how long a majority of the exchanges has said nothing of the agreement.
+    fn silent_for(&self, now: Millis) -> Millis {
+        let voters = self.tandem.voters();
+        let heard = |ip: &String| if *ip == self.me { Some(&now) } else { self.heard_from.get(ip) };
+        let mut heard: Vec<Millis> =
+            voters.iter().map(|ip| heard(ip).copied().unwrap_or(self.born)).collect();
+        heard.sort_by(|a, b| b.total_cmp(a));
+        now - heard.get(voters.len() / 2).copied().unwrap_or(self.born)
+    }
+
     /// Notes when this exchange has come into touch with a majority, and when it has lost it.
     pub(super) fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
         if !self.tandem.in_company(now) {
@@ -159,7 +176,7 @@
 
     pub(super) fn lose_company(&mut self, now: Millis, out: &mut Vec<Output>) {
         if self.company.take().is_some() {
-            let since = now - self.tandem.contact(now).max(self.born);
+            let since = self.silent_for(now);
             let (linked, voters) = (self.linked.len(), self.tandem.voters().len());
             out.push(Output::Log(format!(
                 "event=out_of_touch since_ms={since:.0} linked={linked} voters={voters}"
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -148,6 +148,8 @@
     parted: Option<Millis>,
     /// Exchanges to which there is a link that lives.
     linked: BTreeSet<String>,
+    /// When each of the voters said something of the agreement last.
+    heard_from: BTreeMap<String, Millis>,
     /// Whom this exchange heard itself since it last told the others.
     heard: BTreeMap<String, u64>,
     /// Lives whose leaving a majority has on disk, this exchange too.
@@ -204,6 +206,7 @@
             company: None,
             parted: Some(now),
             linked: BTreeSet::new(),
+            heard_from: BTreeMap::new(),
             heard: BTreeMap::new(),
             shared: BTreeSet::new(),
             leaves: BTreeMap::new(),
@@ -320,6 +323,9 @@
     pub fn peer(&mut self, now: Millis, ip: &str, frame: Frame, out: &mut Vec<Output>) {
         match frame {
             Frame::Tandem(message) => {
+                if self.tandem.voters().contains(ip) {
+                    self.heard_from.insert(ip.to_owned(), now);
+                }
                 self.agree(now, out, |tandem, todo| tandem.receive(now, ip, message, todo));
             }
             Frame::Words(words) => self.told(now, ip, words, out),
