--- a/crates/cord/src/lib.rs
+++ b/crates/cord/src/lib.rs
@@ -162,8 +162,8 @@
         Open::Accepts => (Side::Accepts, None),
     };
     let shared = RefCell::new(Shared { live: Liveness::new(side, now()), echo: None, ping: None });
-    // Something is to be written that is not in the queue; the time at which something is due has come nearer.
-    let (wake, sooner) = (Notify::new(), Notify::new());
+    // Something is to be written that is not in the queue; the time at which something is due has moved.
+    let (wake, moved) = (Notify::new(), Notify::new());
     let reading = async {
         let (mut come, mut long) = (BytesMut::with_capacity(READ), BytesMut::new());
         let mut hello = None;
@@ -196,7 +196,7 @@
                     wake.notify_one();
                 }
                 if todo.up {
-                    sooner.notify_one();
+                    moved.notify_one();
                 }
                 let on = match (frame, hello.take()) {
                     (Frame::Hello(said), _) => {
@@ -220,7 +220,7 @@
             let due = shared.borrow().live.due();
             let due = started + Duration::from_secs_f64(due.max(0.0) / 1000.0);
             tokio::select! {
-                () = sooner.notified() => {}
+                () = moved.notified() => {}
                 () = tokio::time::sleep_until(due) => {}
             }
             let mut shared = shared.borrow_mut();
@@ -251,6 +251,10 @@
                 () = wake.notified() => None,
             };
             let mut bytes = shared.borrow_mut().first(now(), next.is_none());
+            if next.is_some() && !bytes.is_empty() {
+                // A ping may have gone with it: the timer need not wake for that one.
+                moved.notify_one();
+            }
             let mut next = next;
             while let Some(frame) = next.take() {
                 if frame.len() <= PART {
