An answer is known by one id and one framing; a second try goes elsewhere

Found by the review and mended: - A try of a request went out again on the very connection that its first try had used. A second answer to the first try bears the same id, so the id cannot tell: "503, not run" said twice let a request that must not be repeated run and be promised not to have run, or be sent a third time. A connection that has carried a request is not taken for it again (`Line::again`). - 503, 429 or 408 of a backend without X-Not-Executed was passed on as it was: a promise that nobody gave. It is 502 now. - An answer framed by a coding other than chunked (it ends with its connection, so a cut one looks whole), or by a length and chunks both, was read. Framing is one length, or chunked and nothing else. An answer to HEAD needs none. - Requests without an id, or with two, were sent on; without one, an answer without one was taken for theirs. 400. An answer with two ids or two seals is nobody's; a status from 600 up is none. - A target that names another host than the header: 400. `Connection: X-Server-Seal` no longer takes the seal out.

Ruled out: reading on past an extra answer to the one behind it (the library cannot, and a connection that says anything odd is closed anyway); a new connection for every second try (the price of new connections under load).

--- a/crates/switchboard/src/clients.rs
+++ b/crates/switchboard/src/clients.rs
@@ -179,6 +179,14 @@
             Some(Ok(ms)) if ms.is_finite() && ms > 0.0 => Some(ms),
             Some(_) => return Err(Bad::Request("x-time-remaining")),
         };
+        // By it alone an answer is known to be this one's; a backend would not run a request without.
+        if one(&head.headers, &ATTEMPT_ID)?.is_none_or(str::is_empty) {
+            return Err(Bad::Request("x-attempt-id"));
+        }
+        // A target that names another host than the header asks for two routes.
+        if head.uri.authority().is_some_and(|named| !named.as_str().eq_ignore_ascii_case(&host)) {
+            return Err(Bad::Request("host"));
+        }
         if head.method == Method::CONNECT {
             return Err(Bad::Request("method"));
         }
--- a/crates/switchboard/src/door.rs
+++ b/crates/switchboard/src/door.rs
@@ -1,7 +1,7 @@
 //! The driver: hands what happens to [`Core`] and carries out what comes back.
 
 use crate::core::{Accepted, Arrival, Core, Ended, Final, Not, Output};
-use crate::forward::{Order, Reply};
+use crate::forward::{promises, Order, Reply};
 use crate::services::Pool;
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -36,6 +36,8 @@
     /// The last answer of a backend.
     reply: Option<Reply>,
     out: Option<(u32, Line)>,
+    /// Which connections have carried it.
+    line: Line,
 }
 
 /// A door: decisions, connections to backends, requests that wait.
@@ -106,9 +108,10 @@
             Output::Answer(id, last) => {
                 let mut pending = self.pending.borrow_mut();
                 let Some(entry) = pending.get_mut(&id) else { return };
-                // One that says that it has not run promises what a later attempt may have broken.
-                let reply =
-                    entry.reply.take().filter(|reply| last.backends && reply.outcome == Outcome::Error);
+                // One that says that it has not run promises what a later attempt may have broken; one whose status promises that
+                // without the word for it may have run.
+                let passes = |reply: &Reply| reply.outcome == Outcome::Error && !promises(reply.status);
+                let reply = entry.reply.take().filter(|reply| last.backends && passes(reply));
                 if let Some(answer) = entry.answer.take() {
                     let _ = answer.send(reply.map_or(Answer::Own(last), Answer::Reply));
                 }
@@ -159,7 +162,8 @@
         let accepted = self.core.borrow_mut().arrive(now, arrival, &mut out);
         if let Ok(accepted) = &accepted {
             let order = Some(Rc::new(order(accepted)));
-            let entry = Pending { order, answer: Some(sender), reply: None, out: None };
+            let entry =
+                Pending { order, answer: Some(sender), reply: None, out: None, line: Line::default() };
             self.pending.borrow_mut().insert(accepted.id, entry);
         }
         self.drive(|_, _, more| more.append(&mut out));
@@ -186,13 +190,13 @@
         instance: Rc<str>,
         (limit, care): (Millis, Care),
     ) {
-        let line = Line::default();
-        let order = {
+        let (order, line) = {
             let mut pending = self.pending.borrow_mut();
             let Some(entry) = pending.get_mut(&id) else { return };
+            let line = entry.line.again();
             entry.out = Some((attempt, line.clone()));
             entry.reply = None;
-            entry.order.clone()
+            (entry.order.clone(), line)
         };
         let Some(order) = order else { return };
         let (door, on) = (self.clone(), line.clone());
--- a/crates/switchboard/src/forward.rs
+++ b/crates/switchboard/src/forward.rs
@@ -77,8 +77,8 @@
         .filter_map(|name| name.trim().parse().ok())
         .collect();
     for name in named {
-        // A client may not have the framing or the backend's checks taken out.
-        if name != HOST && name != ATTEMPT_ID {
+        // Neither side may have taken out what the other goes by.
+        if ![HOST, ATTEMPT_ID, SEAL, NOT_EXECUTED].contains(&name) {
             headers.remove(name);
         }
     }
@@ -87,6 +87,37 @@
     }
 }
 
+/// Whether an answer with this status promises that the request has not run and never will.
+pub fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// The value of a header that stands there exactly once.
+fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
+/// Whether the end of an answer's body shows: by one way of framing and no other. One that ends with its connection may have been
+/// cut, one that is coded is not the backend's, and one that is framed in two ways has two ends.
+fn framed(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless =
+        *method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    match (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING)) {
+        (false, false) => bodiless,
+        (true, false) => single(headers, &CONTENT_LENGTH).is_some(),
+        (false, true) => single(headers, &TRANSFER_ENCODING)
+            .is_some_and(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked")),
+        (true, true) => false,
+    }
+}
+
 impl Order {
     /// What of a client's request goes on; the tenant is put in once it is known.
     pub fn new(method: Method, uri: Uri, mut headers: HeaderMap, body: Bytes) -> Order {
@@ -116,18 +147,15 @@
     pub async fn read(&self, answer: Response<Incoming>) -> Option<Reply> {
         let (head, body) = answer.into_parts();
         let headers = &head.headers;
-        let framed = headers.contains_key(CONTENT_LENGTH)
-            || headers.contains_key(TRANSFER_ENCODING)
-            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        // An answer that ends with its connection may have been cut; one to somebody else's question comes where this
-        // one's should; a success without the seal, or coded on the way, is not the backend's.
-        let mine = headers.get(ATTEMPT_ID) == self.id.as_ref();
+        // An answer to somebody else's question may come where this one's should; a success without the seal, or coded on the
+        // way, is not the backend's; and nobody gives a status beyond the known classes.
+        let mine = self.id.is_some() && single(headers, &ATTEMPT_ID) == self.id.as_ref();
         let success = head.status.is_success();
-        let sealed = !success || headers.contains_key(SEAL);
-        if !framed
+        let sealed = !success || single(headers, &SEAL).is_some();
+        if !framed(&self.method, head.status, headers)
             || !mine
             || !sealed
-            || head.status.is_informational()
+            || !(200..600).contains(&head.status.as_u16())
             || headers.contains_key(CONTENT_ENCODING)
         {
             return None;
--- a/crates/trunk/src/carry.rs
+++ b/crates/trunk/src/carry.rs
@@ -32,7 +32,7 @@
     let over = |broken, outcome| Carried { end: Err(outcome), broken };
     let Some(dial) = pools.dial_address(backend) else { return over(0, Outcome::NotSent) };
     loop {
-        let pooled = pools.take_idle(backend, care);
+        let pooled = pools.take_idle(backend, care, line);
         let idle = pooled.as_ref().map(|connection| connection.idle(Instant::now()));
         let mut connection = match pooled {
             Some(connection) => connection,
--- a/crates/trunk/src/pool.rs
+++ b/crates/trunk/src/pool.rs
@@ -14,7 +14,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -227,11 +227,25 @@
     /// Whether a call has gone to a connection that carries others too.
     begun: Rc<Cell<bool>>,
     task: Rc<RefCell<Option<AbortHandle>>>,
+    /// The connections that have carried this request so far, in this attempt and those before it.
+    carried: Rc<RefCell<Vec<Weak<Wire>>>>,
 }
 
 impl Line {
+    /// The hold on a further attempt of the same request. Guards against a second answer to the first attempt, which bears the
+    /// same id: it can only come where the first attempt went, so no further one goes there.
+    pub fn again(&self) -> Line {
+        Line { carried: self.carried.clone(), ..Line::default() }
+    }
+
+    /// Whether a connection has carried this request before.
+    fn has_been_on(&self, wire: &Rc<Wire>) -> bool {
+        self.carried.borrow().iter().any(|earlier| std::ptr::eq(earlier.as_ptr(), Rc::as_ptr(wire)))
+    }
+
     /// Names the connection that carries the attempt.
     pub fn hold(&self, wire: &Rc<Wire>) {
+        self.carried.borrow_mut().push(Rc::downgrade(wire));
         *self.wire.borrow_mut() = Some(wire.clone());
     }
 
@@ -385,24 +399,26 @@
     }
 
     /// The most recently used connection that is still good, rather one whose last answer is not just over. For what
-    /// must not run twice, none of an age at which connections have broken of late.
-    pub fn take_idle(&self, id: BackendId, care: Care) -> Option<Connection> {
-        self.take(id, care, false)
+    /// must not run twice, none of an age at which connections have broken of late; and none that has carried the request of
+    /// this line before.
+    pub fn take_idle(&self, id: BackendId, care: Care, line: &Line) -> Option<Connection> {
+        self.take(id, care, false, line)
     }
 
     /// The same, but never one whose last answer is just over: what was sent behind that answer has come by now and shows,
     /// and cannot be taken for the answer to somebody else's question.
     pub fn take_settled(&self, id: BackendId) -> Option<Connection> {
-        self.take(id, Care::Usual, true)
+        self.take(id, Care::Usual, true, &Line::default())
     }
 
-    fn take(&self, id: BackendId, care: Care, only_settled: bool) -> Option<Connection> {
+    fn take(&self, id: BackendId, care: Care, only_settled: bool, line: &Line) -> Option<Connection> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&id)?;
         let now = Instant::now();
         loop {
-            let settled = pool.idle.iter().rposition(|c| c.idle(now) >= SETTLED);
-            let any = pool.idle.len().checked_sub(1).filter(|_| !only_settled);
+            let new_to_it = |c: &Connection| !line.has_been_on(&c.wire);
+            let settled = pool.idle.iter().rposition(|c| c.idle(now) >= SETTLED && new_to_it(c));
+            let any = pool.idle.iter().rposition(new_to_it).filter(|_| !only_settled);
             let next = settled.or(any)?;
             let idle = pool.idle[next].idle(now);
             if care == Care::Once && !self.ages.borrow().hold(now, idle) {
