--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -187,7 +187,7 @@
         let lent_to = lent_known.then(|| kept.lent_to.clone());
         let mut todo = Out::default();
         let tandem = Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
-        let lender = Lender::new(now, seed.max(1), 0, lent_to);
+        let lender = Lender::new(now, (seed as u32).max(1), 0, lent_to);
         let (shares, _) = Shares::new(now, &me, Slots::default(), kept.waited);
         let mut core = Core {
             me,
--- a/crates/switchboard/tests/quotas.rs
+++ b/crates/switchboard/tests/quotas.rs
@@ -110,7 +110,7 @@
         self.life.is_some() && now >= self.frozen
     }
 
-    fn start(&mut self, now: f64, life: u64, agreed: &Agreed) {
+    fn start(&mut self, now: f64, life: u32, agreed: &Agreed) {
         let clock = self.clock(now);
         let known = self.disk.known.then(|| self.disk.names.clone());
         let lender = Lender::new(clock, life, 0, known);
@@ -154,7 +154,7 @@
 
 enum Mail {
     /// From a door, to a lender in this life, on this connection, from the door's life.
-    Report(usize, usize, u64, u64, u64, Report),
+    Report(usize, usize, u32, u64, u64, Report),
     Lent(usize, usize, u64, Lent),
 }
 
@@ -166,17 +166,17 @@
     // Three are told of at the first start; where two may be lost there are five, and the others join then.
     let losses = if draw() < 0.4 { 2 } else { 1 };
     let mut rates: Vec<f64> = (0..32).map(|_| 0.99 + draw() * 0.02).collect();
-    let mut fresh = |life: u64, full: bool| Door {
-        purse: Purse::new(life),
+    let mut fresh = |life: u32, full: bool| Door {
+        purse: Purse::new(u64::from(life)),
         tenants: Tenants::new(full),
-        life,
+        life: u64::from(life),
         links: BTreeMap::new(),
         down: 0.0,
         cut: 0.0,
         rate: rates.pop().unwrap_or(1.0),
         asks: [0.0; 3],
     };
-    let mut doors: Vec<Door> = (0..doors_there).map(|n| fresh(n as u64 + 1, true)).collect();
+    let mut doors: Vec<Door> = (0..doors_there).map(|n| fresh(n as u32 + 1, true)).collect();
     // Machines: the first three, those that join, and those that replace others.
     let mut exchanges: Vec<Exchange> = (0..9)
         .map(|n| Exchange {
@@ -193,7 +193,7 @@
         .collect();
     let first: Members = (0..3).map(|n| exchanges[n].name.clone()).collect();
     let mut agreed = Agreed { losses, entries: vec![(0, first)] };
-    let (mut lives, mut conns, mut served) = (100, 0_u64, 0_u64);
+    let (mut lives, mut conns, mut served) = (100_u32, 0_u64, 0_u64);
     for exchange in &mut exchanges[..3] {
         exchange.disk = Disk { known: true, folded: 1, ..Disk::default() };
         exchange.start(0.0, lives, &agreed);
@@ -213,7 +213,7 @@
         *earliest
     };
     let mut runs: Vec<VecDeque<f64>> = vec![VecDeque::new(); TENANTS.len()];
-    let mut lives_of: BTreeMap<(u64, usize), u64> = BTreeMap::new();
+    let mut lives_of: BTreeMap<(u64, usize), u32> = BTreeMap::new();
     let mut now = 0.0;
     while now < DAY {
         now += 10.0;
--- a/crates/toll/src/lender.rs
+++ b/crates/toll/src/lender.rs
@@ -29,6 +29,8 @@
     life: u64,
     /// Its latest connection.
     conn: u64,
+    /// Whether it knows this life of the lender.
+    knows: bool,
     /// When all that it holds has run out.
     until: Millis,
     loans: BTreeMap<String, Out>,
@@ -64,7 +66,7 @@
 /// Who lends parts of one share of every quota.
 #[derive(Clone, Debug)]
 pub struct Lender {
-    life: u64,
+    life: u32,
     /// Number of the last answer to anybody.
     answered: u64,
     /// Parts per million of each quota that are this lender's to lend.
@@ -80,7 +82,7 @@
 impl Lender {
     /// A lender of `limit` parts per million, in a life with this number that is never nought. `lent_to` are the doors that earlier
     /// lives have lent to, `None` if that is not known; the last of them ended before `now`.
-    pub fn new(now: Millis, life: u64, limit: u32, lent_to: Option<BTreeSet<String>>) -> Lender {
+    pub fn new(now: Millis, life: u32, limit: u32, lent_to: Option<BTreeSet<String>>) -> Lender {
         Lender {
             life,
             answered: 0,
@@ -117,7 +119,7 @@
     }
 
     /// This life.
-    pub fn life(&self) -> u64 {
+    pub fn life(&self) -> u32 {
         self.life
     }
 
@@ -179,6 +181,7 @@
         let Some(door) = self.doors.get_mut(name) else { return Vec::new() };
         door.until = now + LASTS + SKEW;
         (door.conn, door.report, door.confirmed) = (conn, report.number, confirmed);
+        door.knows = report.lender == self.life;
         let demand = report.demand.iter().map(|d| (d.tenant.clone(), f64::from(d.rate) / 1000.0));
         let before = std::mem::replace(&mut door.demand, demand.collect());
         let short: BTreeSet<String> =
@@ -224,7 +227,8 @@
                 door.loans.entry(tenant.clone()).and_modify(|loan| loan.number = number);
             }
             let loans = all.into_iter().map(|(tenant, parts)| Loan { tenant, parts }).collect();
-            let (report, life, lender) = (door.report, door.life, self.life);
+            let (report, life) = (door.report, door.life);
+            let lender = if door.knows { 0 } else { self.life };
             let lent = Lent { number, report, loans, doors: count, life, lender };
             if mine {
                 answers.insert(0, (to, lent));
@@ -241,6 +245,7 @@
         let mut door = Door {
             life,
             conn,
+            knows: false,
             until: now,
             loans: BTreeMap::new(),
             demand: BTreeMap::new(),
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -91,8 +91,8 @@
     #[prost(bool, tag = "6")]
     pub last: bool,
     /// The life of the lender whose answers `confirmed` numbers; nought before the first on a connection.
-    #[prost(fixed64, tag = "7")]
-    pub lender: u64,
+    #[prost(fixed32, tag = "7")]
+    pub lender: u32,
 }
 
 /// A lender's answer.
@@ -113,7 +113,7 @@
     /// The life of the door that is meant.
     #[prost(uint64, tag = "5")]
     pub life: u64,
-    /// The life of the lender.
-    #[prost(fixed64, tag = "6")]
-    pub lender: u64,
+    /// The life of the lender; nought where the report that is answered names it.
+    #[prost(fixed32, tag = "6")]
+    pub lender: u32,
 }
--- a/crates/toll/src/purse.rs
+++ b/crates/toll/src/purse.rs
@@ -14,7 +14,7 @@
     reports: u64,
     confirmed: u64,
     /// The life of the lender at the other end; nought until it has answered on this connection.
-    lender: u64,
+    lender: u32,
     /// Number and time of reports that have no answer yet.
     asked: VecDeque<(u64, Millis)>,
     doors: u32,
@@ -79,10 +79,13 @@
             return (false, false);
         };
         // Another life of the lender than the one that answered first here, or an answer that is older than what is known.
-        if (held.lender != 0 && held.lender != lent.lender) || lent.number <= held.confirmed {
+        let other = held.lender != 0 && lent.lender != 0 && held.lender != lent.lender;
+        if other || lent.number <= held.confirmed {
             return (false, false);
         }
-        held.lender = lent.lender;
+        if lent.lender != 0 {
+            held.lender = lent.lender;
+        }
         held.asked.retain(|(number, _)| *number >= lent.report);
         held.until = held.until.max(at + LASTS);
         held.confirmed = lent.number;
--- a/crates/toll/tests/lender.rs
+++ b/crates/toll/tests/lender.rs
@@ -155,7 +155,7 @@
     let mut purse = Purse::new(1);
     purse.connected("x");
     let number = purse.report(0.0, "x", Vec::new()).number;
-    let lent = |lender: u64, number: u64, report: u64, parts: u32| Lent {
+    let lent = |lender: u32, number: u64, report: u64, parts: u32| Lent {
         number,
         report,
         loans: vec![Loan { tenant: "t".into(), parts }],
@@ -191,7 +191,7 @@
     let answers = lender.report(0.0, caller("b", 1, 2), &report, ["t"].into_iter());
     assert!(said(&answers, "a")[0] < WHOLE && said(&answers, "b").iter().sum::<u32>() == 0);
     for (life, freed) in [(8, false), (9, true)] {
-        let report = Report { number: life, confirmed: 1000, lender: life, ..Report::default() };
+        let report = Report { number: u64::from(life), confirmed: 1000, lender: life, ..Report::default() };
         let answers = lender.report(1.0, caller("a", 1, 1), &report, ["t"].into_iter());
         assert_eq!(said(&answers, "b").iter().sum::<u32>() > 0, freed, "{answers:?}");
     }
