--- /dev/null
+++ b/benches/benches/items.rs
@@ -0,0 +1,96 @@
+//! What one item costs: frames, words, beats, changes. `cargo bench -p maplefall-benches`
+
+use bytes::BytesMut;
+use criterion::{BatchSize, Criterion, Throughput};
+use maplefall_benches::made::{self, Size};
+use maplefall_directory::Directory;
+use maplefall_numbering::{read_call, Board, Change, Plan};
+use maplefall_signalling::{read, write, Alive, Frame, Plans, Seen, Words};
+use std::hint::black_box;
+use std::time::Duration;
+
+const SMALL: Size = Size { routes: 1000, tenants: 1000, services: 120 };
+
+fn frames(c: &mut Criterion) {
+    let words = |n: usize| {
+        let words = (0..n).map(|n| made::word(n, 120, 1)).collect();
+        Frame::Words(Words { words, all: false, receipt: 0 })
+    };
+    let plans = || {
+        let items = made::items(SMALL);
+        Frame::Plans(Plans { after: 0, index: 9, items, ..Plans::default() })
+    };
+    let alive = || {
+        let seen = (0..1000).map(|n| Seen { id: made::backend(n), seq: 1000 }).collect();
+        Frame::Alive(Alive { seen })
+    };
+    let mut group = c.benchmark_group("frames");
+    for (name, frame, items) in [
+        ("word", words(1), 1),
+        ("words", words(1000), 1000),
+        ("plans", plans(), 2120),
+        ("alive", alive(), 1000),
+        ("pulse", Frame::Pulse(0), 1),
+    ] {
+        group.throughput(Throughput::Elements(items));
+        let bytes = write(frame.clone());
+        group.bench_function(format!("{name}/write"), |b| {
+            b.iter_batched(|| frame.clone(), |frame| black_box(write(frame)), BatchSize::LargeInput);
+        });
+        group.bench_function(format!("{name}/read"), |b| {
+            let come = || BytesMut::from(bytes.as_ref());
+            b.iter_batched(come, |mut come| black_box(read(&mut come).is_ok()), BatchSize::LargeInput);
+        });
+    }
+    group.finish();
+}
+
+fn directory(c: &mut Criterion) {
+    let mut group = c.benchmark_group("directory");
+    for size in [1000, 10_000, 40_000] {
+        let mut directory = Directory::default();
+        (0..size).for_each(|n| drop(directory.hear(0.0, made::word(n, 8900, 1))));
+        let (mut n, mut seq) = (0, 1);
+        group.bench_function(format!("beat/{size}"), |b| {
+            b.iter_batched(
+                || {
+                    n = (n + 7919) % size;
+                    seq += 1;
+                    made::word(n, 8900, seq)
+                },
+                |word| directory.hear(1.0, word),
+                BatchSize::SmallInput,
+            );
+        });
+        group.bench_function(format!("overdue/{size}"), |b| {
+            b.iter(|| black_box(directory.overdue(1.0, 6000.0)));
+        });
+    }
+    group.finish();
+}
+
+fn numbering(c: &mut Criterion) {
+    let mut group = c.benchmark_group("numbering");
+    let items = made::items(SMALL);
+    let board = Board::of(items.clone());
+    let one = read_call(made::call(0..1, 0..0, 0..0, 120, 8).as_bytes());
+    let one: Change = one.unwrap_or_default();
+    group.bench_function("check_one/1000+1000", |b| b.iter(|| black_box(board.check(&one).is_ok())));
+    group.bench_function("plan/1000+1000", |b| b.iter(|| black_box(Plan::of(&board))));
+    group.bench_function("read_back/1000+1000", |b| b.iter(|| black_box(board.read_back())));
+    let body = made::call(0..1, 0..0, 0..0, 120, 8);
+    group.bench_function("read_call/1", |b| b.iter(|| black_box(read_call(body.as_bytes()).is_ok())));
+    group.finish();
+}
+
+fn main() {
+    let mut c = Criterion::default()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_millis(1200))
+        .configure_from_args();
+    frames(&mut c);
+    directory(&mut c);
+    numbering(&mut c);
+    c.final_summary();
+}
