--- a/benches/src/group.rs
+++ b/benches/src/group.rs
@@ -171,7 +171,7 @@
                     done.answers.0 += 1;
                     done.answers.1 += u64::from(matches!(answer, Answer::Done(_)));
                 }
-                Output::Log(line) => done.lines.add(line.len()),
+                Output::Log(line) | Output::Debug(line) => done.lines.add(line.len()),
             }
         }
     }
