Members change by agreement, by majorities of both sets; a lost disk is a new member

Voters were added and never removed, a replacement left four voters that need three, a readmitted node of five might vote twice in a term, and what rested on a member that was told to stop went with it.

Change: a member is an address and the identity of its disk; entries of kind Members carry the set and need majorities of the set before and after until they are known to be agreed on, which is kept on disk; votes and acknowledgements count by identity. Readmit, lives and trust are gone. Tandem::leave and left; an exchange that stops waits for left, 0.4 s at least, min(GraceS/2, 2.5 s) at most. A leader's contact is the time at which it sent the round that is answered; contact, in_touch and the echo come with it, their tests next. Disk format 2.

--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -32,6 +32,7 @@
             let bytes = write(Frame::Tandem(message));
             out.push(if to.is_empty() { Output::Peers(bytes) } else { Output::Peer(to, bytes) });
         }
+        out.extend(todo.notes.into_iter().map(Output::Log));
         if let Some(snapshot) = todo.installed {
             self.install(&snapshot.state, snapshot.index);
             self.spread_plans(now, out);
--- a/crates/exchange/src/core/backends.rs
+++ b/crates/exchange/src/core/backends.rs
@@ -106,7 +106,7 @@
     }
 
     pub(super) fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
-        if !self.tandem.in_company(now) {
+        if !self.tandem.in_touch(now) {
             self.company = None;
         } else if self.company.is_none() {
             self.company = Some(now);
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -13,7 +13,7 @@
 use maplefall_mainframe::Settings;
 use maplefall_numbering::{read_call, Board, Change};
 use maplefall_signalling::{write, Alive, Frame, Hello, Numbered, Plans, Seen, Words};
-use maplefall_tandem::{Entry, EntryKind, Out, Tandem};
+use maplefall_tandem::{Entry, EntryKind, Out, Setup, Tandem};
 use maplefall_toll::{Lender, Report};
 pub use whole::Whole;
 
@@ -162,10 +162,17 @@
             first.push(me.clone());
         }
         let fresh = kept.tandem.is_empty();
-        let first = settings.bootstrap.then_some(first.as_slice());
+        let tolerance = &settings.tolerance;
+        let setup = Setup {
+            first: settings.bootstrap.then_some(first.as_slice()),
+            counts: settings.quorum_member,
+            losses: tolerance.machine_losses as usize,
+            alike: tolerance.zones == 0 && tolerance.region_losses == 0,
+            ..Setup::default()
+        };
         let snapshot = kept.tandem.snapshot.clone();
         let mut todo = Out::default();
-        let tandem = Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
+        let tandem = Tandem::new(&me, now, seed, kept.tandem, &setup, &mut todo);
         let mut core = Core {
             me,
             born: now,
@@ -356,15 +363,20 @@
         self.silence = MISSED * settings.heartbeat_s * 1000.0;
     }
 
-    /// A planned stop begins: somebody else is to lead.
+    /// A planned stop begins: somebody else is to lead, and nothing is to rest on this exchange alone.
     pub fn stop(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.stopping = true;
-        self.agree(now, out, |tandem, todo| tandem.resign(now, todo));
+        self.agree(now, out, |tandem, todo| tandem.leave(now, todo));
         for (waiting, _) in std::mem::take(&mut self.held) {
             out.push(Output::Answer(waiting.call, Answer::Unknown));
         }
     }
 
+    /// Whether a planned stop may end: nothing that was agreed on rests on this exchange alone.
+    pub fn left(&self, now: Millis) -> bool {
+        self.tandem.left(now)
+    }
+
     fn write(&mut self, stored: Stored, wrote: Wrote, out: &mut Vec<Output>) {
         self.last_write += 1;
         self.writing.push_back((self.last_write, wrote));
--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -36,8 +36,10 @@
 const MOST_RECORDS: usize = 65_536;
 /// The settings file is looked at once in this many ticks.
 const LOOK: u32 = 20;
-/// How long a planned stop takes: who is connected finds another exchange, and somebody else leads.
+/// How long a planned stop takes at least: who is connected finds another exchange, and somebody else leads.
 const LAST: Duration = Duration::from_millis(400);
+/// How long it waits at most for others to have what rests on this one, or half of the time until the SIGKILL.
+const LONGEST_LAST: Duration = Duration::from_millis(2500);
 
 /// Why an exchange ends.
 #[derive(Debug)]
@@ -97,13 +99,13 @@
     let (callers, exchanges) = (listen(control).await?, listen(inner).await?);
     let (store, kept) = Store::open(&data).map_err(Error::Store)?;
     log::info!(
-        "event=start node={} control={control} inner={inner} bootstrap={} term={} snapshot={} log={} trusted={}",
+        "event=start node={} control={control} inner={inner} bootstrap={} term={} snapshot={} log={} identity={:x?}",
         settings.node,
         settings.bootstrap,
         kept.tandem.term,
         kept.tandem.snapshot.index,
         kept.tandem.log.len(),
-        kept.tandem.trusted,
+        kept.tandem.identity,
     );
     let (disk, incoming) = std::sync::mpsc::sync_channel(MOST_RECORDS);
     let (told, mut written) = mpsc::unbounded_channel();
@@ -114,6 +116,7 @@
     tokio::task::spawn_local(exchange.clone().accept_inner(exchanges));
     let mut tick = tokio::time::interval(Duration::from_secs_f64(TICK / 1000.0));
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let longest = LONGEST_LAST.min(Duration::from_secs_f64((settings.bounds.grace_s / 2.0).clamp(0.0, 60.0)));
     let (mut last, mut looks) = (None, 0_u32);
     loop {
         tokio::select! {
@@ -121,7 +124,7 @@
             _ = term.recv(), if last.is_none() => {
                 log::info!("event=stop node={}", settings.node);
                 exchange.drive(|core, now, out| core.stop(now, out));
-                last = Some(tokio::time::Instant::now() + LAST);
+                last = Some(tokio::time::Instant::now());
             }
             _ = hup.recv() => reload(&exchange, &file, true),
             result = written.recv() => match result {
@@ -137,8 +140,12 @@
                 if looks % LOOK == 0 && file.changed() {
                     reload(&exchange, &file, false);
                 }
-                if last.is_some_and(|last| tokio::time::Instant::now() >= last) {
-                    return Ok(());
+                if let Some(past) = last.map(|last: tokio::time::Instant| last.elapsed()) {
+                    let left = exchange.core.borrow().left(exchange.now());
+                    if past >= LAST && (left || past >= longest) {
+                        log::info!("event=gone left={left} ms={}", past.as_millis());
+                        return Ok(());
+                    }
                 }
             }
         }
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -1,7 +1,7 @@
 //! The disk of an exchange: a write-ahead log (`okaywal`) and a file that its old segments are folded into. A thread of its own
 //! writes; what has come while it waited for the disk goes in one entry.
 //!
-//! Format 1. Each entry of the log holds a [`Batch`] of records, each with its number; `state` holds a [`Folded`] of all records up to a
+//! Format 2 (1 named members without identities). Each entry of the log holds a [`Batch`] of records, each with its number; `state` holds a [`Folded`] of all records up to a
 //! number. Both carry checksums (okaywal's CRC-32C; a FNV of the file). A torn entry was never acknowledged and is passed
 //! over; a `state` that is torn is an error: it was renamed into place after its sync.
 
@@ -17,7 +17,7 @@
 use std::sync::{mpsc, Arc, Mutex, PoisonError};
 
 /// The format that is written.
-const FORMAT: u32 = 1;
+const FORMAT: u32 = 2;
 /// A segment begins with this much room, and is folded beyond this much.
 const SEGMENT: u32 = 256 << 10;
 /// Bytes in one entry, about.
@@ -68,9 +68,12 @@
     /// See above.
     #[prost(string, tag = "4")]
     pub voted: String,
-    /// Whether this node may vote.
-    #[prost(bool, tag = "5")]
-    pub trusted: bool,
+    /// The mark of this disk.
+    #[prost(uint64, optional, tag = "10")]
+    pub identity: Option<u64>,
+    /// Members up to this index are known to be agreed on.
+    #[prost(uint64, tag = "11")]
+    pub settled: u64,
     /// The state.
     #[prost(message, optional, tag = "6")]
     pub snapshot: Option<Snapshot>,
@@ -124,7 +127,8 @@
             number: self.number,
             term: self.tandem.term,
             voted: self.tandem.voted.clone(),
-            trusted: self.tandem.trusted,
+            identity: self.tandem.identity,
+            settled: self.tandem.settled,
             snapshot: Some(self.tandem.snapshot.clone()),
             log: self.tandem.log.clone(),
             lent_to: self.lent_to.iter().cloned().collect(),
@@ -139,7 +143,8 @@
                 voted: folded.voted,
                 snapshot: folded.snapshot.unwrap_or_default(),
                 log: folded.log,
-                trusted: folded.trusted,
+                identity: folded.identity,
+                settled: folded.settled,
             },
             lent_to: folded.lent_to.into_iter().collect(),
             words: folded.words.into_iter().map(|word| (word.id.clone(), word)).collect(),
--- a/crates/tandem/src/message.rs
+++ b/crates/tandem/src/message.rs
@@ -10,10 +10,19 @@
     Begin = 0,
     /// A change of whoever uses the log.
     Change = 1,
-    /// Who votes from here on: [`Entry::voters`].
-    Voters = 2,
-    /// The node in `voters` counts again, if it is still in the life `life`.
-    Readmit = 3,
+    /// Who votes from here on: [`Entry::members`]; its payload says why, in words for the log.
+    Members = 4,
+}
+
+/// One that votes: an address, and the disk behind it. A node that comes back without its disk is another member.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, prost::Message)]
+pub struct Member {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// What its disk was marked with when it was first written: 0 at the first start of the whole system, otherwise drawn by chance.
+    #[prost(uint64, tag = "2")]
+    pub identity: u64,
 }
 
 /// One entry of the log.
@@ -31,12 +40,9 @@
     /// The change.
     #[prost(bytes = "vec", tag = "4")]
     pub payload: Vec<u8>,
-    /// Names of nodes.
-    #[prost(string, repeated, tag = "5")]
-    pub voters: Vec<String>,
-    /// The life of the readmitted node.
-    #[prost(uint64, tag = "6")]
-    pub life: u64,
+    /// All that vote from here on, where it is [`EntryKind::Members`].
+    #[prost(message, repeated, tag = "7")]
+    pub members: Vec<Member>,
 }
 
 /// All up to an index, folded into one state.
@@ -49,8 +55,8 @@
     #[prost(uint64, tag = "2")]
     pub term: u64,
     /// Who votes.
-    #[prost(string, repeated, tag = "3")]
-    pub voters: Vec<String>,
+    #[prost(message, repeated, tag = "5")]
+    pub members: Vec<Member>,
     /// The state, as whoever uses the log writes it.
     #[prost(bytes = "bytes", tag = "4")]
     pub state: Bytes,
@@ -71,9 +77,12 @@
     /// A state that stands for all up to its index.
     #[prost(message, optional, tag = "4")]
     pub snapshot: Option<Snapshot>,
-    /// This node may vote.
-    #[prost(bool, tag = "5")]
-    pub trusted: bool,
+    /// The mark of this disk: [`Member::identity`].
+    #[prost(uint64, optional, tag = "6")]
+    pub identity: Option<u64>,
+    /// Members up to this index are known to be agreed on.
+    #[prost(uint64, tag = "7")]
+    pub settled: u64,
 }
 
 /// A message between nodes.
@@ -82,6 +91,9 @@
     /// The sender's term.
     #[prost(uint64, tag = "1")]
     pub term: u64,
+    /// The sender's [`Member::identity`].
+    #[prost(uint64, tag = "9")]
+    pub identity: u64,
     /// What it says.
     #[prost(oneof = "What", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub what: Option<What>,
@@ -108,7 +120,7 @@
     /// The leader stops and asks the receiver to stand at once.
     #[prost(message, tag = "7")]
     Stand(Stand),
-    /// A node that is no voter would follow.
+    /// A node that hears no leader would follow one.
     #[prost(message, tag = "8")]
     Join(Join),
 }
@@ -159,6 +171,18 @@
     /// Number of the leader's round.
     #[prost(uint64, tag = "5")]
     pub round: u64,
+    /// Number of the last [`Appended`] that has come from the receiver; 0 for none.
+    #[prost(uint64, tag = "6")]
+    pub echo: u64,
+    /// How long ago, in milliseconds, a majority is proven to have followed this leader.
+    #[prost(uint64, tag = "7")]
+    pub age: u64,
+    /// Whether the receiver is a member.
+    #[prost(bool, tag = "8")]
+    pub member: bool,
+    /// The receiver, which leaves, may go: nothing rests on it.
+    #[prost(bool, tag = "9")]
+    pub left: bool,
 }
 
 /// How far a node has what a leader sent.
@@ -176,9 +200,26 @@
     /// The round that is answered.
     #[prost(uint64, tag = "4")]
     pub round: u64,
-    /// Of a node that lost its disk: the number of its life, and it does not count. Otherwise nought.
-    #[prost(uint64, tag = "5")]
-    pub life: u64,
+    /// Rises with each of these by one, from a number drawn at the start of the process.
+    #[prost(uint64, tag = "6")]
+    pub number: u64,
+    /// What the sender would be.
+    #[prost(message, optional, tag = "7")]
+    pub wish: Option<Wish>,
+}
+
+/// What a node would be.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Wish {
+    /// It would be a member.
+    #[prost(bool, tag = "1")]
+    pub counts: bool,
+    /// It belongs to the first start of the whole system.
+    #[prost(bool, tag = "2")]
+    pub first: bool,
+    /// It is about to stop.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
 }
 
 /// A whole state.
@@ -196,10 +237,10 @@
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Stand {}
 
-/// A node that is no voter.
+/// A node that hears no leader. Its term deposes nobody.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Join {
-    /// Whether it counts for a majority once it is one.
-    #[prost(bool, tag = "1")]
-    pub counts: bool,
+    /// What it would be.
+    #[prost(message, optional, tag = "1")]
+    pub wish: Option<Wish>,
 }
