--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -32,6 +32,7 @@
             let bytes = write(Frame::Tandem(message));
             out.push(if to.is_empty() { Output::Peers(bytes) } else { Output::Peer(to, bytes) });
         }
+        out.extend(todo.notes.into_iter().map(Output::Log));
         if let Some(snapshot) = todo.installed {
             self.install(now, &snapshot, out);
             self.spread_plans(now, out);
@@ -84,8 +85,8 @@
                 self.index = entry.index;
             }
             self.entry_agreed(entry.index, entry.term, out);
-            if entry.kind() == EntryKind::Voters {
-                let members = entry.voters.iter().cloned().collect();
+            if entry.kind() == EntryKind::Members {
+                let members = entry.members.iter().map(|member| member.name.clone()).collect();
                 let turns = self.shares.change(now, &members, entry.index);
                 self.slots_turned(turns, out);
             }
@@ -103,7 +104,7 @@
         };
         // The first state of all is empty. What an earlier program folded holds no slots either; by then others may have lent.
         let slots = whole.owners.unwrap_or_else(|| {
-            let members = snapshot.voters.iter().cloned().collect();
+            let members = snapshot.members.iter().map(|member| member.name.clone()).collect();
             Slots::first(&members, self.losses, snapshot.index, !snapshot.state.is_empty())
         });
         let turns = self.shares.install(now, slots);
--- a/crates/exchange/src/core/backends.rs
+++ b/crates/exchange/src/core/backends.rs
@@ -137,7 +137,7 @@
 
     /// Whether a majority of the exchanges is known to be there.
     pub(super) fn in_touch(&self, now: Millis) -> bool {
-        self.company.is_some() && self.tandem.in_company(now)
+        self.company.is_some() && self.tandem.in_touch(now)
     }
 
     /// Whether a majority of the exchanges hears this one: there are links to them that live.
@@ -159,7 +159,7 @@
 
     /// Notes when this exchange has come into touch with a majority, and when it has lost it.
     pub(super) fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
-        if !self.tandem.in_company(now) {
+        if !self.tandem.in_touch(now) {
             self.lose_company(now, out);
         } else if self.company.is_none() {
             self.company = Some(now);
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -13,7 +13,7 @@
 use maplefall_mainframe::Settings;
 use maplefall_numbering::{read_call, Ahead, Board, Change, Verdict};
 use maplefall_signalling::{write, Alive, Frame, Hello, Numbered, Plans, Seen, Words};
-use maplefall_tandem::{Entry, EntryKind, Out, Snapshot, Tandem};
+use maplefall_tandem::{Entry, EntryKind, Out, Setup, Snapshot, Tandem};
 use maplefall_toll::{in_lease, Caller, Lender, Report, Shares, Slots, Turn, LASTS, SKEW};
 pub use whole::Whole;
 
@@ -234,7 +234,14 @@
             first.push(me.clone());
         }
         let fresh = kept.tandem.is_empty();
-        let first = settings.bootstrap.then_some(first.as_slice());
+        let tolerance = &settings.tolerance;
+        let setup = Setup {
+            first: settings.bootstrap.then_some(first.as_slice()),
+            counts: settings.quorum_member,
+            losses: tolerance.machine_losses as usize,
+            alike: tolerance.zones == 0 && tolerance.region_losses == 0,
+            ..Setup::default()
+        };
         let snapshot = kept.tandem.snapshot.clone();
         let losses = settings.tolerance.machine_losses;
         // The first disk of all has lent nothing; another that came empty may have.
@@ -242,7 +249,7 @@
         let lent_known = kept.lent_known || starts;
         let lent_to = lent_known.then(|| kept.lent_to.clone());
         let mut todo = Out::default();
-        let tandem = Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
+        let tandem = Tandem::new(&me, now, seed, kept.tandem, &setup, &mut todo);
         let lender = Lender::new(now, (seed as u32).max(1), 0, lent_to);
         let (shares, _) = Shares::new(now, &me, Slots::default(), kept.waited);
         let mut core = Core {
@@ -291,9 +298,9 @@
         }
         if starts {
             core.write(Stored { lent_known: true, ..Stored::default() }, Wrote::Note, out);
-            let voters: Vec<String> = core.tandem.voters().iter().cloned().collect();
-            core.install(now, &Snapshot { voters, ..Snapshot::default() }, out);
-        } else if !snapshot.voters.is_empty() {
+            let first = core.tandem.holds().snapshot.clone();
+            core.install(now, &first, out);
+        } else if !snapshot.members.is_empty() {
             core.install(now, &snapshot, out);
         }
         core.carry(now, todo, out);
@@ -445,15 +452,20 @@
         self.silence = MISSED * settings.heartbeat_s * 1000.0;
     }
 
-    /// A planned stop begins: somebody else is to lead.
+    /// A planned stop begins: somebody else is to lead, and nothing is to rest on this exchange alone.
     pub fn stop(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.stopping = true;
-        self.agree(now, out, |tandem, todo| tandem.resign(now, todo));
+        self.agree(now, out, |tandem, todo| tandem.leave(now, todo));
         for (waiting, _) in std::mem::take(&mut self.held) {
             out.push(Output::Answer(waiting.call, Answer::Unknown));
         }
     }
 
+    /// Whether a planned stop may end: nothing that was agreed on rests on this exchange alone.
+    pub fn left(&self, now: Millis) -> bool {
+        self.tandem.left(now)
+    }
+
     fn write(&mut self, stored: Stored, wrote: Wrote, out: &mut Vec<Output>) {
         self.last_write += 1;
         self.writing.push_back((self.last_write, wrote));
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -119,9 +119,12 @@
     /// See above.
     #[prost(string, tag = "4")]
     pub voted: String,
-    /// Whether this node may vote.
-    #[prost(bool, tag = "5")]
-    pub trusted: bool,
+    /// The mark of this disk.
+    #[prost(uint64, optional, tag = "10")]
+    pub identity: Option<u64>,
+    /// Members up to this index are known to be agreed on.
+    #[prost(uint64, tag = "11")]
+    pub settled: u64,
     /// The state.
     #[prost(message, optional, tag = "6")]
     pub snapshot: Option<Snapshot>,
@@ -197,7 +200,8 @@
             number: self.number,
             term: self.tandem.term,
             voted: self.tandem.voted.clone(),
-            trusted: self.tandem.trusted,
+            identity: self.tandem.identity,
+            settled: self.tandem.settled,
             lent_known: self.lent_known,
             waited: self.waited.iter().copied().collect(),
             ..Folded::default()
@@ -225,7 +229,8 @@
                 voted: folded.voted,
                 snapshot: folded.snapshot.unwrap_or_default(),
                 log: folded.log,
-                trusted: folded.trusted,
+                identity: folded.identity,
+                settled: folded.settled,
             },
             lent_to: folded.lent_to.into_iter().collect(),
             words: folded.words.into_iter().map(|word| (word.id.clone(), word)).collect(),
--- a/crates/exchange/tests/loss.rs
+++ b/crates/exchange/tests/loss.rs
@@ -4,7 +4,7 @@
 mod played;
 
 use maplefall_exchange::store::{queue, Error, Kept, Limits, Store, Stored};
-use maplefall_tandem::{Entry, Record, Snapshot};
+use maplefall_tandem::{Entry, Member, Record, Snapshot};
 use played::{Chance, Faults, Played};
 
 /// Small, so that much is folded.
@@ -18,7 +18,7 @@
     let snapshot = number.is_multiple_of(40).then(|| Snapshot {
         index: number - 1,
         term: 1 + (number - 1) / 50,
-        voters: vec!["a".to_owned(), "b".to_owned()],
+        members: ["a", "b"].map(|name| Member { name: name.to_owned(), identity: number }).to_vec(),
         state: state.into(),
     });
     let tandem = Record {
@@ -26,7 +26,8 @@
         voted: format!("node-{}", number % 3),
         entries: vec![entry],
         snapshot,
-        trusted: number > 7,
+        identity: (number == 7).then_some(number),
+        settled: number / 3,
     };
     Stored {
         number,
