Contact is proven, not assumed: tests of frozen, cut-off, late and lagging nodes

A leader took the moment in which it read an answer for the moment of contact; a follower the one in which it heard.

--- a/crates/tandem/tests/play/mod.rs
+++ b/crates/tandem/tests/play/mod.rs
@@ -26,6 +26,7 @@
     stalled_until: f64,
     pub down_until: f64,
     pub frozen_until: f64,
+    pub frozen_since: f64,
     /// What came while it was frozen.
     socket: Vec<(String, Message)>,
     /// Entries that this life has been told are agreed on, and what of them it has folded.
@@ -79,6 +80,8 @@
     proposed: u64,
     pub variant: Variant,
     pub rate: f64,
+    /// Bytes of a change.
+    pub payload: usize,
     pub confirmed_reads: u64,
     pub sent: u64,
     pub notes: Vec<String>,
@@ -104,6 +107,7 @@
             proposed: 0,
             variant,
             rate: 0.01,
+            payload: 8,
             confirmed_reads: 0,
             sent: 0,
             notes: Vec::new(),
@@ -124,6 +128,7 @@
             stalled_until: 0.0,
             down_until: 0.0,
             frozen_until: 0.0,
+            frozen_since: 0.0,
             socket: Vec::new(),
             agreed: Vec::new(),
             lives: 0,
@@ -364,8 +369,10 @@
     }
 
     pub fn freeze(&mut self, name: &str, span: f64) {
-        let until = self.now + span;
-        self.nodes.entry(name.to_owned()).and_modify(|node| node.frozen_until = until);
+        let now = self.now;
+        self.nodes
+            .entry(name.to_owned())
+            .and_modify(|node| (node.frozen_since, node.frozen_until) = (now, now + span));
     }
 
     /// Cuts a node off from all others: what it says, what it hears, or both.
@@ -389,7 +396,8 @@
 
     pub fn propose(&mut self, name: &str) {
         self.proposed += 1;
-        let payload = self.proposed.to_be_bytes().to_vec();
+        let mut payload = self.proposed.to_be_bytes().to_vec();
+        payload.resize(self.payload.max(8), 0);
         self.step(name, |tandem, now, out| {
             let _ = tandem.propose(now, payload, out);
         });
@@ -471,8 +479,10 @@
             return;
         }
         node.frozen_until = 0.0;
+        let long = now - node.frozen_since >= ALONE && self.names.len() > 1;
         let came = std::mem::take(&mut node.socket);
-        match self.draw(4) {
+        let first = self.draw(if came.is_empty() { 3 } else { 4 });
+        match first {
             0 => self.step(name, |tandem, now, out| tandem.tick(now, out)),
             1 => self.read(name),
             2 => self.propose(name),
@@ -484,9 +494,22 @@
                 self.propose(name);
             }
             self.step(name, |tandem, now, out| tandem.receive(now, &from, message, out));
+            if long {
+                self.is_alone(name);
+            }
+        }
+        if long {
+            self.is_alone(name);
         }
     }
 
+    /// One that has just thawed knows nothing of now, whatever lay in its sockets: it neither leads nor is in touch.
+    fn is_alone(&self, name: &str) {
+        let Some(tandem) = &self.nodes[name].tandem else { return };
+        assert!(!tandem.leads(), "{name} thaws and leads");
+        assert!(!tandem.in_touch(self.now), "{name} thaws and says that it is in touch");
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (come, wait) = std::mem::take(&mut self.wire).into_iter().partition(|(at, ..)| *at <= now);
