--- a/benches/src/bin/hollow.rs
+++ b/benches/examples/hollow.rs
@@ -1,7 +1,7 @@
 //! The target in one process, as far as it goes: real decisions of exchanges and of one door, hollow doors and backends that beat.
 //! Nothing goes over sockets or to disks: it is counted. One thread; simulated time.
 //!
-//! `cargo run --release -p maplefall-benches --bin hollow -- --doors 550 --backends 19000 --routes 7700 --services 890`
+//! `cargo run --release -p maplefall-benches --example hollow -- --doors 550 --backends 19000 --routes 7700 --services 890`
 
 use bytes::BytesMut;
 use clap::Parser;
