--- a/crates/toll/tests/lender.rs
+++ b/crates/toll/tests/lender.rs
@@ -205,14 +205,15 @@
     let mut purses: Vec<Purse> = (0..4).map(|_| Purse::new(1)).collect();
     let names = ["a", "b", "c", "d"];
     let mut now = 0.0;
-    let busy = |who: usize| match who {
-        0 => vec![Demand { tenant: "t".into(), rate: 50_000, short: true }],
+    // Nobody asks at first, so all hold even parts; then one asks for all.
+    let busy = |who: usize, now: f64| match who {
+        0 if now > 600.0 => vec![Demand { tenant: "t".into(), rate: 50_000, short: true }],
         _ => Vec::new(),
     };
     purses.iter_mut().for_each(|purse| purse.connected("x"));
     let turn = |lender: &mut Lender, purses: &mut Vec<Purse>, deaf: Option<usize>, now: f64| {
         for who in 0..4 {
-            let report = purses[who].report(now, "x", busy(who));
+            let report = purses[who].report(now, "x", busy(who, now));
             for (to, lent) in lender.report(now, caller(names[who], 1, 1), &report, ["t"].into_iter()) {
                 let to = names.iter().position(|name| *name == to).expect("a door");
                 if deaf != Some(to) {
@@ -226,6 +227,8 @@
         turn(&mut lender, &mut purses, None, now);
     }
     assert!(lender.out("t") <= WHOLE && lender.out("t") > WHOLE * 9 / 10);
+    let even = purses[0].part(now, "t");
+    assert!((even - 0.25).abs() < 0.03, "{even}");
     let told = lender.set_limit(WHOLE / 5);
     let sum: u32 = names.iter().flat_map(|name| said(&told, name)).sum();
     assert!(told.len() == 4 && sum <= WHOLE / 5, "{told:?}");
