--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -123,8 +123,7 @@
             Err(_) => return Err(Error::Missing("the disk's thread")),
         },
     };
-    // It has been started before, whatever the settings say, and forgotten what it said.
-    settings.bootstrap &= !kept.set_aside;
+    settings.bootstrap = kept.bootstrap(settings.bootstrap);
     log::info!(
         "event=start node={} control={control} inner={inner} bootstrap={} term={} snapshot={} log={} trusted={}",
         settings.node,
--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -93,6 +93,12 @@
     pub records: Vec<Stored>,
 }
 
+impl Batch {
+    fn frame(&self) -> Vec<u8> {
+        frame(self.encoded_len(), |bytes| self.encode_raw(bytes))
+    }
+}
+
 /// What a file `state-N` holds.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Folded {
@@ -161,7 +167,13 @@
         }
     }
 
-    /// The bytes of a [`Folded`], without a copy of what goes into it.
+    /// Whether this may be the first start of all, as the settings say: not where something was set aside. Who is told so while a disk
+    /// that was read once is spoilt has been started before, and has forgotten what it said.
+    pub fn bootstrap(&self, settings: bool) -> bool {
+        settings && !self.set_aside
+    }
+
+    /// A frame with a [`Folded`], without a copy of what goes into it.
     fn fold(&self) -> Vec<u8> {
         let head = Folded {
             format: FORMAT,
@@ -178,13 +190,13 @@
             + encoding::message::encoded_len_repeated(7, log)
             + self.lent_to.iter().map(|name| encoding::string::encoded_len(8, name)).sum::<usize>()
             + words.sum::<usize>();
-        let mut bytes = Vec::with_capacity(length);
-        head.encode_raw(&mut bytes);
-        encoding::message::encode(6, snapshot, &mut bytes);
-        encoding::message::encode_repeated(7, log, &mut bytes);
-        self.lent_to.iter().for_each(|name| encoding::string::encode(8, name, &mut bytes));
-        self.words.values().for_each(|word| encoding::message::encode(9, word, &mut bytes));
-        bytes
+        frame(length, |bytes| {
+            head.encode_raw(bytes);
+            encoding::message::encode(6, snapshot, bytes);
+            encoding::message::encode_repeated(7, log, bytes);
+            self.lent_to.iter().for_each(|name| encoding::string::encode(8, name, bytes));
+            self.words.values().for_each(|word| encoding::message::encode(9, word, bytes));
+        })
     }
 
     fn unfold(folded: Folded) -> Kept {
@@ -284,8 +296,8 @@
             Ok(found) => found,
             Err(error) => return Err((disk, error)),
         };
-        let (mut store, last) = Store::new(disk, limits, found);
-        match store.settle(last.as_deref()) {
+        let (mut store, mut last) = Store::new(disk, limits, found);
+        match store.settle(last.as_mut()) {
             Ok(()) => Ok(store.opened()),
             Err(error) => Err((store.disk, error)),
         }
@@ -311,8 +323,8 @@
             trouble.wait(&disk, &error);
         };
         trouble.over(&disk);
-        let (mut store, last) = Store::new(disk, limits, found);
-        store.insist(|store| store.settle(last.as_deref()));
+        let (mut store, mut last) = Store::new(disk, limits, found);
+        store.insist(|store| store.settle(last.as_mut()));
         Ok(store.opened())
     }
 
@@ -337,9 +349,9 @@
     /// What was found may have been read from the system's memory: the last frame, if its sync had failed or not begun when the process
     /// ended, and names. All is on the disk after this. That frame is written anew: after a sync that failed, a second one may say
     /// that all is well and have written nothing.
-    fn settle(&mut self, last: Option<&[u8]>) -> Result<(), Error> {
+    fn settle(&mut self, last: Option<&mut Vec<u8>>) -> Result<(), Error> {
         match last {
-            Some(payload) => self.append(payload),
+            Some(frame) => self.append(frame),
             None => self.sync_folder(),
         }
     }
@@ -354,7 +366,7 @@
     pub fn write(&mut self, records: Vec<Stored>) -> Result<(), Error> {
         let batch = Batch { format: FORMAT, records };
         self.check(&batch)?;
-        self.append(&batch.encode_to_vec())?;
+        self.append(&mut batch.frame())?;
         batch.records.into_iter().for_each(|record| self.kept.take(record));
         Ok(())
     }
@@ -370,9 +382,9 @@
         Ok(())
     }
 
-    fn append(&mut self, payload: &[u8]) -> Result<(), Error> {
+    fn append(&mut self, frame: &mut [u8]) -> Result<(), Error> {
         let fresh = self.segment.is_none();
-        let result = self.append_to(payload);
+        let result = self.append_to(frame);
         match (&result, fresh) {
             (Ok(()), true) => self.segments.push(self.segment_id),
             (Ok(()), false) => {}
@@ -385,22 +397,22 @@
             }
         }
         if result.is_ok() || !fresh {
-            self.log_bytes += (HEAD + payload.len()) as u64;
+            self.log_bytes += frame.len() as u64;
         }
-        self.last_frame = HEAD + payload.len();
+        self.last_frame = frame.len();
         result
     }
 
-    fn append_to(&mut self, payload: &[u8]) -> Result<(), Error> {
+    fn append_to(&mut self, frame: &mut [u8]) -> Result<(), Error> {
         let name = segment_name(self.segment_id);
         let failed = |disk: &D, step, error| Error::Disk(step, disk.path().join(&name), error);
-        let frame = frame(self.segment_id, payload);
+        stamp(frame, self.segment_id);
         if let Some(file) = &mut self.segment {
-            file.write_all(&frame).map_err(|error| failed(&self.disk, "write", error))?;
+            file.write_all(frame).map_err(|error| failed(&self.disk, "write", error))?;
             return self.disk.sync(file).map_err(|error| failed(&self.disk, "sync", error));
         }
         let mut file = self.disk.make(&name).map_err(|error| failed(&self.disk, "make", error))?;
-        file.write_all(&frame).map_err(|error| failed(&self.disk, "write", error))?;
+        file.write_all(frame).map_err(|error| failed(&self.disk, "write", error))?;
         self.disk.sync(&mut file).map_err(|error| failed(&self.disk, "sync", error))?;
         // A name is lost with the power, and with it all that was synced under it.
         self.sync_folder()?;
@@ -457,9 +469,11 @@
         if self.segment.take().is_some() {
             self.segment_id += 1;
         }
+        let mut bytes = self.kept.fold();
+        stamp(&mut bytes, self.kept.number);
         self.fold = Some(Fold {
             file,
-            bytes: frame(self.kept.number, &self.kept.fold()),
+            bytes,
             done: 0,
             number: self.kept.number,
             covers: std::mem::take(&mut self.segments),
@@ -517,8 +531,8 @@
                         return;
                     }
                     let last = batch.records.last().map_or(0, |record| record.number);
-                    let payload = batch.encode_to_vec();
-                    self.insist(|store| store.append(&payload));
+                    let mut frame = batch.frame();
+                    self.insist(|store| store.append(&mut frame));
                     incoming.done(&batch);
                     batch.records.into_iter().for_each(|record| self.kept.take(record));
                     if !written(Ok(last)) {
@@ -551,25 +565,22 @@
 /// A disk that refuses.
 #[derive(Default)]
 struct Trouble {
-    pause: Option<Duration>,
+    tries: u32,
 }
 
 impl Trouble {
     fn wait(&mut self, disk: &impl Disk, error: &Error) {
-        let pause = match self.pause {
-            None => {
-                log::error!("event=disk_refuses {error}");
-                PAUSES.0
-            }
-            Some(pause) => (pause * 2).min(PAUSES.1),
-        };
-        self.pause = Some(pause);
-        disk.pause(pause);
+        self.tries += 1;
+        // At first, and ever more seldom.
+        if self.tries.is_power_of_two() {
+            log::error!("event=disk_refuses tries={} {error}", self.tries);
+        }
+        disk.pause(PAUSES.1.min(PAUSES.0 * (1 << self.tries.min(10)) / 2));
     }
 
     fn over(self, disk: &impl Disk) {
-        if self.pause.is_some() {
-            log::info!("event=disk_back path={}", disk.path().display());
+        if self.tries > 0 {
+            log::info!("event=disk_back path={} tries={}", disk.path().display(), self.tries);
         }
     }
 }
@@ -649,19 +660,26 @@
     (digits.len() == 20).then(|| digits.parse().ok()).flatten()
 }
 
-/// A frame of the file with this number.
-fn frame(id: u64, payload: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(HEAD + payload.len());
-    bytes.extend(MARK);
-    bytes.extend(id.to_le_bytes());
-    // The longest record is a snapshot, and far from 4 GiB.
-    bytes.extend((payload.len() as u32).to_le_bytes());
-    bytes.extend(crc32c::crc32c(payload).to_le_bytes());
-    bytes.extend(crc32c::crc32c(&bytes).to_le_bytes());
-    bytes.extend(payload);
+/// A frame round what is encoded, whose head is yet to be stamped.
+fn frame(length: usize, encode: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEAD + length);
+    bytes.resize(HEAD, 0);
+    encode(&mut bytes);
     bytes
 }
 
+/// Makes it a frame of the file with this number.
+fn stamp(frame: &mut [u8], id: u64) {
+    let Some((head, payload)) = frame.split_first_chunk_mut::<HEAD>() else { return };
+    head[..4].copy_from_slice(&MARK);
+    head[4..12].copy_from_slice(&id.to_le_bytes());
+    // The longest is a state, and far from 4 GiB.
+    head[12..16].copy_from_slice(&(payload.len() as u32).to_le_bytes());
+    head[16..20].copy_from_slice(&crc32c::crc32c(payload).to_le_bytes());
+    let sum = crc32c::crc32c(&head[..20]);
+    head[20..].copy_from_slice(&sum.to_le_bytes());
+}
+
 /// Length and checksum of what a frame holds, if a head of this file's frames stands here.
 fn head(id: u64, bytes: &[u8]) -> Option<(usize, u32)> {
     let head = bytes.first_chunk::<HEAD>()?;
@@ -692,7 +710,7 @@
     last_segment: u64,
     log_bytes: u64,
     stale: Vec<String>,
-    /// What the frame with the last record holds, if it is in no state.
+    /// The frame with the last record, if that is in no state.
     last: Option<Vec<u8>>,
 }
 
@@ -777,7 +795,7 @@
                 self.kept.take(record);
             }
             if self.kept.number > before {
-                self.last = Some(payload.to_vec());
+                self.last = Some(frame(payload.len(), |bytes| bytes.extend(payload)));
             }
         }
         if frame_after(id, bytes) {
--- a/crates/exchange/tests/disk.rs
+++ b/crates/exchange/tests/disk.rs
@@ -2,8 +2,9 @@
 //! is refused.
 
 use maplefall_exchange::disk::Folder as Disk;
-use maplefall_exchange::store::{queue, Error, Kept, Limits, Store, Stored};
+use maplefall_exchange::store::{queue, Batch, Error, Folded, Kept, Limits, Store, Stored};
 use maplefall_tandem::{Entry, Record};
+use prost::Message;
 use std::fs::{self, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
@@ -142,6 +143,8 @@
     for round in 0..3 {
         let (mut store, found) = Store::open_anyhow(Disk::new(&folder.0), Limits::default()).expect("a disk");
         assert_eq!(found, Kept { set_aside: round > 0, ..Kept::default() });
+        // Not the first start of all, whatever the settings say.
+        assert_eq!((found.bootstrap(true), found.bootstrap(false)), (round == 0, false));
         (1..=3).for_each(|number| store.write(vec![record(number, 300)]).expect("written"));
         drop(store);
         let segment = files(&folder.0, "log-").remove(0);
@@ -153,15 +156,52 @@
     }
 }
 
+/// A frame as the format says, of the file with this number.
+fn frame(id: u64, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = b"mf2\0".to_vec();
+    bytes.extend(id.to_le_bytes());
+    bytes.extend((payload.len() as u32).to_le_bytes());
+    bytes.extend(crc32c::crc32c(payload).to_le_bytes());
+    bytes.extend(crc32c::crc32c(&bytes).to_le_bytes());
+    [bytes.as_slice(), payload].concat()
+}
+
 /// Guards disks of another format: refused, and nothing on it touched.
 #[test]
 fn another_format_is_refused() {
-    let folder = Folder::new("format");
+    let later = frame(1, &Batch { format: 3, records: vec![record(1, 9)] }.encode_to_vec());
+    let state = frame(4, &Folded { format: 9, number: 4, ..Folded::default() }.encode_to_vec());
+    for (name, bytes, format) in [
+        ("wal-1", b"okw\0".as_slice(), 1),
+        ("log-00000000000000000001", &later, 3),
+        ("state-00000000000000000004", &state, 9),
+    ] {
+        let folder = Folder::new("format");
+        fs::create_dir_all(&folder.0).expect("a folder");
+        fs::write(folder.0.join(name), bytes).expect("written");
+        let opened = Store::open_anyhow(Disk::new(&folder.0), Limits::default());
+        assert!(matches!(opened, Err(Error::Format(_, met)) if met == format), "{name}");
+        assert_eq!(files(&folder.0, "").len(), 1);
+        assert_eq!(fs::read(folder.0.join(name)).expect("a file"), bytes);
+    }
+}
+
+/// Guards the format: frames as the page says are read, and lengths that no file can have are not taken at their word.
+#[test]
+fn frames_are_read_as_the_format_says() {
+    let folder = Folder::new("frames");
     fs::create_dir_all(&folder.0).expect("a folder");
-    fs::write(folder.0.join("wal-1"), b"okw\0").expect("written");
-    let opened = Store::open_anyhow(Disk::new(&folder.0), Limits::default());
-    assert!(matches!(opened, Err(Error::Format(_, 1))));
-    assert_eq!(files(&folder.0, "").len(), 1);
+    let batch = |numbers: std::ops::RangeInclusive<u64>| {
+        Batch { format: 2, records: numbers.map(|number| record(number, 9)).collect() }.encode_to_vec()
+    };
+    let mut bytes = [frame(7, &batch(1..=2)), frame(7, &batch(3..=3))].concat();
+    let mut long = frame(7, &batch(4..=4));
+    long[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
+    let sum = crc32c::crc32c(&long[..20]).to_le_bytes();
+    long[20..24].copy_from_slice(&sum);
+    bytes.extend(long);
+    fs::write(folder.0.join("log-00000000000000000007"), bytes).expect("written");
+    assert_eq!(open(&folder.0).1.number, 3);
 }
 
 /// Guards the order of the log: what does not follow is refused before it is written.
