--- a/crates/exchange/src/store.rs
+++ b/crates/exchange/src/store.rs
@@ -8,7 +8,7 @@
 //!   last of a segment can be torn, and was not acknowledged. A segment that a write or a sync has failed on is never written again.
 //! - `state-N`: a [`Folded`] of all records up to number N, after the same head. It is written as `fold`, synced, renamed, and the
 //!   folder synced; then what it stands for is removed.
-//! - `spoilt-*`: what could not be read, once; `setting-aside` stands while it is so named.
+//! - `spoilt-*`: what could not be read, once, and a note that it was; `setting-aside` stands while it is so named.
 //!
 //! **Room.** With S bytes of the biggest state and B of the biggest batch (4 MiB and one record), at most 4 S + 2 B + 192 KiB are on
 //! the disk (two states, the segments that are folded, those that are written meanwhile), and as much again in what was set aside.
@@ -37,6 +37,8 @@
 const FOLD: &str = "fold";
 /// Stands while spoilt files are set aside.
 const MARKER: &str = "setting-aside";
+/// Says that something was set aside, for good.
+const NOTE: &str = "spoilt-note";
 /// Before the names of files that were set aside.
 const SPOILT: &str = "spoilt-";
 /// The first and the longest pause before a disk that refuses is tried again.
@@ -819,12 +821,14 @@
     let sync = || disk.sync_folder().map_err(|error| failed("sync", "", error));
     let names = disk.list().map_err(|error| failed("list", "", error))?;
     if !names.iter().any(|name| name == MARKER) {
-        for name in names.iter().filter(|name| name.starts_with(SPOILT)) {
+        for name in names.iter().filter(|name| name.starts_with(SPOILT) && *name != NOTE) {
             disk.remove(name).map_err(|error| failed("remove", name, error))?;
         }
     }
-    let mut marker = disk.make(MARKER).map_err(|error| failed("make", MARKER, error))?;
-    disk.sync(&mut marker).map_err(|error| failed("sync", MARKER, error))?;
+    for name in [NOTE, MARKER] {
+        let mut file = disk.make(name).map_err(|error| failed("make", name, error))?;
+        disk.sync(&mut file).map_err(|error| failed("sync", name, error))?;
+    }
     sync()?;
     let ours =
         |name: &str| name == FOLD || number_in(name, "state-").is_some() || number_in(name, "log-").is_some();
--- a/crates/exchange/tests/disk.rs
+++ b/crates/exchange/tests/disk.rs
@@ -152,7 +152,8 @@
         bytes[60] ^= 1;
         fs::write(&segment, &bytes).expect("written");
         assert!(matches!(Store::open(Disk::new(&folder.0)), Err(Error::Spoilt(_))));
-        assert!(files(&folder.0, "spoilt-").len() <= 1);
+        // One set, and the note.
+        assert_eq!(files(&folder.0, "spoilt-").len(), if round == 0 { 0 } else { 2 });
     }
 }
 
--- a/crates/exchange/tests/loss.rs
+++ b/crates/exchange/tests/loss.rs
@@ -280,6 +280,27 @@
     assert!(refused > 3_000, "{refused} refusals");
 }
 
+/// Guards against a heap of files: a disk that refuses everything but new files for long, while it runs and while it starts.
+#[test]
+fn long_refusals_leave_few_files() {
+    for seed in 0..20 {
+        let disk = Played::default();
+        let (mut store, _) =
+            Store::open_with(disk.clone(), SMALL).map_err(|(_, error)| error).expect("a disk");
+        store.write(vec![record(1, 60)]).expect("written");
+        // Every other step is refused: files are made, and their writes or syncs fail.
+        disk.set(Faults { refuse_one_in: 2, refusals: 500, ..Faults::default() }, seed);
+        let (queue, incoming) = queue();
+        queue.push(record(2, 60)).expect("room");
+        drop(queue);
+        store.run(&incoming, |result| result.is_ok());
+        let files = disk.names().len();
+        disk.set(Faults { refuse_one_in: 2, refusals: 500, ..Faults::default() }, seed + 100);
+        drop(Store::open_anyhow(disk.clone(), SMALL).expect("a disk"));
+        assert!(files <= 2 && disk.names().len() <= 3, "seed {seed}: {files}, {:?}", disk.names());
+    }
+}
+
 /// Guards the room: two states, the segments that are folded, those that are written meanwhile.
 #[test]
 fn a_disk_has_its_bound() {
--- a/crates/exchange/tests/played/mod.rs
+++ b/crates/exchange/tests/played/mod.rs
@@ -192,7 +192,9 @@
         files.reverse();
         files.retain_mut(|file| {
             file.lose(chance);
-            let name = file.names.swap_remove(chance.below(file.names.len()));
+            // A file whose name was changed may have lost both.
+            let drawn = chance.below(file.names.len() + usize::from(file.names.len() > 1));
+            let name = file.names.get(drawn).cloned().flatten();
             let free = name.as_ref().is_some_and(|name| taken.insert(name.clone(), ()).is_none());
             file.names = vec![name];
             free
