--- a/crates/exchange/tests/orders.rs
+++ b/crates/exchange/tests/orders.rs
@@ -171,10 +171,11 @@
 /// Guards every word to an operator on bad days: at most one content is ever confirmed under a number; what was confirmed is
 /// confirmed again or left open, never refused; what is refused had a cause in what was agreed on, and never comes into force;
 /// what is read back is all that was agreed on at one moment since the call. Up to eight orders under way, sent until there is a
-/// clear answer.
+/// clear answer. `ORDER_DAYS=1000` plays more than CI does.
 #[test]
 fn what_operators_are_told_holds_on_bad_days() {
-    for seed in 0..40 {
+    let days = std::env::var("ORDER_DAYS").ok().and_then(|days| days.parse().ok()).unwrap_or(40);
+    for seed in 0..days {
         println!("seed {seed}");
         let operators = day(seed, if seed % 4 == 0 { 5 } else { 3 });
         println!("{:?}", operators.count);
@@ -378,3 +379,30 @@
         "an order of arrival was never played: {firsts:?}"
     );
 }
+
+/// Guards the bound of what is remembered, at the exchange: a number that is too old to be known is answered with nothing clear,
+/// whatever comes under it, also after a restart from a snapshot; the newest are known.
+#[test]
+fn a_forgotten_number_gets_no_clear_answer() {
+    let mut fleet = Played::new(3, 1);
+    fleet.fold_after = Some(50);
+    fleet.play(2000.0);
+    for version in 1..=300 {
+        assert_eq!(status(&mut fleet, service("s1", version, version)), 200);
+    }
+    for _ in 0..2 {
+        for (version, limit, due) in
+            [(1, 1, 503), (1, 9, 503), (43, 43, 503), (44, 44, 200), (44, 9, 409), (300, 300, 200)]
+        {
+            assert_eq!(status(&mut fleet, service("s1", limit, version)), due, "{version} with {limit}");
+        }
+        let at = fleet.names()[0].clone();
+        fleet.crash(&at, 50.0);
+        fleet.play(2000.0);
+        assert!(fleet.disk(&at).tandem.snapshot.index > 200, "nothing was folded");
+    }
+    assert!(fleet
+        .lines
+        .iter()
+        .any(|(_, line)| line.contains("event=forgotten list=Services item=\"s1\" version=00000001")));
+}
