A door that stops closes its listener before its last words; IdleS holds as it is now

The socket test (tests/stop.rs) holds one answer back, stops the door, sees newcomers served and told to go elsewhere while that one is owed, and refused from the moment that the stop is over; nothing sleeps. While it stops, an attempt lasts until its request's deadline. Heads now have `HeaderS` from their first byte and `HeaderBytes` (were `IdleS` and 64 KiB). A connection's state is a machine of its own without I/O (`visit`). - A full house asks whoever has rested longest to leave; if nobody rests, answers close their connections.

Kept as it was: a client that has closed its half is taken to be gone.

--- a/crates/switchboard/src/clients.rs
+++ b/crates/switchboard/src/clients.rs
@@ -3,26 +3,36 @@
 use crate::core::{Arrival, Final, Not};
 use crate::door::{tenant_value, Answer, Door};
 use crate::forward::{Order, ATTEMPT_ID, TENANT, TIME_REMAINING};
+use crate::visit::{Leave, Visit};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{HeaderValue, AUTHORIZATION, CONNECTION, HOST, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use maplefall_policy::RequestId;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 /// Pause when the system has no descriptor for a new connection.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 /// How long after SIGTERM connections are still taken: the platform asks every second and believes the second no.
 const LINGER: Duration = Duration::from_millis(2400);
-/// Bytes that a connection buffers at most, on either side.
-const BUFFER: usize = 64 << 10;
+/// Bytes that a connection buffers, on either side: a head as long as may be, within these.
+const BUFFERS: (usize, usize) = (8 << 10, 1 << 20);
+/// How long a full house waits for one that is asked to leave.
+const MAKE_ROOM: Duration = Duration::from_millis(20);
 /// What is kept of the grace for the end.
 const SPARE: Duration = Duration::from_millis(400);
 /// Longest time for a body where the client does not say how long it waits.
@@ -50,8 +60,13 @@
     /// Bytes of bodies that may be held at a time, and those that are.
     room: usize,
     held: Cell<usize>,
-    open: Cell<usize>,
+    /// The open connections, at most `most`.
+    guests: RefCell<HashMap<u64, Rc<Guest>>>,
+    last: Cell<u64>,
     closed: Notify,
+    /// Whether the house is full and nobody rests: answers then close their connections.
+    crowded: Cell<bool>,
+    accepting: RefCell<Option<JoinHandle<()>>>,
     phase: watch::Sender<Phase>,
 }
 
@@ -75,71 +90,121 @@
             most: maplefall_trunk::client_budget(sockets),
             room,
             held: Cell::new(0),
-            open: Cell::new(0),
+            guests: RefCell::default(),
+            last: Cell::new(0),
             closed: Notify::new(),
+            crowded: Cell::new(false),
+            accepting: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
         })
     }
 
-    /// Accepts connections for as long as the door runs.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Accepts connections until the planned stop is over.
+    pub fn open(self: &Rc<Self>, listener: TcpListener) {
+        let task = tokio::task::spawn_local(self.clone().accept(listener));
+        *self.accepting.borrow_mut() = Some(task);
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            while self.open.get() >= self.most {
-                self.closed.notified().await;
-            }
+            self.make_room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(self.clone().serve(stream));
+                    let number = self.last.get() + 1;
+                    self.last.set(number);
+                    let guest = Rc::new(Guest::new(Visit::new(self.door.clock.now())));
+                    self.guests.borrow_mut().insert(number, guest.clone());
+                    tokio::task::spawn_local(self.clone().serve(stream, number, guest));
                 }
                 Err(_) => tokio::time::sleep(NO_DESCRIPTOR).await,
             }
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream) {
-        let _open = Open(&self);
+    /// Waits until there is room for one more. Who has rested longest is asked to leave: usual clients come again sooner.
+    async fn make_room(&self) {
+        while self.guests.borrow().len() >= self.most {
+            let longest = {
+                let guests = self.guests.borrow();
+                let resting =
+                    guests.values().filter_map(|guest| Some((guest.visit.borrow().resting()?, guest)));
+                resting.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, guest)| guest.clone())
+            };
+            match longest {
+                Some(guest) => guest.leave(),
+                None => self.crowded.set(true),
+            }
+            let _ = tokio::time::timeout(MAKE_ROOM, self.closed.notified()).await;
+        }
+        self.crowded.set(false);
+    }
+
+    async fn serve(self: Rc<Self>, stream: TcpStream, number: u64, guest: Rc<Guest>) {
+        let _open = Open { clients: &self, number };
         // Without it answers are late, not wrong.
         let _ = stream.set_nodelay(true);
-        let idle = self.door.ask(|core| core.limits().idle);
+        let longest = self.door.ask(|core| core.limits().header_bytes).clamp(BUFFERS.0, BUFFERS.1);
+        let io = TokioIo::new(Watched { stream, guest: guest.clone(), door: self.door.clone() });
         let service = service_fn(|request| {
-            let clients = self.clone();
-            async move { Ok::<_, Infallible>(clients.answer(request).await) }
+            let (clients, guest) = (self.clone(), guest.clone());
+            async move { Ok::<_, Infallible>(clients.answer(request, &guest).await) }
         });
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_secs_f64(idle.max(1.0) / 1000.0))
-            .max_buf_size(BUFFER)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
+        let builder = hyper::server::conn::http1::Builder::new().max_buf_size(longest).clone();
+        let mut connection = std::pin::pin!(builder.serve_connection(io, service));
         let mut phase = self.phase.subscribe();
         let mut leaving = false;
         loop {
+            let due = |guest: &Guest| guest.visit.borrow().due(&self.door.ask(|core| core.limits()));
+            let at = due(&guest).map(|(at, _)| self.door.clock.instant(at));
             tokio::select! {
                 // An error is a client that went away or wrote no HTTP; the library has answered the latter.
                 _ = connection.as_mut() => return,
-                _ = phase.wait_for(|phase| *phase == Phase::Sweeping), if !leaving => {}
+                _ = phase.wait_for(|phase| *phase == Phase::Sweeping), if !leaving => leaving = true,
+                () = tokio::time::sleep_until(at.unwrap_or_else(Instant::now)), if at.is_some() => {
+                    // By now more may have come, and the limits may be others.
+                    match due(&guest).filter(|(at, _)| *at <= self.door.clock.now()) {
+                        Some((_, Leave::Now)) => return,
+                        Some((_, Leave::Owed)) => guest.leave(),
+                        None => continue,
+                    }
+                }
+                () = guest.changed.notified() => if !guest.left.get() { continue },
             }
-            leaving = true;
             connection.as_mut().graceful_shutdown();
         }
     }
 
-    /// The planned stop: goes on accepting, answers what has come, and returns when all is answered.
+    /// The planned stop: goes on accepting, answers what has come, and returns when all is answered. From then on nothing is taken
+    /// that could not be, and who comes is refused and tries another door.
     pub async fn stop(&self, grace: Duration) {
-        let end = tokio::time::Instant::now() + grace.saturating_sub(SPARE);
+        let end = Instant::now() + grace.saturating_sub(SPARE);
+        self.stop_by(LINGER.min(grace / 2), end).await;
+    }
+
+    /// The same, with how long idle connections are kept and when the last answer must be out.
+    pub async fn stop_by(&self, linger: Duration, end: Instant) {
         self.phase.send_replace(Phase::Closing);
-        tokio::time::sleep(LINGER.min(grace / 2)).await;
+        tokio::time::sleep(linger).await;
         self.phase.send_replace(Phase::Sweeping);
-        while self.open.get() > 0 || self.door.ask(|core| core.busy()) {
+        while !self.guests.borrow().is_empty() || self.door.ask(|core| core.busy()) {
             if tokio::time::timeout_at(end, self.closed.notified()).await.is_err() {
-                log::warn!("event=cut_short open={}", self.open.get());
-                return;
+                log::warn!("event=cut_short open={}", self.guests.borrow().len());
+                break;
             }
         }
+        // Guards what would be accepted and cut while the door says its last words: the listener is closed when this returns.
+        if let Some(accepting) = self.close() {
+            let _ = accepting.await;
+        }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Accepts nothing more; the listener is closed when what comes back has ended.
+    pub fn close(&self) -> Option<JoinHandle<()>> {
+        self.accepting.borrow_mut().take().inspect(|accepting| accepting.abort())
+    }
+
+    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Response<Full<Bytes>> {
+        guest.visit.borrow_mut().asked();
         let id = request.headers().get(ATTEMPT_ID).cloned();
         let (mut response, close) = match self.decide(request).await {
             Ok(Answer::Reply(reply)) => {
@@ -163,9 +228,11 @@
                 (response, true)
             }
         };
-        if close || *self.phase.borrow() != Phase::Serving {
+        if close || self.crowded.get() || *self.phase.borrow() != Phase::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        guest.visit.borrow_mut().answered(self.door.clock.now());
+        guest.changed.notify_one();
         response
     }
 
@@ -274,13 +341,85 @@
 }
 
 /// Counts a connection while it is open.
-struct Open<'a>(&'a Clients);
+struct Open<'a> {
+    clients: &'a Clients,
+    number: u64,
+}
 
 impl Drop for Open<'_> {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.closed.notify_waiters();
-        self.0.closed.notify_one();
+        self.clients.guests.borrow_mut().remove(&self.number);
+        self.clients.closed.notify_waiters();
+        self.clients.closed.notify_one();
+    }
+}
+
+/// A client's connection as its task and the library's see it.
+struct Guest {
+    visit: RefCell<Visit>,
+    /// Whether it has been asked to leave.
+    left: Cell<bool>,
+    /// Told when it may have another time to end at.
+    changed: Notify,
+}
+
+impl Guest {
+    fn new(visit: Visit) -> Guest {
+        Guest { visit: RefCell::new(visit), left: Cell::new(false), changed: Notify::new() }
+    }
+
+    fn leave(&self) {
+        self.visit.borrow_mut().leaves();
+        self.left.set(true);
+        self.changed.notify_one();
+    }
+}
+
+/// A client's socket, which tells what comes on it.
+struct Watched {
+    stream: TcpStream,
+    guest: Rc<Guest>,
+    door: Rc<Door>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && self.guest.visit.borrow_mut().heard(self.door.clock.now()) {
+            self.guest.changed.notify_one();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
     }
 }
 
--- a/crates/switchboard/src/core.rs
+++ b/crates/switchboard/src/core.rs
@@ -583,8 +583,15 @@
                     }
                 }
                 Due::TimeOut(id, number) => {
-                    let out_now = self.requests.get(&id).and_then(|entry| entry.out);
-                    if out_now.is_some_and(|(attempt, _, _)| attempt == number) {
+                    let Some(entry) = self.requests.get(&id) else { continue };
+                    let deadline = entry.deadline;
+                    if entry.out.is_none_or(|(attempt, _, _)| attempt != number) {
+                        continue;
+                    }
+                    // Guards requests under way at a planned stop: silence is no reason to end one sooner than its client does.
+                    if self.stopping && now < deadline {
+                        self.timers.set(deadline, Due::TimeOut(id, number));
+                    } else {
                         out.push(Output::GiveUp(id, number));
                     }
                 }
--- a/crates/switchboard/src/door.rs
+++ b/crates/switchboard/src/door.rs
@@ -36,7 +36,7 @@
     /// The last answer of a backend.
     reply: Option<Reply>,
     out: Option<(u32, Line)>,
-    /// Which connections have carried it.
+    /// The hold on its last attempt, which knows where those before went.
     line: Line,
 }
 
@@ -193,7 +193,8 @@
         let (order, line) = {
             let mut pending = self.pending.borrow_mut();
             let Some(entry) = pending.get_mut(&id) else { return };
-            let line = entry.line.again();
+            entry.line = entry.line.again();
+            let line = entry.line.clone();
             entry.out = Some((attempt, line.clone()));
             entry.reply = None;
             (entry.order.clone(), line)
--- a/crates/switchboard/src/lib.rs
+++ b/crates/switchboard/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod links;
 mod services;
 mod timers;
+pub mod visit;
 
 pub use crate::core::{quota, Arrival, Core, Ended, Final, Not, Output};
--- a/crates/switchboard/src/main.rs
+++ b/crates/switchboard/src/main.rs
@@ -114,7 +114,7 @@
     tokio::task::spawn_local(door.clone().keep_time());
     tokio::task::spawn_local(door.clone().tidy());
     tokio::task::spawn_local(links::follow(door.clone(), hello, settings.internal_ports.0));
-    let accepting = tokio::task::spawn_local(clients.clone().accept(clients_at));
+    clients.open(clients_at);
     tokio::task::spawn_local(probes(door.clone(), probes_at));
     tokio::task::spawn_local(tick(door.clone()));
     let grace = Duration::from_secs_f64(settings.bounds.grace_s);
@@ -139,8 +139,6 @@
     log::info!("event=stop node={}", settings.node);
     door.ask(|core| core.stop());
     clients.stop(grace).await;
-    // All is answered: from here on nothing is taken that could not be, and who comes now is refused and tries another door.
-    accepting.abort();
     door.drive(|core, now, out| core.farewell(now, out));
     tokio::time::sleep(FAREWELL).await;
     Ok(())
--- a/crates/switchboard/tests/common/mod.rs
+++ b/crates/switchboard/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use tokio::task::AbortHandle;
 
 /// Two routes to the one service: what may be repeated, and what may not.
-const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/safe/","safe",20,0.2,3,"00000001","one"],["r2","h.example","/once/","nonidempotent",20,0.2,3,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
+pub const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/safe/","safe",20,0.2,3,"00000001","one"],["r2","h.example","/once/","nonidempotent",20,0.2,3,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
 
 /// Chance from a seed.
 pub struct Chance(Pcg32);
@@ -54,6 +54,11 @@
 impl Front {
     /// A door that has heard its configuration and of these backends; budgets allow any repeat.
     pub async fn open(seed: u64, backends: &[SocketAddr]) -> Front {
+        Front::with(seed, backends, 4096).await
+    }
+
+    /// The same with so many descriptors.
+    pub async fn with(seed: u64, backends: &[SocketAddr], sockets: usize) -> Front {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let text = format!(
@@ -79,11 +84,11 @@
             core.heard(now, "x", Frame::Plans(plans), out);
             core.heard(now, "x", Frame::Words(words), out);
         });
-        let clients = Clients::new(door.clone(), 4096, 256 << 20);
+        let clients = Clients::new(door.clone(), sockets, 256 << 20);
+        clients.open(listener);
         let tasks = vec![
             tokio::task::spawn_local(door.clone().keep_time()).abort_handle(),
             tokio::task::spawn_local(door.clone().tidy()).abort_handle(),
-            tokio::task::spawn_local(clients.clone().accept(listener)).abort_handle(),
         ];
         Front { door, clients, address, tasks }
     }
@@ -92,6 +97,7 @@
 impl Drop for Front {
     fn drop(&mut self) {
         self.tasks.iter().for_each(AbortHandle::abort);
+        self.clients.close();
     }
 }
 
--- a/crates/trunk/src/pool.rs
+++ b/crates/trunk/src/pool.rs
@@ -227,20 +227,22 @@
     /// Whether a call has gone to a connection that carries others too.
     begun: Rc<Cell<bool>>,
     task: Rc<RefCell<Option<AbortHandle>>>,
-    /// The connections that have carried this request so far, in this attempt and those before it.
+    /// The connections that have carried this attempt so far, and those that carried earlier ones of the same request.
     carried: Rc<RefCell<Vec<Weak<Wire>>>>,
+    earlier: Rc<Vec<Weak<Wire>>>,
 }
 
 impl Line {
     /// The hold on a further attempt of the same request. Guards against a second answer to the first attempt, which bears the
     /// same id: it can only come where the first attempt went, so no further one goes there.
     pub fn again(&self) -> Line {
-        Line { carried: self.carried.clone(), ..Line::default() }
+        let earlier = self.earlier.iter().chain(self.carried.borrow().iter()).cloned().collect();
+        Line { earlier: Rc::new(earlier), ..Line::default() }
     }
 
-    /// Whether a connection has carried this request before.
+    /// Whether a connection has carried an earlier attempt of this request.
     fn has_been_on(&self, wire: &Rc<Wire>) -> bool {
-        self.carried.borrow().iter().any(|earlier| std::ptr::eq(earlier.as_ptr(), Rc::as_ptr(wire)))
+        self.earlier.iter().any(|earlier| std::ptr::eq(earlier.as_ptr(), Rc::as_ptr(wire)))
     }
 
     /// Names the connection that carries the attempt.
@@ -399,8 +401,8 @@
     }
 
     /// The most recently used connection that is still good, rather one whose last answer is not just over. For what
-    /// must not run twice, none of an age at which connections have broken of late; and none that has carried the request of
-    /// this line before.
+    /// must not run twice, none of an age at which connections have broken of late; and none that has carried an earlier
+    /// attempt of this line's request.
     pub fn take_idle(&self, id: BackendId, care: Care, line: &Line) -> Option<Connection> {
         self.take(id, care, false, line)
     }
