--- a/crates/exchange/examples/start.rs
+++ b/crates/exchange/examples/start.rs
@@ -17,7 +17,7 @@
         (number > 1 && snapshot_each > 0 && number.is_multiple_of(snapshot_each)).then(|| Snapshot {
             index: number - 1,
             term: 1,
-            state: vec![1; snapshot_each as usize * CHANGE / 2],
+            state: vec![1; snapshot_each as usize * CHANGE / 2].into(),
             ..Snapshot::default()
         });
     let tandem = Record { term: Some(1), entries: vec![entry], snapshot, ..Record::default() };
