A caller's body has a time to come in; a caller that goes leaves nothing behind

Need: review of the control calls (docs/design/control-answers.md): 1,024 callers whose bodies never come kept everybody out, and a caller that went left its entry until its call was over. A body has 5 s, then 408 (nothing of it was taken); the entry goes with the caller. Ruled out: a bound on entries, which refuses callers for those that are gone.

--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -82,7 +82,7 @@
 #[derive(Debug)]
 pub enum Output {
     /// Write this; the number is told to [`Core::written`].
-    Write(u64, Stored),
+    Write(u64, Box<Stored>),
     /// Send a frame to the exchange at this address.
     Peer(String, Bytes),
     /// Send a frame to every exchange.
@@ -469,6 +469,6 @@
     fn write(&mut self, stored: Stored, wrote: Wrote, out: &mut Vec<Output>) {
         self.last_write += 1;
         self.writing.push_back((self.last_write, wrote));
-        out.push(Output::Write(self.last_write, stored));
+        out.push(Output::Write(self.last_write, Box::new(stored)));
     }
 }
--- a/crates/exchange/src/net.rs
+++ b/crates/exchange/src/net.rs
@@ -26,6 +26,8 @@
 
 /// Longest body of a call.
 const LONGEST_BODY: usize = 32 << 20;
+/// How long the body of a call may take to come.
+const BODY_COMES: Duration = Duration::from_secs(5);
 /// Calls that are worked on at a time; what comes beyond waits in the system's queue.
 const MOST_CALLERS: usize = 1024;
 /// How long a caller's connection may be without a request.
@@ -242,7 +244,7 @@
             match output {
                 Output::Write(number, stored) => {
                     // A disk that has let this much pile up is none: the queue takes no more, and the process ends.
-                    if let Err(error) = self.disk.push(Stored { number, ..stored }) {
+                    if let Err(error) = self.disk.push(Stored { number, ..*stored }) {
                         log::error!("event=disk_full {error}");
                         if let Some(told) = self.told.upgrade() {
                             let _ = told.send(Err(error));
@@ -452,9 +454,12 @@
     async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let target = request.uri().path_and_query().map(|p| p.as_str().to_owned()).unwrap_or_default();
         let (head, body) = request.into_parts();
-        let body = match Limited::new(body, LONGEST_BODY).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(_) => return plain(StatusCode::BAD_REQUEST, "step=read field=body".to_owned()),
+        let body = Limited::new(body, LONGEST_BODY).collect();
+        let body = match tokio::time::timeout(BODY_COMES, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "step=read field=body".to_owned()),
+            // Nothing of it was taken: a promise that holds.
+            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "step=read field=body late".to_owned()),
         };
         let query = head.uri.query().unwrap_or_default();
         let field = |name: &str| {
@@ -478,6 +483,8 @@
         let number = self.last_call.get() + 1;
         self.last_call.set(number);
         self.calls.borrow_mut().insert(number, sender);
+        // A caller that goes drops this, and nobody is left to answer.
+        let _asked = Asked { exchange: &self, number };
         self.drive(|core, now, out| core.call(now, number, call, out));
         match receiver.await.unwrap_or(Answer::Unknown) {
             Answer::Done(text) => {
@@ -501,6 +508,18 @@
     }
 }
 
+/// A call that has a caller.
+struct Asked<'a> {
+    exchange: &'a Exchange,
+    number: u64,
+}
+
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        self.exchange.calls.borrow_mut().remove(&self.number);
+    }
+}
+
 fn plain(status: StatusCode, text: String) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
--- a/crates/exchange/tests/common/played.rs
+++ b/crates/exchange/tests/common/played.rs
@@ -414,7 +414,7 @@
                     let late = 0.5 + f64::from(self.draw(25)) / 10.0;
                     let now = self.now;
                     let Some(node) = self.nodes.get_mut(name) else { return };
-                    let stored = Stored { number, ..stored };
+                    let stored = Stored { number, ..*stored };
                     node.writing.push(stored.clone());
                     node.disk_free = node.disk_free.max(now) + late;
                     let (wait, life) = (node.disk_free - now, node.life);
--- a/crates/exchange/tests/lending.rs
+++ b/crates/exchange/tests/lending.rs
@@ -79,7 +79,7 @@
         let Some(node) = self.nodes.get_mut(ip) else { return };
         for output in out {
             match output {
-                Output::Write(number, stored) => node.writes.push((number, Stored { number, ..stored })),
+                Output::Write(number, stored) => node.writes.push((number, Stored { number, ..*stored })),
                 Output::Peer(to, bytes) => self.mail.push_back((ip.to_owned(), to, frames(&bytes))),
                 Output::Peers(bytes) => {
                     for to in &others {
