--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -32,6 +32,7 @@
             let bytes = write(Frame::Tandem(message));
             out.push(if to.is_empty() { Output::Peers(bytes) } else { Output::Peer(to, bytes) });
         }
+        out.extend(todo.notes.into_iter().map(Output::Log));
         if let Some(snapshot) = todo.installed {
             self.install(now, &snapshot, out);
             self.spread_plans(now, out);
@@ -58,7 +59,9 @@
         }
         self.keep_lending(now, out);
         self.keep_company(now, out);
-        if self.tandem.length() > LONG_LOG {
+        // What is not agreed on cannot be folded, however much it is.
+        let long = self.tandem.length() > self.long_log;
+        if long && self.tandem.length() > self.long_log + self.tandem.pending().count() {
             let state = Whole::of(&self.board, self.shares.slots()).encode_to_vec();
             self.agree(now, out, |tandem, todo| tandem.fold(state, todo));
         }
@@ -82,8 +85,8 @@
                 self.index = entry.index;
             }
             self.entry_agreed(entry.index, entry.term, out);
-            if entry.kind() == EntryKind::Voters {
-                let members = entry.voters.iter().cloned().collect();
+            if entry.kind() == EntryKind::Members {
+                let members = entry.members.iter().map(|member| member.name.clone()).collect();
                 let turns = self.shares.change(now, &members, entry.index);
                 self.slots_turned(turns, out);
             }
@@ -99,9 +102,11 @@
                 Whole::default()
             }
         };
-        // What an earlier program folded, or the first state of all, holds no slots: they follow from the members.
-        let slots =
-            whole.owners.unwrap_or_else(|| first_slots(&snapshot.voters, self.losses, snapshot.index));
+        // The first state of all is empty. What an earlier program folded holds no slots either; by then others may have lent.
+        let slots = whole.owners.unwrap_or_else(|| {
+            let members = snapshot.members.iter().map(|member| member.name.clone()).collect();
+            Slots::first(&members, self.losses, snapshot.index, !snapshot.state.is_empty())
+        });
         let turns = self.shares.install(now, slots);
         self.slots_turned(turns, out);
         // The state of the first start, and of what held nothing but members since: there is no configuration yet.
@@ -114,7 +119,3 @@
         self.ring.clear();
     }
 }
-
-pub(super) fn first_slots(members: &[String], losses: u32, index: u64) -> Slots {
-    Slots::first(&members.iter().cloned().collect(), losses, index)
-}
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -13,7 +13,7 @@
 use maplefall_mainframe::Settings;
 use maplefall_numbering::{read_call, Ahead, Board, Change, Verdict};
 use maplefall_signalling::{write, Alive, Frame, Hello, Numbered, Plans, Seen, Words};
-use maplefall_tandem::{Entry, EntryKind, Out, Snapshot, Tandem};
+use maplefall_tandem::{Entry, EntryKind, Out, Setup, Snapshot, Tandem};
 use maplefall_toll::{in_lease, Caller, Lender, Report, Shares, Slots, Turn, LASTS, SKEW};
 pub use whole::Whole;
 
@@ -45,6 +45,10 @@
 const MOST_RECEIPTS: usize = 4096;
 /// An exchange that has been out of touch for this long acknowledges no beats. Longer than an election takes.
 const AWAY: Millis = 1500.0;
+/// Doors whose names are on disk at most: others are lent nothing.
+const MOST_NAMED: usize = 8192;
+/// How often names of doors that hold nothing any more are struck off.
+const STRIKE: Millis = 30_000.0;
 /// Calls that wait at most; what comes beyond is sent on.
 const MOST_CALLS: usize = 512;
 
@@ -178,6 +182,8 @@
     parted: Option<Millis>,
     /// Exchanges to which there is a link that lives.
     linked: BTreeSet<String>,
+    /// When each of the voters said something of the agreement last.
+    heard_from: BTreeMap<String, Millis>,
     /// Whom this exchange heard itself since it last told the others.
     heard: BTreeMap<String, u64>,
     /// Lives whose leaving a majority has on disk, this exchange too.
@@ -198,6 +204,7 @@
     lent_known: bool,
     /// Doors whose names are on their way to the disk.
     naming: BTreeSet<String>,
+    struck: Millis,
     last_write: u64,
     writing: VecDeque<(u64, Wrote)>,
     /// What is on its way, for the judgement of calls.
@@ -214,6 +221,8 @@
     told: Millis,
     led_by: Option<String>,
     stopping: bool,
+    /// Entries after which the log is folded.
+    long_log: usize,
 }
 
 impl Core {
@@ -225,7 +234,14 @@
             first.push(me.clone());
         }
         let fresh = kept.tandem.is_empty();
-        let first = settings.bootstrap.then_some(first.as_slice());
+        let tolerance = &settings.tolerance;
+        let setup = Setup {
+            first: settings.bootstrap.then_some(first.as_slice()),
+            counts: settings.quorum_member,
+            losses: tolerance.machine_losses as usize,
+            alike: tolerance.zones == 0 && tolerance.region_losses == 0,
+            ..Setup::default()
+        };
         let snapshot = kept.tandem.snapshot.clone();
         let losses = settings.tolerance.machine_losses;
         // The first disk of all has lent nothing; another that came empty may have.
@@ -233,8 +249,8 @@
         let lent_known = kept.lent_known || starts;
         let lent_to = lent_known.then(|| kept.lent_to.clone());
         let mut todo = Out::default();
-        let tandem = Tandem::new(&me, now, seed, kept.tandem, first, settings.quorum_member, &mut todo);
-        let lender = Lender::new(now, seed.max(1), 0, lent_to);
+        let tandem = Tandem::new(&me, now, seed, kept.tandem, &setup, &mut todo);
+        let lender = Lender::new(now, (seed as u32).max(1), 0, lent_to);
         let (shares, _) = Shares::new(now, &me, Slots::default(), kept.waited);
         let mut core = Core {
             me,
@@ -247,6 +263,7 @@
             lent_known,
             lent_to: kept.lent_to,
             naming: BTreeSet::new(),
+            struck: now,
             tandem,
             board: Board::default(),
             index: 0,
@@ -256,6 +273,7 @@
             company: None,
             parted: Some(now),
             linked: BTreeSet::new(),
+            heard_from: BTreeMap::new(),
             heard: BTreeMap::new(),
             shared: BTreeSet::new(),
             leaves: BTreeMap::new(),
@@ -273,15 +291,16 @@
             told: now,
             led_by: None,
             stopping: false,
+            long_log: LONG_LOG,
         };
         for word in kept.words.into_values() {
             core.directory.hear(now, word);
         }
         if starts {
             core.write(Stored { lent_known: true, ..Stored::default() }, Wrote::Note, out);
-            let voters: Vec<String> = core.tandem.voters().iter().cloned().collect();
-            core.install(now, &Snapshot { voters, ..Snapshot::default() }, out);
-        } else if !snapshot.voters.is_empty() {
+            let first = core.tandem.holds().snapshot.clone();
+            core.install(now, &first, out);
+        } else if !snapshot.members.is_empty() {
             core.install(now, &snapshot, out);
         }
         core.carry(now, todo, out);
@@ -298,6 +317,11 @@
         self.tandem.leads()
     }
 
+    /// Folds the log after this many entries, where the usual number is too many for a test.
+    pub fn fold_after(&mut self, entries: usize) {
+        self.long_log = entries;
+    }
+
     // ---- Inputs -------------------------------------------------------------------------------------
 
     /// Time passes; to be called every [`TICK`].
@@ -382,6 +406,9 @@
     pub fn peer(&mut self, now: Millis, ip: &str, frame: Frame, out: &mut Vec<Output>) {
         match frame {
             Frame::Tandem(message) => {
+                if self.tandem.voters().contains(ip) {
+                    self.heard_from.insert(ip.to_owned(), now);
+                }
                 self.agree(now, out, |tandem, todo| tandem.receive(now, ip, message, todo));
             }
             Frame::Words(words) => self.told(now, ip, words, out),
@@ -425,15 +452,20 @@
         self.silence = MISSED * settings.heartbeat_s * 1000.0;
     }
 
-    /// A planned stop begins: somebody else is to lead.
+    /// A planned stop begins: somebody else is to lead, and nothing is to rest on this exchange alone.
     pub fn stop(&mut self, now: Millis, out: &mut Vec<Output>) {
         self.stopping = true;
-        self.agree(now, out, |tandem, todo| tandem.resign(now, todo));
+        self.agree(now, out, |tandem, todo| tandem.leave(now, todo));
         for (waiting, _) in std::mem::take(&mut self.held) {
             out.push(Output::Answer(waiting.call, Answer::Unknown));
         }
     }
 
+    /// Whether a planned stop may end: nothing that was agreed on rests on this exchange alone.
+    pub fn left(&self, now: Millis) -> bool {
+        self.tandem.left(now)
+    }
+
     fn write(&mut self, stored: Stored, wrote: Wrote, out: &mut Vec<Output>) {
         self.last_write += 1;
         self.writing.push_back((self.last_write, wrote));
--- a/crates/switchboard/tests/quotas.rs
+++ b/crates/switchboard/tests/quotas.rs
@@ -47,7 +47,7 @@
     /// The slots as they follow from the first entries, so many.
     fn slots(&self, entries: usize) -> Slots {
         let (index, first) = &self.entries[0];
-        let mut slots = Slots::first(first, self.losses, *index);
+        let mut slots = Slots::first(first, self.losses, *index, false);
         for (index, members) in &self.entries[1..entries] {
             slots.change(members, *index);
         }
@@ -97,6 +97,8 @@
     alone: (f64, f64),
     /// Cut off from the doors until then.
     away: f64,
+    /// It ends once more then, and comes back with its disk.
+    again: f64,
 }
 
 impl Exchange {
@@ -108,7 +110,7 @@
         self.life.is_some() && now >= self.frozen
     }
 
-    fn start(&mut self, now: f64, life: u64, agreed: &Agreed) {
+    fn start(&mut self, now: f64, life: u32, agreed: &Agreed) {
         let clock = self.clock(now);
         let known = self.disk.known.then(|| self.disk.names.clone());
         let lender = Lender::new(clock, life, 0, known);
@@ -152,7 +154,7 @@
 
 enum Mail {
     /// From a door, to a lender in this life, on this connection, from the door's life.
-    Report(usize, usize, u64, u64, u64, Report),
+    Report(usize, usize, u32, u64, u64, Report),
     Lent(usize, usize, u64, Lent),
 }
 
@@ -164,17 +166,17 @@
     // Three are told of at the first start; where two may be lost there are five, and the others join then.
     let losses = if draw() < 0.4 { 2 } else { 1 };
     let mut rates: Vec<f64> = (0..32).map(|_| 0.99 + draw() * 0.02).collect();
-    let mut fresh = |life: u64, full: bool| Door {
-        purse: Purse::new(life),
+    let mut fresh = |life: u32, full: bool| Door {
+        purse: Purse::new(u64::from(life)),
         tenants: Tenants::new(full),
-        life,
+        life: u64::from(life),
         links: BTreeMap::new(),
         down: 0.0,
         cut: 0.0,
         rate: rates.pop().unwrap_or(1.0),
         asks: [0.0; 3],
     };
-    let mut doors: Vec<Door> = (0..doors_there).map(|n| fresh(n as u64 + 1, true)).collect();
+    let mut doors: Vec<Door> = (0..doors_there).map(|n| fresh(n as u32 + 1, true)).collect();
     // Machines: the first three, those that join, and those that replace others.
     let mut exchanges: Vec<Exchange> = (0..9)
         .map(|n| Exchange {
@@ -186,11 +188,12 @@
             frozen: 0.0,
             alone: (0.0, 0.0),
             away: 0.0,
+            again: f64::INFINITY,
         })
         .collect();
     let first: Members = (0..3).map(|n| exchanges[n].name.clone()).collect();
     let mut agreed = Agreed { losses, entries: vec![(0, first)] };
-    let (mut lives, mut conns, mut served) = (100, 0_u64, 0_u64);
+    let (mut lives, mut conns, mut served) = (100_u32, 0_u64, 0_u64);
     for exchange in &mut exchanges[..3] {
         exchange.disk = Disk { known: true, folded: 1, ..Disk::default() };
         exchange.start(0.0, lives, &agreed);
@@ -210,7 +213,7 @@
         *earliest
     };
     let mut runs: Vec<VecDeque<f64>> = vec![VecDeque::new(); TENANTS.len()];
-    let mut lives_of: BTreeMap<(u64, usize), u64> = BTreeMap::new();
+    let mut lives_of: BTreeMap<(u64, usize), u32> = BTreeMap::new();
     let mut now = 0.0;
     while now < DAY {
         now += 10.0;
@@ -266,6 +269,7 @@
                     it.starts = now + draw() * 3000.0;
                     if lost {
                         it.disk = Disk::default();
+                        it.again = it.starts + 500.0 + draw() * 6000.0;
                     } else if draw() < 0.5 {
                         it.disk.folded = it.disk.folded.max(1);
                     }
@@ -279,8 +283,8 @@
                         0 => (exchanges[hit].life, exchanges[hit].starts) = (None, f64::INFINITY),
                         1 => exchanges[hit].frozen = now + 2000.0 + draw() * 25_000.0,
                         2 => exchanges[hit].alone = (now, now + 10_000.0 + draw() * 30_000.0),
-                        // It runs and can be reached: it may hear of it or not.
-                        _ => {}
+                        // It runs and can be reached: it may hear of it or not, and be taken in again soon.
+                        _ => joins.push(now + draw() * 20_000.0),
                     }
                     let mut members = agreed.members().clone();
                     members.remove(&exchanges[hit].name);
@@ -321,6 +325,9 @@
         }
         // What the exchanges hear of one another.
         for (n, it) in exchanges.iter_mut().enumerate() {
+            if it.life.is_some() && now >= it.again {
+                (it.life, it.starts, it.again) = (None, now + draw() * 300.0, f64::INFINITY);
+            }
             if it.life.is_none() && now >= it.starts && next > n {
                 it.starts = f64::INFINITY;
                 it.start(now, lives, &agreed);
@@ -351,7 +358,8 @@
             // Followers of a leader that has been replaced since the cut may not know for a while.
             let led = !cut || now < it.alone.0 + DEPOSED;
             if let Some(life) = it.life.as_mut().filter(|life| led && spoken && life.applied > 0) {
-                if (cut || life.applied == there) && life.shares.slots().of(&it.name).next().is_some() {
+                let counted = agreed.entries[life.applied - 1].1.contains(&it.name);
+                if (cut || life.applied == there) && counted {
                     life.contact = clock;
                 }
             }
