--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -62,7 +62,7 @@
         }
         self.lend(now);
         self.keep_company(now, out);
-        if self.tandem.length() > LONG_LOG {
+        if self.tandem.should_fold() {
             let state = Whole { items: self.board.items().cloned().collect() }.encode_to_vec();
             self.agree(now, out, |tandem, todo| tandem.fold(state, todo));
         }
--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -37,8 +37,6 @@
 const FROZEN: Millis = 1000.0;
 /// Changes that are kept for doors that lack a few.
 const RING: usize = 256;
-/// Entries after which the log is folded.
-const LONG_LOG: usize = 2000;
 /// Lives whose leaving is remembered as shared at most; of others it is shared again.
 const MOST_SHARED: usize = 50_000;
 /// Calls that wait at most; what comes beyond is sent on.
--- a/crates/tandem/src/message.rs
+++ b/crates/tandem/src/message.rs
@@ -114,7 +114,7 @@
     /// Answers that.
     #[prost(message, tag = "5")]
     Appended(Appended),
-    /// A whole state, for a node that lacks entries which are folded already.
+    /// A part of a whole state, for a node that lacks entries which are folded already.
     #[prost(message, tag = "6")]
     Install(Install),
     /// The leader stops and asks the receiver to stand at once.
@@ -206,6 +206,9 @@
     /// What the sender would be.
     #[prost(message, optional, tag = "7")]
     pub wish: Option<Wish>,
+    /// It answers an [`Install`] that is not whole yet, and nothing else.
+    #[prost(message, optional, tag = "8")]
+    pub taken: Option<Taken>,
 }
 
 /// What a node would be.
@@ -222,15 +225,57 @@
     pub leaving: bool,
 }
 
-/// A whole state.
+/// A part of a whole state, or none of it: then it asks how much has come.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Install {
-    /// The state.
-    #[prost(message, optional, tag = "1")]
-    pub snapshot: Option<Snapshot>,
     /// Number of the leader's round.
     #[prost(uint64, tag = "2")]
     pub round: u64,
+    /// [`Snapshot::index`].
+    #[prost(uint64, tag = "3")]
+    pub index: u64,
+    /// [`Snapshot::term`].
+    #[prost(uint64, tag = "4")]
+    pub term: u64,
+    /// [`Snapshot::members`].
+    #[prost(message, repeated, tag = "5")]
+    pub members: Vec<Member>,
+    /// Bytes of the whole state.
+    #[prost(uint64, tag = "6")]
+    pub length: u64,
+    /// [`checksum`] of the whole state.
+    #[prost(uint64, tag = "7")]
+    pub whole: u64,
+    /// Where this part begins in the state.
+    #[prost(uint64, tag = "8")]
+    pub offset: u64,
+    /// The part.
+    #[prost(bytes = "bytes", tag = "9")]
+    pub part: Bytes,
+    /// [`checksum`] of the part.
+    #[prost(uint64, tag = "10")]
+    pub sum: u64,
+}
+
+/// How much of a whole state has come.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Taken {
+    /// [`Snapshot::index`].
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// [`Install::whole`].
+    #[prost(uint64, tag = "2")]
+    pub whole: u64,
+    /// Bytes that are there, from the first on.
+    #[prost(uint64, tag = "3")]
+    pub bytes: u64,
+}
+
+/// FNV-1a, 64 bits.
+pub fn checksum(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
 /// Stand at once.
--- a/crates/tandem/src/node/following.rs
+++ b/crates/tandem/src/node/following.rs
@@ -21,7 +21,8 @@
                 let commit = append.commit;
                 out.notes.push(format!("event=behind last={last} leader={from} leader_commit={commit}"));
             }
-            let matched = last.min(append.prev_index.saturating_sub(1)).max(self.commit);
+            // Another entry stands there: what is agreed on fits in any case.
+            let matched = if append.prev_index <= last { self.commit } else { last };
             let round = append.round;
             self.answer(from, Appended { fits: false, matched, round, ..Appended::default() }, out);
             return;
@@ -52,23 +53,32 @@
 
     pub(super) fn install(&mut self, now: Millis, from: &str, install: Install, out: &mut Out) {
         self.follow(now, Some(from), out);
-        let Some(snapshot) = install.snapshot else { return };
-        if snapshot.index > self.commit {
+        let round = install.round;
+        if install.index > self.commit {
+            let snapshot = match self.take_part(from, install, out) {
+                Ok(snapshot) => snapshot,
+                Err(taken) => {
+                    self.answer(from, Appended { round, taken: Some(taken), ..Appended::default() }, out);
+                    return;
+                }
+            };
             let kept = self.disk.term_at(snapshot.index) == Some(snapshot.term);
             if !kept {
                 self.synced_index = 0;
                 self.unsynced.clear();
             }
             self.commit = snapshot.index;
-            out.notes.push(format!("event=snapshot_received index={} from={from}", snapshot.index));
+            let (index, bytes) = (snapshot.index, snapshot.state.len());
+            out.notes.push(format!("event=snapshot_received index={index} bytes={bytes} from={from}"));
             self.write(Record { snapshot: Some(snapshot.clone()), ..Record::default() }, out);
             self.unsynced.push_back((self.written, snapshot.index));
             self.count_members();
             out.agreed.clear();
             out.installed = Some(snapshot);
         }
-        self.verified = self.verified.max(self.disk.snapshot.index);
-        self.tell_matched(from, install.round, out);
+        // What is agreed on is what the leader has.
+        self.verified = self.verified.max(self.commit);
+        self.tell_matched(from, round, out);
     }
 
     pub(super) fn tell_matched(&mut self, leader: &str, round: u64, out: &mut Out) {
@@ -78,7 +88,7 @@
     }
 
     /// Entries need not be on disk for an answer, the term must be. Its time is that of its making, which is not after its sending.
-    fn answer(&mut self, leader: &str, answer: Appended, out: &mut Out) {
+    pub(super) fn answer(&mut self, leader: &str, answer: Appended, out: &mut Out) {
         let number = self.answers.begin(self.now);
         self.say(leader, What::Appended(Appended { number, wish: Some(self.wish), ..answer }), out);
     }
--- a/crates/tandem/src/node/leading.rs
+++ b/crates/tandem/src/node/leading.rs
@@ -1,9 +1,10 @@
 //! What a leader does.
 
+use super::snapshots::weight;
 use super::*;
 
 /// What a leader knows of another node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Progress {
     /// Whose words these are: another disk's are not.
     pub identity: u64,
@@ -22,6 +23,8 @@
     pub caught_up: Option<Millis>,
     /// It leaves, and nothing above this rests on it.
     pub left: Option<u64>,
+    /// The state that it is sent.
+    pub sending: Option<Sending>,
 }
 
 impl Progress {
@@ -38,6 +41,7 @@
             wish: Wish::default(),
             caught_up: None,
             left: None,
+            sending: None,
         }
     }
 
@@ -103,10 +107,20 @@
         if !other.wish.leaving {
             other.left = None;
         }
+        if let Some(taken) = answer.taken {
+            if other.sending.as_mut().is_some_and(|sending| sending.taken(taken)) {
+                self.send_to(now, &from.name, out);
+            }
+            self.confirm_reads(out);
+            return;
+        }
         let mut more = false;
         if answer.fits {
             other.matched = other.matched.max(answer.matched.min(last));
             other.next = other.next.max(answer.received.min(last) + 1);
+            if let Some(done) = other.sending.take_if(|sending| sending.index() <= answer.received) {
+                out.notes.push(done.note(&from.name, now));
+            }
             more = other.next <= last && now - other.sent >= 1.0;
         } else if answer.round >= other.round || answer.matched.saturating_add(1) < other.next {
             other.next = answer.matched.min(last) + 1;
@@ -135,7 +149,7 @@
         let fresh = Progress::fresh(from.identity, next, now);
         let other = leading.others.entry(from.name.clone()).or_insert(fresh);
         if other.identity != from.identity {
-            *other = fresh;
+            *other = Progress::fresh(from.identity, next, now);
         }
         (other.heard, other.wish) = (now, wish);
         self.send_to(now, &from.name, out);
@@ -164,7 +178,8 @@
         }
         for name in due {
             if let Role::Leader(leading) = &mut self.role {
-                if let Some(other) = leading.others.get_mut(&name).filter(|o| now - o.heard > RESEND) {
+                let unanswered = |other: &&mut Progress| now - other.heard > RESEND && other.matched > 0;
+                if let Some(other) = leading.others.get_mut(&name).filter(unanswered) {
                     // What went unanswered may be lost.
                     other.next = other.matched + 1;
                 }
@@ -180,32 +195,38 @@
         let Role::Leader(leading) = &mut self.role else { return };
         let round = leading.rounds.last();
         let Some(other) = leading.others.get_mut(name) else { return };
-        other.sent = now;
         let first = other.next.max(1);
+        let (folded, tail) = (self.disk.snapshot.index, &self.folding);
+        if other.sending.is_none() && first <= folded && !tail.has(first, folded) {
+            other.sending = Some(Sending::of(&self.disk.snapshot, now));
+        }
+        if let Some(sending) = &mut other.sending {
+            let Some(install) = sending.next(now, other.sent, round) else { return };
+            other.sent = now;
+            let message = self.message(What::Install(install));
+            out.sends.push((name.to_owned(), message));
+            return;
+        }
+        other.sent = now;
         // Before it knows what its forerunners agreed on, what it has said to be agreed on proves nothing.
         let echo = if leads { other.echo } else { 0 };
         let left = other.left.is_some();
         let receiver = Member { name: name.to_owned(), identity: other.identity };
-        let what = if first <= self.disk.snapshot.index {
-            other.next = self.disk.snapshot.index + 1;
-            What::Install(Install { snapshot: Some(self.disk.snapshot.clone()), round })
-        } else {
-            let start = (first - self.disk.snapshot.index - 1) as usize;
-            let mut size = 0;
-            let fits = |entry: &&Entry| {
-                size += entry.payload.len() + 64;
-                size <= BATCH + entry.payload.len() + 64
-            };
-            let entries: Vec<Entry> =
-                self.disk.log.get(start..).unwrap_or_default().iter().take_while(fits).cloned().collect();
-            other.next = (first + entries.len() as u64).min(last + 1);
-            let prev_index = first - 1;
-            let prev_term = self.disk.term_at(prev_index).unwrap_or(0);
-            let member = self.active().all(|set| set.contains(&receiver));
-            let commit = self.commit;
-            What::Append(Append { prev_index, prev_term, entries, commit, round, echo, age, member, left })
+        let mut size = 0;
+        let fits = |entry: &&Entry| {
+            size += weight(entry);
+            size <= BATCH + weight(entry)
         };
-        let message = self.message(what);
+        let start = first.saturating_sub(folded + 1) as usize;
+        let log = self.disk.log.get(start..).unwrap_or_default();
+        let entries: Vec<Entry> = tail.from(first).chain(log).take_while(fits).cloned().collect();
+        other.next = (first + entries.len() as u64).min(last + 1);
+        let prev_index = first - 1;
+        let prev_term = self.disk.term_at(prev_index).or_else(|| tail.term_at(prev_index)).unwrap_or(0);
+        let member = self.active().all(|set| set.contains(&receiver));
+        let commit = self.commit;
+        let append = Append { prev_index, prev_term, entries, commit, round, echo, age, member, left };
+        let message = self.message(What::Append(append));
         out.sends.push((name.to_owned(), message));
     }
 
--- a/crates/tandem/src/node/log.rs
+++ b/crates/tandem/src/node/log.rs
@@ -58,7 +58,9 @@
     /// The one way to change what this node holds: the record that goes to disk is taken in here as a start will take it in.
     pub(super) fn write(&mut self, record: Record, out: &mut Out) {
         self.written += 1;
+        self.folding.before(&self.disk, &record);
         self.disk.take(record.clone());
+        self.folding.after(&self.disk, &record);
         out.writes.push((self.written, record));
     }
 
--- a/crates/tandem/src/node/mod.rs
+++ b/crates/tandem/src/node/mod.rs
@@ -5,13 +5,16 @@
 mod leading;
 mod log;
 mod members;
+mod snapshots;
 
 use crate::durable::{Durable, Sets};
 use crate::message::*;
+use bytes::Bytes;
 use leading::{Progress, Rounds};
 pub use members::MOST_MEMBERS;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use snapshots::{Folding, Sending, Taking};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Milliseconds on the caller's steady clock.
@@ -111,6 +114,9 @@
     now: Millis,
     born: Millis,
     disk: Durable,
+    folding: Folding,
+    /// A state that is coming.
+    taking: Option<Taking>,
     sets: Sets,
     voters: BTreeSet<String>,
     wish: Wish,
@@ -162,6 +168,8 @@
             rng,
             now,
             born: now,
+            folding: Folding::of(&disk),
+            taking: None,
             sets: Sets::default(),
             voters: BTreeSet::new(),
             wish: Wish { counts: setup.counts, first: setup.first.is_some(), leaving: false },
@@ -404,18 +412,6 @@
         Some(ticket)
     }
 
-    /// Folds all that is agreed into a state.
-    pub fn fold(&mut self, state: Vec<u8>, out: &mut Out) {
-        let index = self.commit;
-        let Some(term) = self.disk.term_at(index).filter(|_| index > self.disk.snapshot.index) else {
-            return;
-        };
-        let members = self.disk.members_at(index).to_vec();
-        let snapshot = Snapshot { index, term, members, state: state.into() };
-        self.write(Record { snapshot: Some(snapshot), ..Record::default() }, out);
-        self.count_members();
-    }
-
     /// The head of every input: takes the time, and tells whether this node has just found that it leads no more.
     fn begin(&mut self, now: Millis, out: &mut Out) -> bool {
         self.now = now;
--- a/crates/tandem/tests/contact.rs
+++ b/crates/tandem/tests/contact.rs
@@ -108,7 +108,7 @@
             fleet.join();
             fleet.play(1000.0);
             for name in fleet.names.clone() {
-                fleet.step(&name, |tandem, _, out| tandem.fold(vec![7], out));
+                fleet.fold(&name);
             }
         }
         fleet.payload = 8;
--- a/crates/tandem/tests/play/mod.rs
+++ b/crates/tandem/tests/play/mod.rs
@@ -82,6 +82,16 @@
     pub rate: f64,
     /// Bytes of a change.
     pub payload: usize,
+    /// Bytes of a folded state for each change in it.
+    pub folded_bytes: usize,
+    /// Part of the parts of states that are spoilt on their way.
+    pub spoilt: f64,
+    /// Steps between two looks at what a node holds.
+    pub look: u64,
+    looks: u64,
+    pub folded: u64,
+    /// Messages and bytes to each node.
+    pub sent_to: BTreeMap<String, (u64, u64)>,
     pub confirmed_reads: u64,
     pub sent: u64,
     pub notes: Vec<String>,
@@ -108,6 +118,12 @@
             variant,
             rate: 0.01,
             payload: 8,
+            folded_bytes: 1,
+            spoilt: 0.0,
+            look: 1,
+            looks: 0,
+            folded: 0,
+            sent_to: BTreeMap::new(),
             confirmed_reads: 0,
             sent: 0,
             notes: Vec::new(),
@@ -224,16 +240,25 @@
             let all: Vec<String> = if to.is_empty() { self.names.clone() } else { vec![to] };
             for to in all.into_iter().filter(|to| to != name) {
                 self.sent += 1;
+                let size = match &message.what {
+                    Some(What::Install(install)) => install.part.len(),
+                    Some(What::Append(append)) => append.entries.iter().map(|e| e.payload.len()).sum(),
+                    _ => 0,
+                };
+                let (count, bytes) = self.sent_to.get(&to).copied().unwrap_or_default();
+                self.sent_to.insert(to.clone(), (count + 1, bytes + size as u64));
                 if self.chance(self.loss) || self.cut.contains(&(name.to_owned(), to.clone())) {
                     continue;
                 }
                 let late =
                     0.5 + f64::from(self.draw(30)) / 10.0 + if self.chance(0.02) { 300.0 } else { 0.0 };
-                self.wire.push((self.now + late, name.to_owned(), to, message.clone()));
+                let message = self.garble(message.clone());
+                self.wire.push((self.now + late, name.to_owned(), to, message));
             }
         }
         if let Some(snapshot) = out.installed {
-            // What is folded in it was agreed on before.
+            // It is what whoever folded it wrote, whole; what is folded in it was agreed on before.
+            assert!(self.state(snapshot.index) == snapshot.state, "{name} has put together another state");
             let folded = self.truth.range(..=snapshot.index).map(|(_, (e, _))| e.clone()).collect();
             self.nodes.entry(name.to_owned()).and_modify(|node| node.agreed = folded);
         }
@@ -261,8 +286,15 @@
         if out.deposed {
             self.nodes.entry(name.to_owned()).and_modify(|node| node.reads.clear());
         }
-        self.holds(name);
+        self.looks += 1;
+        if self.looks % self.look == 0 {
+            self.holds(name);
+        }
         self.touches(name);
+        if self.nodes[name].tandem.as_ref().is_some_and(Tandem::should_fold) {
+            self.folded += 1;
+            self.fold(name);
+        }
         let tandem = self.nodes.get(name).and_then(|node| node.tandem.as_ref());
         if let Some((term, true)) = tandem.map(|t| (t.term(), t.leads())) {
             let leader = self.leaders.entry(term).or_insert_with(|| name.to_owned());
@@ -273,6 +305,22 @@
         }
     }
 
+    /// Spoils a part of a state now and then: a byte of it, or that and the sum of the part too.
+    fn garble(&mut self, mut message: Message) -> Message {
+        if let Some(What::Install(install)) = &mut message.what {
+            if !install.part.is_empty() && self.spoilt > 0.0 && self.chance(self.spoilt) {
+                let mut bytes = install.part.to_vec();
+                let place = self.draw(bytes.len() as u32) as usize;
+                bytes[place] ^= 0x40;
+                if self.chance(0.5) {
+                    install.sum = maplefall_tandem::checksum(&bytes);
+                }
+                install.part = bytes.into();
+            }
+        }
+        message
+    }
+
     /// What a node says of its disk is there: a start would read it.
     fn said(&mut self, name: &str, to: &str, message: &Message) {
         let Some(node) = self.nodes.get_mut(name) else { return };
@@ -597,6 +645,24 @@
         }
     }
 
+    /// What all up to an index amounts to, in the model: so many bytes for each change, which tell of the index.
+    pub fn state(&self, index: u64) -> Vec<u8> {
+        let length = if index <= 1 { 0 } else { self.folded_bytes * index as usize };
+        let mut word = index;
+        let mut state = Vec::with_capacity(length + 8);
+        while state.len() < length {
+            word = word.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(1);
+            state.extend_from_slice(&word.to_be_bytes());
+        }
+        state
+    }
+
+    pub fn fold(&mut self, name: &str) {
+        let commit = self.nodes[name].tandem.as_ref().map_or(0, Tandem::commit);
+        let state = self.state(commit);
+        self.step(name, |tandem, _, out| tandem.fold(state, out));
+    }
+
     pub fn until_sound(&mut self, most: f64) -> bool {
         let end = self.now + most;
         while self.now < end && !self.sound() {
@@ -740,7 +806,7 @@
             10 => self.freeze(&name, 2.0 * down),
             11 => self.cut_off(&name, true, false),
             12 => self.cut_off(&name, false, true),
-            _ => self.step(&name, |tandem, _, out| tandem.fold(vec![7], out)),
+            _ => self.fold(&name),
         }
         if self.chance(0.3) {
             self.join();
