--- a/crates/exchange/src/core/agreement.rs
+++ b/crates/exchange/src/core/agreement.rs
@@ -60,8 +60,9 @@
         self.keep_lending(now, out);
         self.keep_company(now, out);
         // What is not agreed on cannot be folded, however much it is.
-        let long = self.tandem.length() > self.long_log;
-        if long && self.tandem.length() > self.long_log + self.tandem.pending().count() {
+        let pending = self.tandem.pending().count();
+        let long = self.fold_after.is_some_and(|entries| self.tandem.length() > entries + pending);
+        if long || self.tandem.should_fold() {
             let state = Whole::of(&self.board, self.shares.slots()).encode_to_vec();
             self.agree(now, out, |tandem, todo| tandem.fold(state, todo));
         }
