--- a/crates/tandem/tests/play/mod.rs
+++ b/crates/tandem/tests/play/mod.rs
@@ -586,12 +586,13 @@
         all.last().map(|name| (*name).clone())
     }
 
-    /// Whether all that run are members, by what all of them know to be agreed on, and nobody else is.
+    /// Whether all that run are members, by what all of them know to be agreed on, nobody else is, and none is about to go.
     pub fn sound(&self) -> bool {
         let all: BTreeSet<String> = self.names.iter().cloned().collect();
         self.leader().is_some()
             && self.nodes.iter().all(|(_, node)| {
-                node.tandem.as_ref().is_some_and(|t| t.trusted() && !t.joint() && *t.voters() == all)
+                let goes = node.leaving.is_some_and(|(_, after)| after == After::Gone);
+                node.tandem.as_ref().is_some_and(|t| t.trusted() && !t.joint() && *t.voters() == all) && !goes
             })
     }
 
