--- a/crates/tandem/src/node/mod.rs
+++ b/crates/tandem/src/node/mod.rs
@@ -43,8 +43,8 @@
 const BATCH: usize = 1 << 20;
 /// Nodes that follow without a vote, at most.
 const MOST_LEARNERS: usize = 16;
-/// No system gets here: whoever says so is none of it.
-const HIGHEST_TERM: u64 = 1 << 62;
+/// No term and no index gets here: whoever says so is none of the system.
+const HIGHEST: u64 = 1 << 62;
 /// Reads that wait for a round at most.
 const MOST_READS: usize = 1024;
 /// Messages that wait for the disk at most; what comes beyond is as good as lost on its way.
@@ -330,7 +330,7 @@
     pub fn receive(&mut self, now: Millis, from: &str, message: Message, out: &mut Out) {
         // Answers that have lain in a socket prove nothing of now: a leader that is alone is one no more before it reads them.
         self.begin(now, out);
-        let Some(what) = message.what.filter(|_| message.term < HIGHEST_TERM) else { return };
+        let Some(what) = message.what.filter(|_| message.term < HIGHEST) else { return };
         let would = matches!(&what, What::Ask(ask) if ask.would)
             || matches!(&what, What::Voted(voted) if voted.would && voted.granted);
         if message.term > self.disk.term && !would && !matches!(what, What::Join(_)) {
--- a/crates/tandem/src/node/snapshots.rs
+++ b/crates/tandem/src/node/snapshots.rs
@@ -190,7 +190,7 @@
     ) -> Result<Snapshot, Taken> {
         let Install { index, term, members, length, whole, offset, part, sum, .. } = install;
         let mut taken = Taken { index, whole, bytes: 0 };
-        if length > LONGEST {
+        if length > LONGEST || index >= HIGHEST {
             out.notes
                 .push(format!("event=snapshot_spoilt index={index} field=length bytes={length} from={from}"));
             return Err(taken);
