--- a/crates/exchange/src/core/backends.rs
+++ b/crates/exchange/src/core/backends.rs
@@ -107,9 +107,16 @@
 
     pub(super) fn keep_company(&mut self, now: Millis, out: &mut Vec<Output>) {
         if !self.tandem.in_touch(now) {
-            self.company = None;
+            if let Some(since) = self.company.take() {
+                let last = now - self.tandem.contact(now);
+                out.push(Output::Log(format!(
+                    "event=out_of_touch after_ms={:.0} last_ms={last:.0}",
+                    now - since
+                )));
+            }
         } else if self.company.is_none() {
             self.company = Some(now);
+            out.push(Output::Log("event=in_touch".to_owned()));
             self.directory.excuse(now);
             for conn in self.doors.keys().copied().collect::<Vec<_>>() {
                 self.tell_all(now, conn, out);
