--- a/crates/exchange/src/core/mod.rs
+++ b/crates/exchange/src/core/mod.rs
@@ -37,8 +37,6 @@
 const FROZEN: Millis = 1000.0;
 /// Changes that are kept for doors that lack a few.
 const RING: usize = 256;
-/// Entries after which the log is folded.
-const LONG_LOG: usize = 2000;
 /// Lives whose leaving is remembered as shared at most; of others it is shared again.
 const MOST_SHARED: usize = 50_000;
 /// Receipts at most that wait for the disk.
@@ -82,7 +80,7 @@
 #[derive(Debug)]
 pub enum Output {
     /// Write this; the number is told to [`Core::written`].
-    Write(u64, Stored),
+    Write(u64, Box<Stored>),
     /// Send a frame to the exchange at this address.
     Peer(String, Bytes),
     /// Send a frame to every exchange.
@@ -221,8 +219,8 @@
     told: Millis,
     led_by: Option<String>,
     stopping: bool,
-    /// Entries after which the log is folded.
-    long_log: usize,
+    /// Entries after which the log is folded even if it is not long: for tests.
+    fold_after: Option<usize>,
 }
 
 impl Core {
@@ -291,7 +289,7 @@
             told: now,
             led_by: None,
             stopping: false,
-            long_log: LONG_LOG,
+            fold_after: None,
         };
         for word in kept.words.into_values() {
             core.directory.hear(now, word);
@@ -319,7 +317,7 @@
 
     /// Folds the log after this many entries, where the usual number is too many for a test.
     pub fn fold_after(&mut self, entries: usize) {
-        self.long_log = entries;
+        self.fold_after = Some(entries);
     }
 
     // ---- Inputs -------------------------------------------------------------------------------------
@@ -469,6 +467,6 @@
     fn write(&mut self, stored: Stored, wrote: Wrote, out: &mut Vec<Output>) {
         self.last_write += 1;
         self.writing.push_back((self.last_write, wrote));
-        out.push(Output::Write(self.last_write, stored));
+        out.push(Output::Write(self.last_write, Box::new(stored)));
     }
 }
