Benches: adapted to the merged exchanges, lenders, store and frames

Ruled out: to go on numbering loans by hand in hollow doors. An exchange lends only to a caller that names its connection, and confirmations count only for a lender's life, so hollow doors hold a real Purse and confirm at once what is taken back, as a door does.

Change: exchanges of the group are linked before the first step (words are kept by who is in touch); connections of a hollow door are numbered upwards; the store takes one step of folding after each batch, as its thread does, and the words' numbers follow without a gap; hollow doors on sockets echo pings. The sockets part compiles and was not run.

--- a/benches/benches/items.rs
+++ b/benches/benches/items.rs
@@ -30,7 +30,7 @@
         ("words", words(1000), 1000),
         ("plans", plans(), 2120),
         ("alive", alive(), 1000),
-        ("pulse", Frame::Pulse(0), 1),
+        ("ping", Frame::Ping(1), 1),
     ] {
         group.throughput(Throughput::Elements(items));
         let bytes = write(frame.clone());
--- a/benches/examples/hollow.rs
+++ b/benches/examples/hollow.rs
@@ -131,7 +131,7 @@
                     Frame::Words(_) => "words",
                     Frame::Plans(_) => "plans",
                     Frame::Lent(_) => "lent",
-                    Frame::Pulse(_) => "pulse",
+                    Frame::Ping(_) | Frame::Echo(_) => "liveness",
                     _ => "other",
                 };
                 self.door.heard(now, &ip, frame, &mut out);
--- a/benches/examples/slopes.rs
+++ b/benches/examples/slopes.rs
@@ -3,18 +3,20 @@
 //! `cargo run --release -p maplefall-benches --example slopes PART` tells times;
 //! `cargo run --release -p maplefall-benches --features count-allocations --example slopes PART` tells memory (times are then longer).
 
+use bytes::BytesMut;
 use clap::{Parser, Subcommand};
 use maplefall_benches::group::Group;
 use maplefall_benches::made::{self, Size};
 use maplefall_benches::measure::{each, status, took};
 use maplefall_directory::Directory;
-use maplefall_exchange::store::{Store, Stored};
+use maplefall_exchange::disk::Folder;
+use maplefall_exchange::store::{Error, Store, Stored};
 use maplefall_numbering::{read_call, Board, Change, Plan};
 use maplefall_policy::Outcome;
-use maplefall_signalling::{write, Frame, Hello, Plans, Words, VERSION};
+use maplefall_signalling::{read, write, Frame, Hello, Plans, Words, VERSION};
 use maplefall_switchboard::{Arrival, Core as Door, Ended, Output as DoorOutput};
 use maplefall_tandem::{Entry, EntryKind, Record};
-use maplefall_toll::{Demand, Lender, Lent, Loan, Purse, Report, WHOLE};
+use maplefall_toll::{Caller, Demand, Lender, Lent, Loan, Purse, Report, WHOLE};
 use prost::Message;
 use std::hint::black_box;
 use std::io::{Read, Write};
@@ -243,11 +245,16 @@
 
 // ---- Loans --------------------------------------------------------------------------------------------
 
+/// The life of the lender.
+const LENDER: u32 = 3;
+
 fn report(number: u64, confirmed: u64, door: usize, asked: usize, tenants: usize) -> Report {
     let demand =
         |n: usize| Demand { tenant: made::tenant((door * 7 + n) % tenants.max(1)), rate: 2000, short: false };
     let demand = (0..asked.min(tenants)).map(demand).collect();
-    Report { number, confirmed, first: number == 1, demand, ..Report::default() }
+    let first = number == 1;
+    let lender = if first { 0 } else { LENDER };
+    Report { number, confirmed, first, demand, lender, ..Report::default() }
 }
 
 fn toll(doors: &[usize], tenants: &[usize], asked: usize, most: usize) {
@@ -259,19 +266,20 @@
                 println!("toll doors={d} tenants={t} left_out=over_{most}");
                 continue;
             }
-            let node = |n: usize| format!("edge-zone-{}-{n}", n % 8);
-            let mut lender = Lender::new(0.0, 3, Some(Default::default()));
+            let nodes: Vec<String> = (0..d).map(|n| format!("edge-zone-{}-{n}", n % 8)).collect();
+            let caller = |n: usize| Caller { name: &nodes[n], life: 1, conn: 1 };
+            let mut lender = Lender::new(0.0, LENDER, WHOLE / 3, Some(Default::default()));
             // All doors are there before the first hears of a tenant.
             let none = || std::iter::empty::<&str>();
             for n in 0..d {
-                lender.report(0.0, &node(n), 1, &report(1, 0, n, asked, t), none());
+                lender.report(0.0, caller(n), &report(1, 0, n, asked, t), none());
             }
             let mut numbers = vec![0; d];
             let some = d.min(5);
             let mut bytes = 0;
             let (_, cold) = took(|| {
                 for (n, number) in numbers.iter_mut().enumerate().take(some) {
-                    for (_, lent) in lender.report(500.0, &node(n), 1, &report(2, 0, n, asked, t), all()) {
+                    for (_, lent) in lender.report(500.0, caller(n), &report(2, 0, n, asked, t), all()) {
                         bytes += write(Frame::Lent(lent.clone())).len();
                         *number = lent.number;
                     }
@@ -283,9 +291,9 @@
                 round += 1;
                 for (n, number) in numbers.iter_mut().enumerate().take(some) {
                     let report = report(round, *number, n, asked, t);
-                    for (to, lent) in lender.report(1000.0, &node(n), 1, &report, all()) {
+                    for (to, lent) in lender.report(1000.0, caller(n), &report, all()) {
                         calm_bytes = write(Frame::Lent(lent.clone())).len();
-                        if to == node(n) {
+                        if to == nodes[n] {
                             *number = lent.number;
                         }
                     }
@@ -307,7 +315,7 @@
                 purse.connected(lender);
                 purse.report(0.0, lender, Vec::new());
                 let loans = names.iter().map(|tenant| Loan { tenant: tenant.clone(), parts: 9 }).collect();
-                purse.lent(0.0, lender, &Lent { number: 1, report: 1, loans, doors: 1, life: 1 });
+                purse.lent(0.0, lender, &Lent { number: 1, report: 1, loans, doors: 1, life: 1, lender: 1 });
             }
         });
         println!("toll purse tenants={t} lenders=3 bytes_tenant={:.0}", held.held as f64 / t as f64);
@@ -399,7 +407,7 @@
         door.heard(0.0, "10.0.0.1", Frame::Words(Words { words, all: false, receipt: 0 }), &mut Vec::new());
         door.exchange_up(1.0, "10.0.0.1", &mut out);
         let loans = (0..t).map(|n| Loan { tenant: made::tenant(n), parts: WHOLE }).collect();
-        let lent = Lent { number: 1, report: 1, loans, doors: 1, life: 9 };
+        let lent = Lent { number: 1, report: 1, loans, doors: 1, life: 9, lender: 1 };
         let (_, lent) = took(|| door.heard(2.0, "10.0.0.1", Frame::Lent(lent), &mut Vec::new()));
         let mut now = 10.0;
         let (mut who, mut served) = (0, 0_u64);
@@ -604,40 +612,48 @@
         door.set_nonblocking(true)?;
         there.push(door);
     }
-    let pulse = write(Frame::Pulse(0));
     let mut buffer = vec![0; 64 << 10];
-    // What doors hear is read away; half of them say something each time, lest they are taken for silent.
-    let mut drain = |there: &mut Vec<TcpStream>, say: bool| {
+    let mut heard = vec![BytesMut::new(); there.len()];
+    // What doors hear is read, and pings are echoed, lest they are taken for dead.
+    let mut drain = |there: &mut Vec<TcpStream>| {
         let mut bytes = 0;
-        for door in there {
-            while let Ok(read @ 1..) = door.read(&mut buffer) {
-                bytes += read;
+        for (door, heard) in there.iter_mut().zip(&mut heard) {
+            while let Ok(many @ 1..) = door.read(&mut buffer) {
+                bytes += many;
+                heard.extend_from_slice(&buffer[..many]);
             }
-            if say {
-                let _ = door.write_all(&pulse);
+            while let Ok(Some(frame)) = read(heard) {
+                if let Frame::Ping(number) = frame {
+                    let _ = door.write_all(&write(Frame::Echo(number)));
+                }
             }
         }
         bytes
     };
-    std::thread::sleep(Duration::from_millis(800));
-    drain(&mut there, true);
+    let mut rest = |there: &mut Vec<TcpStream>, millis: u64| {
+        let end = Instant::now() + Duration::from_millis(millis);
+        while Instant::now() < end {
+            std::thread::sleep(Duration::from_millis(20));
+            drain(there);
+        }
+    };
+    rest(&mut there, 800);
     let (before, began) = (child.cpu(), Instant::now());
-    std::thread::sleep(Duration::from_secs(1));
-    drain(&mut there, true);
+    rest(&mut there, 1000);
     let idle = (child.cpu() - before) / began.elapsed().as_secs_f64();
     // New backends: each is told to every door.
     let (before, began, news, mut good) = (child.cpu(), Instant::now(), 100, 0);
     let mut bytes = 0;
     for n in 0..news {
         good += usize::from(post(&mut stream, n, 1)?);
-        bytes += drain(&mut there, n % 20 == 0);
+        bytes += drain(&mut there);
     }
     let told = child.cpu() - before - idle * began.elapsed().as_secs_f64();
     let (before, began) = (child.cpu(), Instant::now());
     for n in 0..beats {
         good += usize::from(post(&mut stream, n % news, 2 + (n / news) as u64)?);
         if n % 500 == 0 {
-            drain(&mut there, true);
+            drain(&mut there);
         }
     }
     let kept = (child.cpu() - before - idle * began.elapsed().as_secs_f64()) / beats as f64;
@@ -647,7 +663,7 @@
         stream.set_read_timeout(Some(Duration::from_secs(10)))?;
         good += usize::from(post(&mut stream, n % news, 100_000 + (n / news) as u64)?);
         if n % 500 == 0 {
-            drain(&mut there, true);
+            drain(&mut there);
         }
     }
     let fresh = (child.cpu() - before - idle * began.elapsed().as_secs_f64()) / anew.max(1) as f64;
@@ -683,12 +699,21 @@
     files.filter_map(|file| Some(file.metadata().ok()?.len())).sum()
 }
 
+/// Writes records, and takes one step of what can wait, as the exchange's thread does.
+fn put(store: &mut Store<Folder>, records: Vec<Stored>) -> Result<(), Error> {
+    store.write(records)?;
+    if store.busy() {
+        store.step()?;
+    }
+    Ok(())
+}
+
 fn disk(entries: &[usize]) {
     let change = read_call(made::call(0..1, 0..0, 0..0, 1, 8).as_bytes()).unwrap_or_default();
     let payload = change.encode_to_vec();
     for &n in entries {
         let path = folder("log");
-        let Ok((store, _)) = Store::open(&path) else {
+        let Ok((mut store, _)) = Store::open(Folder::new(&path)) else {
             println!("disk error=open");
             return;
         };
@@ -710,7 +735,7 @@
                 })
                 .collect();
             logical += records.iter().map(Message::encoded_len).sum::<usize>();
-            if store.write(records).is_err() {
+            if put(&mut store, records).is_err() {
                 println!("disk error=write");
                 return;
             }
@@ -719,7 +744,8 @@
         let _ = store.close();
         let on_disk = size_of(&path);
         let before = Instant::now();
-        let (found, took) = took(|| Store::open(&path).map(|(_, kept)| kept.tandem.log.len()).unwrap_or(0));
+        let (found, took) =
+            took(|| Store::open(Folder::new(&path)).map(|(_, kept)| kept.tandem.log.len()).unwrap_or(0));
         println!(
             "disk entries={n} found={found} payload_bytes={} record_bytes_entry={:.0} written_bytes_entry={:.0} on_disk_bytes={on_disk} start_ms={:.1} start_cpu_us_entry={:.2}",
             payload.len(),
@@ -733,28 +759,30 @@
     // With so many backends known, what is written for each further word: the whole state again and again.
     for known in [1000, 10_000, 50_000] {
         let path = folder("words");
-        let Ok((store, _)) = Store::open(&path) else { return };
+        let Ok((mut store, _)) = Store::open(Folder::new(&path)) else { return };
         let stored = |number: u64, from: usize, many: usize, seq: u64| Stored {
             number,
             words: (from..from + many).map(|n| made::word(n, 8900, seq)).collect(),
             ..Stored::default()
         };
+        let mut good = true;
         for at in 0..known / 1000 {
-            let _ = store.write(vec![stored(at as u64 + 1, at * 1000, 1000, 1)]);
+            good &= put(&mut store, vec![stored(at as u64 + 1, at * 1000, 1000, 1)]).is_ok();
         }
-        let (wrote, mut number, further) = (written(), known as u64, 20_000);
+        let (wrote, mut number, further) = (written(), known as u64 / 1000, 20_000);
         for at in 0..further / 20 {
             let records = (0..20)
                 .map(|k| {
                     number += 1;
-                    stored(number, (at * 20 + k) % known, 1, 2)
+                    let n = at * 20 + k;
+                    stored(number, n % known, 1, 2 + (n / known) as u64)
                 })
                 .collect();
-            let _ = store.write(records);
+            good &= put(&mut store, records).is_ok();
         }
         let _ = store.close();
         println!(
-            "disk backends={known} further_words={further} written_bytes_word={:.0} on_disk_bytes={}",
+            "disk backends={known} good={good} further_words={further} written_bytes_word={:.0} on_disk_bytes={}",
             (written() - wrote) as f64 / f64::from(further as u32),
             size_of(&path)
         );
--- a/benches/src/group.rs
+++ b/benches/src/group.rs
@@ -7,7 +7,7 @@
 use maplefall_exchange::store::Kept;
 use maplefall_exchange::{Answer, Call, Core, Output};
 use maplefall_signalling::{read, Frame, Hello, VERSION};
-use maplefall_toll::{Demand, Report};
+use maplefall_toll::{Demand, Purse, Report};
 use prost::Message;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -55,11 +55,16 @@
         Some(6) => "plans",
         Some(7) => "report",
         Some(8) => "lent",
-        Some(9) => "pulse",
+        Some(9) => "ping",
+        Some(10) => "echo",
+        Some(11) => "part",
         _ => "other",
     }
 }
 
+/// Connections of one door are numbered apart by this much: later ones have higher numbers.
+const CONNECTIONS: u64 = 1 << 20;
+
 /// A door that only says what a door says to one exchange after another.
 #[derive(Clone, Debug)]
 struct Hollow {
@@ -67,8 +72,12 @@
     life: u64,
     /// Its connection is up.
     up: bool,
-    /// For each exchange: number of the last report, of the last answer, and whether the next is the first.
-    said: Vec<(u64, u64, bool)>,
+    /// Number of its connection, the same at every exchange.
+    conn: u64,
+    /// What it holds, as a real door does.
+    purse: Purse,
+    /// For each exchange: whether the next report is the first on this connection, which asks for nothing yet.
+    first: Vec<bool>,
 }
 
 /// Exchanges and hollow doors.
@@ -89,6 +98,8 @@
     pub watch: usize,
     doors: Vec<Hollow>,
     mail: VecDeque<(usize, usize, Bytes)>,
+    /// Reports that confirm what was taken back: door, exchange.
+    confirms: VecDeque<(usize, usize, Report)>,
     writes: Vec<VecDeque<u64>>,
     calls: u64,
 }
@@ -106,6 +117,7 @@
             watch: 0,
             doors: Vec::new(),
             mail: VecDeque::new(),
+            confirms: VecDeque::new(),
             writes: vec![VecDeque::new(); exchanges],
             calls: 0,
             ips,
@@ -116,6 +128,12 @@
             group.cores.push(Core::new(&settings, 0.0, 7 + n as u64, Kept::default(), &mut out));
             group.carry(n, out);
         }
+        for at in 0..exchanges {
+            for other in (0..exchanges).filter(|other| *other != at) {
+                let ip = group.ips[other].clone();
+                group.drive(at, "connect", |core, now, out| core.peer_up(now, &ip, out));
+            }
+        }
         group.pump();
         for _ in 0..30 {
             group.step(100.0);
@@ -165,7 +183,7 @@
                 Output::Door(conn, bytes) => {
                     let what = kind(&bytes);
                     done.doors.entry(what).or_default().add(bytes.len());
-                    self.told(at, conn as usize, what, bytes);
+                    self.told(at, (conn % CONNECTIONS) as usize, what, bytes);
                 }
                 Output::Answer(_, answer) => {
                     done.answers.0 += 1;
@@ -183,7 +201,11 @@
         let Some(hollow) = self.doors.get_mut(door) else { return };
         if what == "lent" {
             if let Ok(Some(Frame::Lent(lent))) = read(&mut BytesMut::from(bytes.as_ref())) {
-                hollow.said[at].1 = lent.number;
+                // What is taken back is confirmed at once.
+                if hollow.up && hollow.purse.lent(self.now, &self.ips[at], &lent).0 {
+                    let report = hollow.purse.report(self.now, &self.ips[at], Vec::new());
+                    self.confirms.push_back((door, at, report));
+                }
             }
         } else if what == "plans" && (self.index == 0 || door == 0) {
             if let Ok(Some(Frame::Plans(plans))) = read(&mut BytesMut::from(bytes.as_ref())) {
@@ -201,6 +223,10 @@
                     self.drive(at, "disk", |core, now, out| core.written(now, number, out));
                 }
             }
+            if let Some((door, at, report)) = self.confirms.pop_front() {
+                self.report(door, at, report);
+                continue;
+            }
             match self.mail.pop_front() {
                 Some((from, to, bytes)) => {
                     let ip = self.ips[from].clone();
@@ -272,11 +298,16 @@
         while self.doors.len() <= door {
             let node = format!("edge-zone-{}-{}", self.doors.len() % 8, self.doors.len());
             let life = 1000 + self.doors.len() as u64;
-            self.doors.push(Hollow { node, life, up: false, said: vec![(0, 0, true); exchanges] });
+            let conn = self.doors.len() as u64;
+            let purse = Purse::new(life);
+            self.doors.push(Hollow { node, life, up: false, conn, purse, first: vec![true; exchanges] });
         }
         let hollow = &mut self.doors[door];
         hollow.up = true;
-        hollow.said.iter_mut().for_each(|said| (said.1, said.2) = (0, true));
+        hollow.conn += CONNECTIONS;
+        hollow.first.fill(true);
+        self.ips.iter().for_each(|ip| hollow.purse.connected(ip));
+        let conn = hollow.conn;
         let hello = Hello {
             version: VERSION,
             ip: format!("10.1.{}.{}", door / 256, door % 256),
@@ -286,31 +317,31 @@
             index,
         };
         for at in 0..exchanges {
-            self.drive(at, "connect", |core, now, out| core.door_up(now, door as u64, &hello, out));
+            self.drive(at, "connect", |core, now, out| core.door_up(now, conn, &hello, out));
         }
     }
 
     /// A door's connections end.
     pub fn disconnect(&mut self, door: usize) {
-        self.doors[door].up = false;
+        let hollow = &mut self.doors[door];
+        hollow.up = false;
+        let conn = hollow.conn;
         for at in 0..self.cores.len() {
-            self.drive(at, "connect", |core, _, out| core.door_down(door as u64, out));
+            self.drive(at, "connect", |core, _, out| core.door_down(conn, out));
         }
     }
 
     /// What this door reports to an exchange next; `asked` tenants ask something of it.
     fn next_report(&mut self, door: usize, at: usize, asked: usize, tenants: usize) -> Option<Report> {
         let hollow = self.doors.get_mut(door).filter(|hollow| hollow.up)?;
-        let said = &mut hollow.said[at];
-        said.0 += 1;
-        let first = std::mem::take(&mut said.2);
+        let first = std::mem::take(&mut hollow.first[at]);
         let demand = |n: usize| Demand {
             tenant: made::tenant((door * 7 + n) % tenants.max(1)),
             rate: 2000,
             short: false,
         };
         let demand = if first { Vec::new() } else { (0..asked.min(tenants)).map(demand).collect() };
-        Some(Report { number: said.0, confirmed: said.1, first, demand, ..Report::default() })
+        Some(hollow.purse.report(self.now, &self.ips[at], demand))
     }
 
     /// These doors report to every exchange.
@@ -325,6 +356,7 @@
 
     /// A door reports to an exchange.
     pub fn report(&mut self, door: usize, at: usize, report: Report) {
-        self.drive(at, "reports", |core, now, out| core.door(now, door as u64, Frame::Report(report), out));
+        let Some(conn) = self.doors.get(door).map(|hollow| hollow.conn) else { return };
+        self.drive(at, "reports", |core, now, out| core.door(now, conn, Frame::Report(report), out));
     }
 }
