After a loss of all, loans flow at once: a test

It had no test. Three exchanges start anew with their disks; a door's new life has a third of each within 1.5 s.

--- a/crates/exchange/tests/lending.rs
+++ b/crates/exchange/tests/lending.rs
@@ -269,6 +269,39 @@
     assert_eq!(parts(&play.report("10.0.0.4", 1, report)), [WHOLE / 5]);
 }
 
+/// Guards the seconds after a loss of all: exchanges that find their disks lend as soon as they agree and their doors are back. On merged
+/// stages of this they waited for 23 s, and doors refused all that while.
+#[test]
+fn after_a_loss_of_all_loans_flow_at_once() {
+    let ips = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
+    let mut play = Play::new(&ips, 1);
+    play.run(3000.0);
+    play.amend();
+    for ip in ips {
+        play.door(ip, 1, "door", 5);
+        let lent = play.report(ip, 1, Report { number: 1, first: true, ..Report::default() });
+        assert_eq!(parts(&lent), [WHOLE / 3]);
+    }
+    let disks: Vec<Kept> = ips
+        .iter()
+        .map(|ip| {
+            let mut kept = Kept::default();
+            play.nodes[*ip].kept.iter().for_each(|stored| kept.take(stored.clone()));
+            kept
+        })
+        .collect();
+    (play.nodes, play.mail) = (BTreeMap::new(), VecDeque::new());
+    for (n, (ip, kept)) in ips.iter().zip(disks).enumerate() {
+        play.start(&settings(ip, &ips, false, 1), kept, n as u64 + 70);
+    }
+    play.run(1500.0);
+    for ip in ips {
+        play.door(ip, 1, "door", 6);
+        let lent = play.report(ip, 1, Report { number: 1, first: true, ..Report::default() });
+        assert_eq!(parts(&lent), [WHOLE / 3], "{ip}");
+    }
+}
+
 /// Guards the disk against names without end, and restarts against waiting for doors that are gone for good.
 #[test]
 fn doors_that_hold_nothing_any_more_are_forgotten() {
