--- a/benches/examples/slopes.rs
+++ b/benches/examples/slopes.rs
@@ -18,6 +18,7 @@
 use maplefall_tandem::{Entry, EntryKind, Record};
 use maplefall_toll::{Caller, Demand, Lender, Lent, Loan, Purse, Report, WHOLE};
 use prost::Message;
+use socket2::{Domain, Socket, Type};
 use std::hint::black_box;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -566,6 +567,15 @@
     Ok(answer[..read].starts_with(b"HTTP/1.1 200"))
 }
 
+/// Opens a connection from this address.
+fn dial(from: &str, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let from: SocketAddr = format!("{from}:0").parse().map_err(std::io::Error::other)?;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&from.into())?;
+    socket.connect(&to.into())?;
+    Ok(socket.into())
+}
+
 fn free() -> std::io::Result<SocketAddr> {
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
@@ -599,10 +609,12 @@
     stream.set_read_timeout(Some(Duration::from_secs(10)))?;
     let mut there = Vec::new();
     for n in 0..doors {
-        let mut door = TcpStream::connect(inner)?;
+        // One door is heard for each machine: each has an address of its own.
+        let ip = format!("127.1.{}.{}", n / 250, 1 + n % 250);
+        let mut door = dial(&ip, inner)?;
         let hello = Hello {
             version: VERSION,
-            ip: "127.0.0.1".to_owned(),
+            ip,
             node: format!("edge-{n}"),
             life: 1 + n as u64,
             exchange: false,
