--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -19,8 +19,8 @@
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
-/// Two routes to one service: `/safe/` is idempotent, `/once/` is not.
-pub const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/safe/","safe",20,0.2,3,"00000001","one"],["r2","h.example","/once/","nonidempotent",20,0.2,3,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
+/// Routes to one service: `/safe/` is idempotent, `/once/` is not; `/patient/` is idempotent, and its attempts have long.
+pub const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/safe/","safe",20,0.2,3,"00000001","one"],["r2","h.example","/once/","nonidempotent",20,0.2,3,"00000001","one"],["r3","h.example","/patient/","safe",20,10,3,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
 
 /// A proxy that serves clients on a loopback port until it is dropped.
 pub struct TestProxy {
