Proxies end attempts whose clients have left

The policy's cancel is off in the gateway's settings, so an attempt went on until its response or its timeout when the client had gone.

Ruled out: that the proxy does not learn of it (its core is told; hyper reports the end of a busy connection, also while the proxy shuts down).

Change: the core cancels the attempt if the route may be repeated; another one is cancelled only while it is not completely written, since a backend may be halfway through. Files under policy are untouched.

--- a/crates/proxy/src/core/admission.rs
+++ b/crates/proxy/src/core/admission.rs
@@ -61,6 +61,7 @@
         let id = self.next_request_id();
         let pending = PendingRequest {
             service,
+            idempotent: route.idempotent,
             tenant: tenant_name.clone(),
             latency_target: route.latency_target,
             deadline,
--- a/crates/proxy/src/core/messages.rs
+++ b/crates/proxy/src/core/messages.rs
@@ -130,6 +130,8 @@
     Respond(RequestId, LocalResponse),
     /// Close the connection of an attempt, then call [`Core::attempt_ended`](super::Core::attempt_ended).
     CancelAttempt(RequestId, u32),
+    /// The same, unless the request has been completely written: then the attempt goes on.
+    CancelUnwritten(RequestId, u32),
     /// Change the connection pool of a backend.
     Pool(PoolCommand),
     /// Close the idle connections to a backend.
--- a/crates/proxy/src/core/requests.rs
+++ b/crates/proxy/src/core/requests.rs
@@ -20,6 +20,8 @@
 pub(super) struct PendingRequest {
     /// Index of its service.
     pub service: usize,
+    /// Whether it may run more than once (its route's kind).
+    pub idempotent: bool,
     pub tenant: Option<Rc<str>>,
     /// The route's latency target.
     pub latency_target: Millis,
@@ -56,7 +58,9 @@
         self.requests.values().any(|pending| !pending.responded)
     }
 
-    /// A client has gone away before its response. A request that still waits for its quota token returns it.
+    /// A client has gone away before its response. A request that still waits for its quota token returns it. Guards backends
+    /// against work that nobody waits for (the users' rule GONE): an attempt that may be repeated is cancelled. One that may not is
+    /// left to its backend once it is completely written, since it may be halfway through.
     pub fn client_disconnected(&mut self, now: Millis, id: RequestId, out: &mut Vec<Output>) {
         let Some(pending) = self
             .requests
@@ -67,12 +71,20 @@
         };
         pending.responded = true;
         let service = pending.service;
+        let (idempotent, in_flight) = (pending.idempotent, pending.in_flight);
         if pending.waiting_for_token.take().is_some() {
             if let Some(tenant) = &pending.tenant {
                 self.tenants.give_back(tenant, 1.0);
             }
         }
         self.handle_policy_event(now, service, Event::ClientGone(id), out);
+        if let Some(attempt) = in_flight {
+            out.push(if idempotent {
+                Output::CancelAttempt(id, attempt.number)
+            } else {
+                Output::CancelUnwritten(id, attempt.number)
+            });
+        }
         self.remove_if_finished(id);
     }
 
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -158,6 +158,7 @@
             Output::ForwardResponse(id) => self.forward_response(id),
             Output::Respond(id, response) => self.respond(id, response),
             Output::CancelAttempt(id, attempt) => self.cancel_attempt(id, attempt),
+            Output::CancelUnwritten(id, attempt) => self.cancel_unwritten(id, attempt),
             Output::Pool(PoolCommand::Open(id, address)) => self.pools.open(id, address, 0.0),
             Output::Pool(PoolCommand::Drain(id)) => self.pools.drain(id),
             Output::Pool(PoolCommand::Remove(id)) => self.pools.remove(id),
@@ -226,6 +227,16 @@
         self.attempt_ended(id, number, AttemptEnd::without_response(outcome));
     }
 
+    fn cancel_unwritten(self: &Rc<Self>, id: RequestId, number: u32) {
+        let fully_written = self.pending.borrow().get(&id).is_some_and(|request| {
+            let in_flight = request.in_flight.as_ref();
+            in_flight.is_some_and(|attempt| attempt.handle.fully_written())
+        });
+        if !fully_written {
+            self.cancel_attempt(id, number);
+        }
+    }
+
     /// Admits a request, or rejects it with its response. `build` makes the request that is forwarded.
     pub fn admit(
         self: &Rc<Self>,
