Abandoned attempts end as cancelled: a client that leaves says nothing about a backend

Need: the attempt of a client that has left ended as timed out, which counts against the backend's health. The policy has an outcome for it.

--- a/crates/proxy/src/core/messages.rs
+++ b/crates/proxy/src/core/messages.rs
@@ -128,10 +128,17 @@
     ForwardResponse(RequestId),
     /// Respond without a backend.
     Respond(RequestId, LocalResponse),
-    /// Close the connection of an attempt, then call [`Core::attempt_ended`](super::Core::attempt_ended).
+    /// The attempt has had its time: close its connection, then call [`Core::attempt_ended`](super::Core::attempt_ended).
     CancelAttempt(RequestId, u32),
-    /// The same, unless the request has been completely written: then the attempt goes on.
-    CancelUnwritten(RequestId, u32),
+    /// The client has gone: the same, with an outcome that says nothing about the backend.
+    AbandonAttempt {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number within the request.
+        attempt: u32,
+        /// Whether also a request that has been completely written is abandoned.
+        even_if_written: bool,
+    },
     /// Change the connection pool of a backend.
     Pool(PoolCommand),
     /// Close the idle connections to a backend.
--- a/crates/proxy/src/core/requests.rs
+++ b/crates/proxy/src/core/requests.rs
@@ -79,10 +79,10 @@
         }
         self.handle_policy_event(now, service, Event::ClientGone(id), out);
         if let Some(attempt) = in_flight {
-            out.push(if idempotent {
-                Output::CancelAttempt(id, attempt.number)
-            } else {
-                Output::CancelUnwritten(id, attempt.number)
+            out.push(Output::AbandonAttempt {
+                request: id,
+                attempt: attempt.number,
+                even_if_written: idempotent,
             });
         }
         self.remove_if_finished(id);
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -158,7 +158,11 @@
             Output::ForwardResponse(id) => self.forward_response(id),
             Output::Respond(id, response) => self.respond(id, response),
             Output::CancelAttempt(id, attempt) => self.cancel_attempt(id, attempt),
-            Output::CancelUnwritten(id, attempt) => self.cancel_unwritten(id, attempt),
+            Output::AbandonAttempt {
+                request,
+                attempt,
+                even_if_written,
+            } => self.abandon_attempt(request, attempt, even_if_written),
             Output::Pool(PoolCommand::Open(id, address)) => self.pools.open(id, address, 0.0),
             Output::Pool(PoolCommand::Drain(id)) => self.pools.drain(id),
             Output::Pool(PoolCommand::Remove(id)) => self.pools.remove(id),
@@ -210,12 +214,13 @@
         }
     }
 
+    fn take_in_flight(&self, id: RequestId, number: u32) -> Option<InFlightAttempt> {
+        let mut pending = self.pending.borrow_mut();
+        pending.get_mut(&id)?.take_in_flight(number)
+    }
+
     fn cancel_attempt(self: &Rc<Self>, id: RequestId, number: u32) {
-        let attempt = self
-            .pending
-            .borrow_mut()
-            .get_mut(&id)
-            .and_then(|request| request.take_in_flight(number));
+        let attempt = self.take_in_flight(id, number);
         // One that is not in flight has not been written: its task has yet to run.
         let outcome = match &attempt {
             Some(attempt) if attempt.handle.fully_written() => Outcome::Timeout,
@@ -227,14 +232,19 @@
         self.attempt_ended(id, number, AttemptEnd::without_response(outcome));
     }
 
-    fn cancel_unwritten(self: &Rc<Self>, id: RequestId, number: u32) {
+    fn abandon_attempt(self: &Rc<Self>, id: RequestId, number: u32, even_if_written: bool) {
         let fully_written = self.pending.borrow().get(&id).is_some_and(|request| {
             let in_flight = request.in_flight.as_ref();
             in_flight.is_some_and(|attempt| attempt.handle.fully_written())
         });
-        if !fully_written {
-            self.cancel_attempt(id, number);
+        if fully_written && !even_if_written {
+            return;
+        }
+        if let Some(attempt) = self.take_in_flight(id, number) {
+            attempt.handle.abort();
         }
+        let end = AttemptEnd::without_response(Outcome::Cancelled);
+        self.attempt_ended(id, number, end);
     }
 
     /// Admits a request, or rejects it with its response. `build` makes the request that is forwarded.
