--- a/crates/controller/tests/common/processor/controller.rs
+++ b/crates/controller/tests/common/processor/controller.rs
@@ -33,7 +33,7 @@
     pub log_lines: Vec<(f64, String)>,
 }
 
-fn ip(node: usize) -> String {
+pub fn ip(node: usize) -> String {
     format!("10.0.0.{}", node + 1)
 }
 
@@ -124,7 +124,7 @@
         version: PROTOCOL_VERSION,
         ip: format!("10.1.{}.{}", proxy / 250, proxy % 250 + 1),
         node: proxy::name(proxy),
-        incarnation: 1,
+        incarnation: proxy::incarnation(proxy),
         is_controller: false,
         config_index: 0,
     }
--- a/crates/controller/tests/common/processor/mod.rs
+++ b/crates/controller/tests/common/processor/mod.rs
@@ -1,12 +1,18 @@
 //! A fleet in which controllers take time: each [`Core`] has one processor, which handles one input after the other, in the order in
-//! which they arrive, as long as each of them costs. Proxies ask for leases as `crates/proxy` does. Simulated time, no sockets.
+//! which they arrive, as long as each of them costs. Proxies are models that ask for leases as `crates/proxy` does ([`Fleet::new`]),
+//! or the real core of a proxy with clients ([`Fleet::with_gateways`]). Simulated time, no sockets.
 //!
 //! The cost of an input is what the bench charged on grown deployments (journal 793e3ba3): [`INPUT_COST`] for any, and
 //! [`RECORD_COST`] for each client record that a lease request makes the lease server look at.
 
+#![allow(dead_code, reason = "every test uses a part of it")]
+
 mod controller;
+mod gateway_proxy;
 mod proxy;
 
+pub use gateway_proxy::{GatewayProxy, TenantRequests, Traffic};
+
 use controller::{Controller, Input};
 use maplefall_control_messages::Frame;
 use maplefall_controller::core::TICK;
@@ -14,6 +20,24 @@
 use proxy::Proxy;
 use std::collections::BTreeMap;
 
+/// A proxy of the fleet, as its controllers see it.
+pub trait FleetProxy {
+    /// A connection to this controller is established; returns what is sent to it.
+    fn connected(&mut self, now: f64, controller: usize) -> Vec<(usize, Frame)>;
+    /// A frame of this controller has arrived; returns frames with the controllers that they go to.
+    fn receive(&mut self, now: f64, controller: usize, frame: Frame) -> Vec<(usize, Frame)>;
+    /// Its timer; returns frames with the controllers that they go to.
+    fn tick(&mut self, now: f64) -> Vec<(usize, Frame)>;
+    /// When its timer is due next, from now.
+    fn next_tick_delay(&mut self, now: f64) -> f64;
+    /// The fraction of a tenant's quota that it holds.
+    fn fraction(&self, now: f64, tenant: usize) -> f64;
+    /// What became of its clients' requests, if it has clients.
+    fn requests(&self) -> &[TenantRequests] {
+        &[]
+    }
+}
+
 /// Delay of the network, in milliseconds.
 const NETWORK_DELAY: f64 = 1.0;
 const DISK_DELAY: f64 = 2.0;
@@ -42,6 +66,8 @@
         proxy: usize,
         frame: Frame,
     },
+    /// A proxy's connection to a controller is established.
+    ProxyConnected { controller: usize, proxy: usize },
     /// A proxy's timer.
     ProxyTick(usize),
 }
@@ -60,15 +86,26 @@
     events: BTreeMap<(u64, u64), Event>,
     last_event: u64,
     controllers: Vec<Controller>,
-    proxies: Vec<Proxy>,
+    proxies: Vec<Box<dyn FleetProxy>>,
     responses: BTreeMap<u64, CallResponse>,
     last_call: u64,
     lease_request_cost: f64,
 }
 
 impl Fleet {
-    /// All controllers and proxies start now, with empty disks.
+    /// All controllers and model proxies start now, with empty disks.
     pub fn new(size: &FleetSize) -> Fleet {
+        Fleet::with_proxies(size, |number| Box::new(Proxy::new(number, size)))
+    }
+
+    /// The same with real proxies, whose clients begin at a time.
+    pub fn with_gateways(size: &FleetSize, traffic: &Traffic) -> Fleet {
+        Fleet::with_proxies(size, |number| {
+            Box::new(GatewayProxy::new(number, size, *traffic))
+        })
+    }
+
+    fn with_proxies(size: &FleetSize, proxy: impl Fn(usize) -> Box<dyn FleetProxy>) -> Fleet {
         let mut fleet = Fleet {
             now: 0.0,
             events: BTreeMap::new(),
@@ -90,14 +127,19 @@
                 fleet.schedule(1.0, Event::Arrive(node, Input::PeerConnected(peer)));
             }
         }
-        for proxy in 0..size.proxies {
-            fleet.proxies.push(Proxy::new(proxy, size));
+        for number in 0..size.proxies {
+            fleet.proxies.push(proxy(number));
             // Machines start within 0.3 s of each other.
-            let start = 300.0 * proxy as f64 / size.proxies as f64;
+            let start = 300.0 * number as f64 / size.proxies as f64;
             for node in 0..size.controllers {
-                fleet.schedule(start, Event::Arrive(node, Input::ProxyConnected(proxy)));
+                fleet.schedule(start, Event::Arrive(node, Input::ProxyConnected(number)));
+                let connected = Event::ProxyConnected {
+                    controller: node,
+                    proxy: number,
+                };
+                fleet.schedule(start, connected);
             }
-            fleet.schedule(start + 5.0, Event::ProxyTick(proxy));
+            fleet.schedule(start + 5.0, Event::ProxyTick(number));
         }
         fleet
     }
@@ -139,22 +181,24 @@
                 proxy,
                 frame,
             } => {
-                let frame = self.proxies[proxy].receive(self.now, controller, &frame);
-                self.send_to_controller(proxy, controller, frame);
+                let frames = self.proxies[proxy].receive(self.now, controller, frame);
+                self.send_to_controllers(proxy, frames);
+            }
+            Event::ProxyConnected { controller, proxy } => {
+                let frames = self.proxies[proxy].connected(self.now, controller);
+                self.send_to_controllers(proxy, frames);
             }
             Event::ProxyTick(proxy) => {
-                for controller in 0..self.controllers.len() {
-                    let frame = self.proxies[proxy].request(self.now, controller);
-                    self.send_to_controller(proxy, controller, Some(frame));
-                }
+                let frames = self.proxies[proxy].tick(self.now);
+                self.send_to_controllers(proxy, frames);
                 let delay = self.proxies[proxy].next_tick_delay(self.now);
                 self.schedule(delay, Event::ProxyTick(proxy));
             }
         }
     }
 
-    fn send_to_controller(&mut self, proxy: usize, controller: usize, frame: Option<Frame>) {
-        if let Some(frame) = frame {
+    fn send_to_controllers(&mut self, proxy: usize, frames: Vec<(usize, Frame)>) {
+        for (controller, frame) in frames {
             let input = Input::ProxyFrame(proxy, frame);
             self.schedule(NETWORK_DELAY, Event::Arrive(controller, input));
         }
@@ -281,6 +325,19 @@
         lengths.max().unwrap_or(0)
     }
 
+    /// What became of the requests of all proxies' clients, by tenant.
+    pub fn requests(&self) -> Vec<TenantRequests> {
+        let mut sums: Vec<TenantRequests> = Vec::new();
+        for proxy in &self.proxies {
+            sums.resize_with(proxy.requests().len(), TenantRequests::default);
+            for (sum, of_proxy) in sums.iter_mut().zip(proxy.requests()) {
+                sum.sent += of_proxy.sent;
+                sum.served_at.extend(&of_proxy.served_at);
+            }
+        }
+        sums
+    }
+
     /// The fraction of a tenant's quota that all proxies together hold now.
     pub fn leased_fraction(&self, tenant: usize) -> f64 {
         self.proxies
--- a/crates/controller/tests/common/processor/proxy.rs
+++ b/crates/controller/tests/common/processor/proxy.rs
@@ -1,6 +1,6 @@
 //! A proxy as far as controllers notice it: when it asks for leases, and for what.
 
-use super::FleetSize;
+use super::{FleetProxy, FleetSize};
 use maplefall_control_messages::Frame;
 use maplefall_quota_lease::{Demand, LeaseClient};
 
@@ -18,6 +18,11 @@
     format!("edge-{proxy}")
 }
 
+/// Number of a proxy's only start.
+pub fn incarnation(proxy: usize) -> u64 {
+    proxy as u64 + 1
+}
+
 pub fn tenant_name(tenant: usize) -> String {
     format!("tenant{tenant}")
 }
@@ -25,19 +30,17 @@
 pub struct Proxy {
     number: usize,
     tenants: usize,
+    controllers: usize,
     lease_client: LeaseClient,
 }
 
 impl Proxy {
     pub fn new(number: usize, size: &FleetSize) -> Proxy {
-        let mut lease_client = LeaseClient::new(1);
-        for controller in 0..size.controllers {
-            lease_client.connected(&controller.to_string());
-        }
         Proxy {
             number,
             tenants: size.tenants,
-            lease_client,
+            controllers: size.controllers,
+            lease_client: LeaseClient::new(incarnation(number)),
         }
     }
 
@@ -61,24 +64,39 @@
             .collect()
     }
 
-    pub fn request(&mut self, now: f64, controller: usize) -> Frame {
+    fn request(&mut self, now: f64, controller: usize) -> Frame {
         let demand = self.demand(now);
         let server = controller.to_string();
         Frame::LeaseRequest(self.lease_client.next_request(now, &server, demand))
     }
+}
 
-    /// A frame has arrived; returns what is sent at once.
-    pub fn receive(&mut self, now: f64, controller: usize, frame: &Frame) -> Option<Frame> {
+impl FleetProxy for Proxy {
+    fn connected(&mut self, _now: f64, controller: usize) -> Vec<(usize, Frame)> {
+        self.lease_client.connected(&controller.to_string());
+        Vec::new()
+    }
+
+    fn receive(&mut self, now: f64, controller: usize, frame: Frame) -> Vec<(usize, Frame)> {
         let Frame::LeaseGrant(grant) = frame else {
-            return None;
+            return Vec::new();
         };
         let server = controller.to_string();
-        let effect = self.lease_client.handle_grant(now, &server, grant);
-        effect.decreased.then(|| self.request(now, controller))
+        let effect = self.lease_client.handle_grant(now, &server, &grant);
+        let answer = effect
+            .decreased
+            .then(|| (controller, self.request(now, controller)));
+        answer.into_iter().collect()
+    }
+
+    fn tick(&mut self, now: f64) -> Vec<(usize, Frame)> {
+        (0..self.controllers)
+            .map(|controller| (controller, self.request(now, controller)))
+            .collect()
     }
 
-    /// When it asks again: soon while a request of a tenant finds no token, which is half of the time.
-    pub fn next_tick_delay(&self, now: f64) -> f64 {
+    /// It asks again soon while a request of a tenant finds no token, which is half of the time.
+    fn next_tick_delay(&mut self, now: f64) -> f64 {
         let is_starved = self.draw(now, self.tenants).is_multiple_of(2);
         if is_starved {
             URGENT_REQUEST_INTERVAL
@@ -87,7 +105,7 @@
         }
     }
 
-    pub fn fraction(&self, now: f64, tenant: usize) -> f64 {
+    fn fraction(&self, now: f64, tenant: usize) -> f64 {
         self.lease_client.fraction(now, &tenant_name(tenant))
     }
 }
--- a/crates/load-estimators/src/lib.rs
+++ b/crates/load-estimators/src/lib.rs
@@ -18,6 +18,7 @@
 mod service_time;
 mod shared_balance;
 mod slow_start;
+mod token_bucket;
 
 pub use backend::{AttemptEnd, AttemptResult, BackendEstimator, Finished};
 pub use backpressure::Backpressure;
@@ -32,6 +33,7 @@
 pub use service_time::{ServiceTime, ServiceTimePrior};
 pub use shared_balance::{BalanceBounds, SharedBalance, SharedBalances, UsageReport};
 pub use slow_start::SlowStart;
+pub use token_bucket::TokenBucket;
 
 /// A point in time or a span, in milliseconds on the caller's clock.
 pub type Millis = f64;
--- a/crates/policy/src/tenants.rs
+++ b/crates/policy/src/tenants.rs
@@ -3,7 +3,7 @@
 
 use crate::gateway::{box_closed_for, Cewma};
 use crate::interface::Millis;
-use maplefall_load_estimators::EvictingMap;
+use maplefall_load_estimators::{EvictingMap, TokenBucket};
 use std::f64::consts::LN_2;
 
 /// Half-life of the recent average, in burst lengths (design: at least one).
@@ -49,10 +49,7 @@
 struct Tenant {
     average: Cewma,
     demand: Cewma,
-    tokens: f64,
-    refilled_at: Millis,
-    /// Tokens a millisecond.
-    refill_rate: f64,
+    bucket: TokenBucket,
     last_arrival: Millis,
 }
 
@@ -85,19 +82,17 @@
         });
         // A tenant that was evicted may come back, and its bucket may have been empty.
         self.starts_full &= evicted == 0;
+        let tokens = if self.starts_full { f64::INFINITY } else { 0.0 };
         let fresh = Tenant {
-            tokens: if self.starts_full { f64::INFINITY } else { 0.0 },
-            refilled_at: now,
+            bucket: TokenBucket::new(now, tokens),
             last_arrival: now,
             ..Tenant::default()
         };
         let tenant = self.tenants.entry(who.clone()).or_insert(fresh);
         let refill_rate = quota.rate * quota.part / 1000.0;
-        let elapsed = (now - tenant.refilled_at).max(0.0);
-        let refilled = tenant.tokens + tenant.refill_rate.min(refill_rate) * elapsed;
-        tenant.tokens = refilled.min(quota.depth * quota.part);
-        tenant.refilled_at = now;
-        tenant.refill_rate = refill_rate;
+        tenant
+            .bucket
+            .refill(now, refill_rate, quota.depth * quota.part);
         tenant
     }
 
@@ -126,7 +121,7 @@
     /// Gives back what was taken for a request that was never forwarded.
     pub fn give_back(&mut self, who: &K, units: f64) {
         let tenant = self.tenants.entry(who.clone());
-        tenant.and_modify(|tenant| tenant.tokens += units);
+        tenant.and_modify(|tenant| tenant.bucket.take(-units));
     }
 
     /// What each tenant has requested of late, in units a second, without those
@@ -145,13 +140,13 @@
         if quota.rate <= 0.0 {
             return Ok(0.0);
         }
-        let wait = (units - self.tokens).max(0.0) / self.refill_rate.max(1e-9);
-        let is_within = self.demand.rate(now, DEMAND_LAMBDA) <= 1000.0 * self.refill_rate;
+        let wait = self.bucket.wait(units);
+        let is_within = self.demand.rate(now, DEMAND_LAMBDA) <= 1000.0 * self.bucket.refill_rate();
         let longest = if is_within { quota.wait } else { 0.0 };
         if wait > longest {
             return Err(Turned::Bucket(wait));
         }
-        self.tokens -= units;
+        self.bucket.take(units);
         Ok(wait)
     }
 }
