Quotas too small for leases stay with the controllers, which grant single tokens

A tenant's bucket is cut among all proxies; with 87 of them a share of a quota of 37 a second holds 0.7 tokens, so no request of it is ever admitted, however little the tenant sends.

Change: what a lease server has not leased of a quota is a bucket of its own. Where the whole bucket holds less than two tokens a proxy, proxies get no lease of it, and a request asks a controller for a token (one request to a controller under way at a time, refusals remembered, answered before lease requests within their half of the time). A token is void 100 ms after it was asked for, by the proxy's clock: the part of the overshoot that was kept for waiting. Two fields and two frames are added; frames go only to controllers that say that they know them, and proxies that do not are leased to as before.

The model proxies of lease_overload.rs do not use tokens: its checks of what is leased hold as they were.

--- a/benches/examples/slopes.rs
+++ b/benches/examples/slopes.rs
@@ -396,6 +396,7 @@
                         client_count: 1,
                         client_incarnation: 1,
                         server_incarnation: 1,
+                        grants_tokens: true,
                     },
                 );
             }
@@ -543,6 +544,7 @@
             client_count: 1,
             client_incarnation: 9,
             server_incarnation: 1,
+            grants_tokens: true,
         };
         let (_, lent) =
             took(|| door.receive(2.0, "10.0.0.1", Frame::LeaseGrant(lent), &mut Vec::new()));
--- a/crates/control-messages/src/messages.rs
+++ b/crates/control-messages/src/messages.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use maplefall_gateway_config::{Change, Item};
-use maplefall_quota_lease::{LeaseGrant, LeaseRequest};
+use maplefall_quota_lease::{LeaseGrant, LeaseRequest, TokenGrant, TokenRequest};
 use maplefall_service_registry::InstanceRecord;
 
 /// Version of this protocol, in every [`Hello`]. A process that speaks another one is rejected.
@@ -101,7 +101,7 @@
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Envelope {
     /// The message.
-    #[prost(oneof = "Frame", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Frame", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub frame: Option<Frame>,
 }
 
@@ -142,6 +142,12 @@
     /// From either end: part of a long frame, so that pings can be sent between its parts.
     #[prost(message, tag = "11")]
     Chunk(Chunk),
+    /// From a proxy to a controller that has said that it grants tokens: requests that wait need tokens.
+    #[prost(message, tag = "12")]
+    TokenRequest(TokenRequest),
+    /// From a controller to a proxy: the answer.
+    #[prost(message, tag = "13")]
+    TokenGrant(TokenGrant),
 }
 
 /// Part of an encoded frame (see [`encode_frame`](crate::encode_frame)). The chunks of a frame are sent in order, without other chunks
--- a/crates/controller/src/core/lease_requests.rs
+++ b/crates/controller/src/core/lease_requests.rs
@@ -10,7 +10,7 @@
 use super::{Core, Millis, Output};
 use crate::store::StoreRecord;
 use maplefall_control_messages::Frame;
-use maplefall_quota_lease::LeaseRequest;
+use maplefall_quota_lease::{LeaseRequest, TokenRequest};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Fraction of the time that is to go into lease requests at most, however many there are: the rest is left to Raft, liveness and calls.
@@ -18,25 +18,52 @@
 /// Time for which the driver may answer them without a pause after a while with fewer.
 pub const MAX_LEASE_CREDIT: Millis = 20.0;
 
-/// The last request of each connection that has one to be answered. Their number is bounded by that of the connections.
+/// The last request of each connection that has one to be answered, of leases and of tokens. Their number is bounded by that of the
+/// connections.
 #[derive(Default)]
 pub(super) struct LeaseRequests {
-    by_connection: BTreeMap<u64, LeaseRequest>,
+    leases: RequestQueue<LeaseRequest>,
+    /// A proxy has one under way at a time; one that is replaced has had its time.
+    tokens: RequestQueue<TokenRequest>,
+}
+
+impl LeaseRequests {
+    fn is_empty(&self) -> bool {
+        self.leases.by_connection.is_empty() && self.tokens.by_connection.is_empty()
+    }
+
+    /// A connection has ended.
+    pub(super) fn remove(&mut self, connection: u64) {
+        self.leases.remove(connection);
+        self.tokens.remove(connection);
+    }
+}
+
+/// One request for each connection.
+struct RequestQueue<R> {
+    by_connection: BTreeMap<u64, R>,
     /// The connections in the order in which they are answered; those without a request are passed over.
     turns: VecDeque<u64>,
 }
 
-impl LeaseRequests {
-    /// Queues a request, in the place of an earlier one of its connection if that still waits. Returns whether none waited before.
-    fn push(&mut self, connection: u64, request: LeaseRequest) -> bool {
-        let was_empty = self.by_connection.is_empty();
+impl<R> Default for RequestQueue<R> {
+    fn default() -> RequestQueue<R> {
+        RequestQueue {
+            by_connection: BTreeMap::new(),
+            turns: VecDeque::new(),
+        }
+    }
+}
+
+impl<R> RequestQueue<R> {
+    /// Queues a request, in the place of an earlier one of its connection if that still waits.
+    fn push(&mut self, connection: u64, request: R) {
         if self.by_connection.insert(connection, request).is_none() {
             self.turns.push_back(connection);
         }
-        was_empty
     }
 
-    fn pop(&mut self) -> Option<(u64, LeaseRequest)> {
+    fn pop(&mut self) -> Option<(u64, R)> {
         while let Some(connection) = self.turns.pop_front() {
             if let Some(request) = self.by_connection.remove(&connection) {
                 return Some((connection, request));
@@ -45,8 +72,7 @@
         None
     }
 
-    /// A connection has ended.
-    pub(super) fn remove(&mut self, connection: u64) {
+    fn remove(&mut self, connection: u64) {
         if self.by_connection.remove(&connection).is_some() {
             self.turns.retain(|turn| *turn != connection);
         }
@@ -58,7 +84,7 @@
         &mut self.leasing.requests
     }
 
-    /// A proxy has sent a frame; only lease requests are expected of one.
+    /// A proxy has sent a frame; only requests of leases and tokens are expected of one.
     pub fn receive_from_proxy(
         &mut self,
         now: Millis,
@@ -66,8 +92,14 @@
         frame: Frame,
         out: &mut Vec<Output>,
     ) {
-        let Frame::LeaseRequest(request) = frame else {
-            return;
+        let request = match frame {
+            Frame::LeaseRequest(request) => request,
+            Frame::TokenRequest(request) => {
+                return self.queue_request(connection, out, |requests| {
+                    requests.tokens.push(connection, request);
+                });
+            }
+            _ => return,
         };
         if request.release {
             // The proxy ends its connection behind it.
@@ -84,21 +116,39 @@
         request: LeaseRequest,
         out: &mut Vec<Output>,
     ) {
-        if self.proxies.contains_key(&connection)
-            && self.lease_requests_mut().push(connection, request)
-        {
+        self.queue_request(connection, out, |requests| {
+            requests.leases.push(connection, request);
+        });
+    }
+
+    fn queue_request(
+        &mut self,
+        connection: u64,
+        out: &mut Vec<Output>,
+        push: impl FnOnce(&mut LeaseRequests),
+    ) {
+        if !self.proxies.contains_key(&connection) {
+            return;
+        }
+        let requests = self.lease_requests_mut();
+        if requests.is_empty() {
             out.push(Output::LeaseRequestsQueued);
         }
+        push(requests);
     }
 
     /// Whether a lease request waits to be answered.
     pub fn has_lease_requests(&self) -> bool {
-        !self.leasing.requests.by_connection.is_empty()
+        !self.leasing.requests.is_empty()
     }
 
-    /// Answers the lease request that has waited longest; returns whether there was one.
+    /// Answers the request that has waited longest, one of tokens before one of leases; returns whether there was one.
     pub fn answer_lease_request(&mut self, now: Millis, out: &mut Vec<Output>) -> bool {
-        let Some((connection, request)) = self.lease_requests_mut().pop() else {
+        if let Some((connection, request)) = self.lease_requests_mut().tokens.pop() {
+            self.grant_tokens(now, connection, &request, out);
+            return true;
+        }
+        let Some((connection, request)) = self.lease_requests_mut().leases.pop() else {
             return false;
         };
         let Some(proxy) = self.proxies.get_mut(&connection) else {
--- a/crates/controller/src/core/leasing.rs
+++ b/crates/controller/src/core/leasing.rs
@@ -49,6 +49,10 @@
         &self.server
     }
 
+    pub(super) fn server_mut(&mut self) -> &mut LeaseServer {
+        &mut self.server
+    }
+
     pub(super) fn slots(&self) -> &OwnedSlots {
         &self.slots
     }
@@ -132,7 +136,7 @@
 impl Core {
     /// Whether lease requests may be answered: this controller is known to be a member that had applied all that was committed a
     /// short while ago.
-    fn may_lease(&self, now: Millis) -> bool {
+    pub(super) fn may_lease(&self, now: Millis) -> bool {
         self.raft.is_voter() && membership_lease_valid(now, self.raft.last_quorum_contact(now))
     }
 
--- a/crates/controller/src/core/mod.rs
+++ b/crates/controller/src/core/mod.rs
@@ -7,6 +7,7 @@
 //! - `replicated_config`, `config_distribution`: the committed configuration and the proxies that follow it;
 //! - `instances`, `heartbeat`: heartbeats and deregistrations of backends;
 //! - `lease_requests`, `leasing`: lease requests of proxies, which wait for one another, and what they are granted;
+//! - `token_requests`: single tokens of quotas that are too small to be leased to all proxies;
 //! - `quorum_contact`: whether this controller is cut off;
 //! - `proxies`, `writes`: connections and writes that are under way;
 //! - `event`: what is logged.
@@ -24,6 +25,7 @@
 mod replicated_config;
 mod replicated_state;
 mod replication;
+mod token_requests;
 mod uncommitted_changes;
 mod writes;
 
@@ -38,7 +40,7 @@
 use leasing::{LeaseHolders, Leasing};
 use maplefall_control_messages::Frame;
 use maplefall_gateway_config::ConfigError;
-use maplefall_node_settings::Settings;
+use maplefall_node_settings::{Bounds, Settings};
 use maplefall_quota_lease::{LeaseServer, OwnedSlots, Slots};
 use maplefall_raft::{Config, Raft, Ready};
 use maplefall_service_registry::Registry;
@@ -155,6 +157,7 @@
     /// The latest connection of each proxy, by its name.
     connections_by_node: BTreeMap<String, u64>,
     leasing: Leasing,
+    bounds: Bounds,
 }
 
 impl Core {
@@ -198,6 +201,7 @@
             proxies: BTreeMap::new(),
             connections_by_node: BTreeMap::new(),
             leasing: Leasing::new(slots, server, holders),
+            bounds: settings.bounds,
             ip,
         };
         for record in stored.instances.into_values() {
--- a/crates/controller/src/core/replication.rs
+++ b/crates/controller/src/core/replication.rs
@@ -5,7 +5,7 @@
 use super::{Core, Millis, Output, ReplicatedState};
 use crate::store::StoreRecord;
 use maplefall_control_messages::{encode_frame, Frame};
-use maplefall_gateway_config::{Change, ConfigState};
+use maplefall_gateway_config::{Change, ConfigState, Item, ItemKind};
 use maplefall_quota_lease::Slots;
 use maplefall_raft::{Entry, EntryKind, Message as RaftMessage, Raft, Ready, Snapshot};
 use prost::Message;
@@ -86,7 +86,7 @@
     fn apply_entries(&mut self, now: Millis, entries: Vec<Entry>, out: &mut Vec<Output>) {
         for entry in entries {
             if entry.kind() == EntryKind::Command {
-                self.apply_command(&entry, out);
+                self.apply_command(now, &entry, out);
             }
             self.calls.entry_committed(entry.index, entry.term, out);
             if entry.kind() == EntryKind::Membership {
@@ -102,7 +102,7 @@
         self.distribute_config(now, out);
     }
 
-    fn apply_command(&mut self, entry: &Entry, out: &mut Vec<Output>) {
+    fn apply_command(&mut self, now: Millis, entry: &Entry, out: &mut Vec<Output>) {
         let change = Change::decode(entry.payload.as_slice()).ok();
         if let Some(change) = &change {
             let event = Event::Committed {
@@ -111,7 +111,12 @@
             };
             out.push(event.into());
         }
+        let tenants = change.as_ref().map_or_else(Vec::new, |change| {
+            let is_tenant = |item: &&Item| item.kind() == ItemKind::Tenant;
+            change.items.iter().filter(is_tenant).cloned().collect()
+        });
         self.config.apply(entry.index, change);
+        self.set_quotas(now, &tenants);
     }
 
     /// Replaces the replicated state by that of a snapshot.
@@ -141,6 +146,9 @@
         }
         let config = ConfigState::restore(state.items, state.taken.unwrap_or_default());
         self.config.restore(config, snapshot.index);
+        let tenants = self.config.state().active(ItemKind::Tenant);
+        let tenants: Vec<Item> = tenants.cloned().collect();
+        self.set_quotas(now, &tenants);
     }
 
     /// Slots where a snapshot has none: that of the first start, which is empty, and those of earlier programs. By the time of the
--- a/crates/controller/tests/common/processor/proxy.rs
+++ b/crates/controller/tests/common/processor/proxy.rs
@@ -2,7 +2,7 @@
 
 use super::{FleetProxy, FleetSize};
 use maplefall_control_messages::Frame;
-use maplefall_quota_lease::{Demand, LeaseClient};
+use maplefall_quota_lease::{Demand, LeaseClient, LeaseRequest};
 
 /// Between two requests of a proxy that has what it needs.
 const REQUEST_INTERVAL: f64 = 500.0;
@@ -67,7 +67,12 @@
     fn request(&mut self, now: f64, controller: usize) -> Frame {
         let demand = self.demand(now);
         let server = controller.to_string();
-        Frame::LeaseRequest(self.lease_client.next_request(now, &server, demand))
+        let request = self.lease_client.next_request(now, &server, demand);
+        // As proxies of before single tokens: what is leased to them is the larger load.
+        Frame::LeaseRequest(LeaseRequest {
+            uses_tokens: false,
+            ..request
+        })
     }
 }
 
--- a/crates/load-estimators/src/token_bucket.rs
+++ b/crates/load-estimators/src/token_bucket.rs
@@ -31,6 +31,12 @@
         self.refill_rate = refill_rate;
     }
 
+    /// Empties the bucket. What it would have been refilled with until the next refill is lost too.
+    pub fn clear(&mut self) {
+        self.tokens = 0.0;
+        self.refill_rate = 0.0;
+    }
+
     /// The tokens that are there; below zero if some were taken in advance.
     pub fn tokens(&self) -> f64 {
         self.tokens
--- a/crates/proxy/src/core/mod.rs
+++ b/crates/proxy/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod requests;
 mod stats;
 mod timers;
+mod tokens;
 
 pub use messages::{
     AdmittedRequest, AttemptEnd, IncomingRequest, LocalResponse, Output, Rejection,
@@ -23,7 +24,7 @@
 use maplefall_gateway_config::{ItemSet, Limits, RouteTable};
 use maplefall_node_settings::{Bounds, Settings};
 use maplefall_policy::{Millis, RequestId, Tenants};
-use maplefall_quota_lease::{LeaseClient, Pacer};
+use maplefall_quota_lease::{LeaseClient, Pacer, TokenClient};
 use maplefall_service_registry::Registry;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -50,6 +51,7 @@
     /// Interned names of tenants; names that nothing else refers to are dropped with each configuration.
     tenant_names: HashMap<String, Rc<str>>,
     lease_client: LeaseClient,
+    token_client: TokenClient,
     /// Controllers with an established connection, by IP address.
     connected_controllers: BTreeSet<String>,
     /// All known controllers, by IP address.
@@ -85,6 +87,7 @@
             tenants: Tenants::new(settings.bootstrap),
             tenant_names: HashMap::new(),
             lease_client: LeaseClient::new(seed.max(1)),
+            token_client: TokenClient::default(),
             connected_controllers: BTreeSet::new(),
             controllers: seed_controllers(settings).collect(),
             last_urgent_request: 0.0,
@@ -140,6 +143,7 @@
             Frame::ConfigUpdate(update) => self.apply_config_update(now, update, out),
             Frame::InstanceUpdates(updates) => self.apply_instance_updates(now, updates, out),
             Frame::LeaseGrant(grant) => self.handle_lease_grant(now, controller, &grant, out),
+            Frame::TokenGrant(grant) => self.handle_token_grant(now, controller, &grant, out),
             _ => {}
         }
     }
@@ -150,6 +154,7 @@
         self.services
             .set_proxy_count(self.lease_client.client_count());
         self.request_leases(now, out);
+        self.token_client.tick(now);
         if self.ready() != self.was_ready {
             self.was_ready = self.ready();
             out.push(Output::Log(format!(
--- a/crates/proxy/src/core/quota_leases.rs
+++ b/crates/proxy/src/core/quota_leases.rs
@@ -6,7 +6,7 @@
 use maplefall_gateway_config::Tenant;
 use maplefall_node_settings::Bounds;
 use maplefall_policy::{Millis, Quota};
-use maplefall_quota_lease::{Demand, LeaseGrant, LeaseRequest};
+use maplefall_quota_lease::{Demand, LeaseGrant, LeaseRequest, TenantQuota};
 use std::rc::Rc;
 
 /// Time that a lease request beyond those of the ticks costs, for each proxy that the controllers know: together the proxies ask a
@@ -29,13 +29,13 @@
 /// buckets contain together and what refills them meanwhile: that is kept within the window's bound. A fifth of the overshoot is kept
 /// for requests that wait for tokens: if all leases ended while they do, they would run without.
 pub fn quota(bounds: &Bounds, rate: f64, burst: f64, share: f64, latency_target: Millis) -> Quota {
-    let over = 1.0 + 0.8 * bounds.quota_overshoot;
+    let whole = TenantQuota::new(rate, burst, bounds.quota_overshoot, bounds.quota_slack);
     let spare = 1000.0 * 0.2 * bounds.quota_overshoot * bounds.quota_window_s;
     let wait = spare.min(TOKEN_WAIT_LATENCY_TARGETS * latency_target);
     Quota {
-        rate: over * rate,
+        rate: whole.rate,
         burst,
-        depth: over * burst + 0.9 * bounds.quota_slack,
+        depth: whole.depth,
         part: share,
         wait,
     }
@@ -143,6 +143,8 @@
         out: &mut Vec<Output>,
     ) {
         let effect = self.lease_client.handle_grant(now, controller, grant);
+        self.token_client
+            .set_grants_tokens(controller, grant.grants_tokens);
         if effect.decreased {
             // The controller may lease what was taken back to others only once this is acknowledged.
             let demand = self.demand(now);
@@ -158,6 +160,7 @@
     pub fn controller_connected(&mut self, now: Millis, controller: &str, out: &mut Vec<Output>) {
         self.connected_controllers.insert(controller.to_owned());
         self.lease_client.connected(controller);
+        self.token_client.connected(controller);
         let request = self.lease_client.next_request(now, controller, Vec::new());
         out.push(lease_request(controller.to_owned(), request));
     }
@@ -165,6 +168,7 @@
     /// The connection to a controller has ended.
     pub fn controller_disconnected(&mut self, controller: &str) {
         self.connected_controllers.remove(controller);
+        self.token_client.disconnected(controller);
     }
 
     /// All requests have their responses and no more tokens are taken: controllers may lease the quota to others.
--- a/crates/proxy/src/core/stats.rs
+++ b/crates/proxy/src/core/stats.rs
@@ -14,6 +14,8 @@
     pub forwarded: u64,
     /// Requests rejected because their tenant's bucket was empty.
     pub quota_rejected: u64,
+    /// Requests that asked controllers for a single token.
+    pub tokens_requested: u64,
     /// Requests rejected because their tenant is in the penalty box.
     pub penalty_box_rejected: u64,
     /// Requests that no backend took, and that have not run.
@@ -57,11 +59,12 @@
             })
             .unwrap_or_default();
         Some(format!(
-            "event=stats arrived={} forwarded={} quota_rejected={} penalty_box_rejected={} no_backend={} failed={} \
+            "event=stats arrived={} forwarded={} quota_rejected={} tokens_requested={} penalty_box_rejected={} no_backend={} failed={} \
              retries={} unroutable={}{tenant}",
             stats.arrived,
             stats.forwarded,
             stats.quota_rejected,
+            stats.tokens_requested,
             stats.penalty_box_rejected,
             stats.no_backend,
             stats.failed,
--- a/crates/quota-lease/src/client.rs
+++ b/crates/quota-lease/src/client.rs
@@ -141,6 +141,7 @@
             demand,
             release: false,
             server_incarnation: server.incarnation,
+            uses_tokens: true,
         }
     }
 
--- a/crates/quota-lease/src/lib.rs
+++ b/crates/quota-lease/src/lib.rs
@@ -18,6 +18,9 @@
 //! until every such proxy has reported its leases, or all of them have expired, it leases nothing new and only confirms the
 //! reported leases within its limit.
 //!
+//! **Pools.** What a server has not leased of a quota is its own bucket, from which it grants single tokens ([`TokenClient`]); quotas too small
+//! for leases to all clients ([`TenantQuota::is_pooled`]) are kept there whole.
+//!
 //! **Changes of owners.** A server answers only while [`membership_lease_valid`], and a new owner of a slot leases nothing of it for
 //! [`TAKEOVER_DELAY`]. The proof is in `docs/design/control-leases.md`.
 
@@ -27,13 +30,19 @@
 mod pacer;
 mod server;
 mod slots;
+mod tenant_quota;
+mod token_client;
 
 pub use client::{GrantEffect, LeaseClient};
-pub use messages::{Demand, Lease, LeaseGrant, LeaseRequest};
+pub use messages::{
+    Demand, GrantedTokens, Lease, LeaseGrant, LeaseRequest, TokenCount, TokenGrant, TokenRequest,
+};
 pub use owned_slots::{OwnedSlots, SlotEvent};
 pub use pacer::Pacer;
 pub use server::{ClientId, LeaseServer};
 pub use slots::{Slot, Slots};
+pub use tenant_quota::{TenantQuota, TOKEN_LIFETIME};
+pub use token_client::{TokenClient, TokenExpectation};
 
 /// Milliseconds on the caller's monotonic clock.
 pub type Millis = f64;
--- a/crates/quota-lease/src/messages.rs
+++ b/crates/quota-lease/src/messages.rs
@@ -51,6 +51,9 @@
     /// Incarnation of the server whose grants `acknowledged` counts; zero before the first grant on a connection.
     #[prost(fixed32, tag = "7")]
     pub server_incarnation: u32,
+    /// The proxy requests single tokens, and needs no leases of quotas that are too small for them.
+    #[prost(bool, tag = "8")]
+    pub uses_tokens: bool,
 }
 
 /// Sent by a controller to a proxy: the answer to a [`LeaseRequest`], or a change of leases after it.
@@ -74,4 +77,54 @@
     /// Incarnation of the server; zero where the answered request already names it.
     #[prost(fixed32, tag = "6")]
     pub server_incarnation: u32,
+    /// The server answers [`TokenRequest`]s. Earlier programs end a connection on which they get one.
+    #[prost(bool, tag = "7")]
+    pub grants_tokens: bool,
+}
+
+/// Tokens of one tenant.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct TokenCount {
+    /// Name of the tenant.
+    #[prost(string, tag = "1")]
+    pub tenant: String,
+    /// Their number.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
+/// Sent by a proxy to a controller: requests that wait need tokens.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct TokenRequest {
+    /// Sequence number of this request; it rises over all servers and connections of one incarnation of the proxy.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// What is needed.
+    #[prost(message, repeated, tag = "2")]
+    pub tokens: Vec<TokenCount>,
+}
+
+/// What a controller grants of one tenant's tokens.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct GrantedTokens {
+    /// Name of the tenant.
+    #[prost(string, tag = "1")]
+    pub tenant: String,
+    /// Tokens that the proxy may spend.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+    /// Milliseconds until the server has the next one.
+    #[prost(uint32, tag = "3")]
+    pub wait_ms: u32,
+}
+
+/// Sent by a controller to a proxy, on the connection of the request: the answer to a [`TokenRequest`].
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct TokenGrant {
+    /// Sequence number of the request.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// What is granted, in the order of the request.
+    #[prost(message, repeated, tag = "2")]
+    pub tokens: Vec<GrantedTokens>,
 }
--- a/crates/quota-lease/src/server/client_record.rs
+++ b/crates/quota-lease/src/server/client_record.rs
@@ -60,6 +60,8 @@
     pub(super) last_request: u64,
     /// Number of clients when all leases of this one were rebalanced last; zero if they are to be rebalanced with its next request.
     pub(super) rebalanced_among: usize,
+    /// Whether it requests single tokens.
+    pub(super) uses_tokens: bool,
 }
 
 impl ClientRecord {
@@ -80,6 +82,7 @@
             acknowledged: 0,
             last_request: 0,
             rebalanced_among: 0,
+            uses_tokens: false,
         }
     }
 
@@ -103,6 +106,7 @@
         self.expires_at = now + LEASE_DURATION + CLOCK_SKEW;
         self.connection = connection;
         self.last_request = request.sequence;
+        self.uses_tokens = request.uses_tokens;
         self.knows_server = request.server_incarnation == server_incarnation;
         // A sequence number of an earlier incarnation's grant acknowledges nothing of this one's.
         self.acknowledged = if self.knows_server {
@@ -179,6 +183,7 @@
             } else {
                 server_incarnation
             },
+            grants_tokens: true,
         }
     }
 
--- a/crates/quota-lease/src/server/mod.rs
+++ b/crates/quota-lease/src/server/mod.rs
@@ -7,16 +7,21 @@
 mod clients;
 mod rebalance;
 mod rebalance_queue;
+mod token_pools;
 
 use crate::*;
 use client_record::ClientRecord;
 use clients::Clients;
 use rebalance_queue::RebalanceQueue;
 use std::collections::{BTreeMap, BTreeSet};
+use token_pools::TokenPools;
 
 /// Clients of one server. A client beyond that is granted nothing until another one has expired.
 const MAX_CLIENTS: usize = 2048;
 
+/// Tenants at most of which one request gets tokens.
+const MAX_TENANTS_PER_TOKEN_REQUEST: usize = 1024;
+
 /// Leases to be granted, by name of the client.
 type ChangedLeases = BTreeMap<String, Vec<Lease>>;
 
@@ -60,6 +65,7 @@
     limit: u32,
     clients: Clients,
     rebalance_queue: RebalanceQueue,
+    pools: TokenPools,
     recovery: Recovery,
     /// Client records that were looked at.
     visited_clients: u64,
@@ -81,6 +87,7 @@
             limit,
             clients: Clients::default(),
             rebalance_queue: RebalanceQueue::new(now),
+            pools: TokenPools::default(),
             recovery: Recovery {
                 unknown_clients: leased_to.is_none(),
                 known_clients: leased_to.unwrap_or_default(),
@@ -101,9 +108,32 @@
         if limit >= previous {
             return Vec::new();
         }
+        self.pools.empty();
         self.shrink_leases(previous)
     }
 
+    /// Sets a tenant's quota; `None` if it has none any more. Without it no tokens of that tenant are granted, and it is leased to all
+    /// clients, however small it is.
+    pub fn set_quota(&mut self, now: Millis, tenant: &str, quota: Option<TenantQuota>) {
+        self.pools.set_quota(now, tenant, quota);
+    }
+
+    /// Answers a request for single tokens: what is there of each tenant's unleased quota.
+    pub fn grant_tokens(&mut self, now: Millis, request: &TokenRequest) -> TokenGrant {
+        self.clients.expire(now);
+        let recovering = self.recovering(now);
+        let requested = request.tokens.iter().take(MAX_TENANTS_PER_TOKEN_REQUEST);
+        let tokens = requested.map(|requested| {
+            let unleased = self.unleased_fraction(&requested.tenant, recovering);
+            let tenant = &requested.tenant;
+            self.pools.take(now, tenant, unleased, requested.count)
+        });
+        TokenGrant {
+            tokens: tokens.collect(),
+            request: request.sequence,
+        }
+    }
+
     /// This server's incarnation.
     pub fn incarnation(&self) -> u32 {
         self.incarnation
@@ -158,6 +188,7 @@
                 return vec![(client.name.to_owned(), self.reject(client, request))];
             }
             self.register(now, client, request);
+            self.refill_pools(now, request.leases.iter());
         }
         self.recovery.known_clients.remove(client.name);
         let effect = self
@@ -168,6 +199,7 @@
         };
         self.update_recovery(now);
         let changed = self.rebalance_tenants(now, client.name, &effect, tenants);
+        self.refill_pools(now, changed.values().flatten());
         self.build_grants(client.name, request.full, changed)
     }
 
@@ -185,6 +217,15 @@
             .sum()
     }
 
+    /// These leases have changed, and so has what is left.
+    fn refill_pools<'a>(&mut self, now: Millis, leases: impl Iterator<Item = &'a Lease>) {
+        let recovering = self.recovering(now);
+        for lease in leases {
+            let unleased = self.unleased_fraction(&lease.tenant, recovering);
+            self.pools.refill(now, &lease.tenant, unleased);
+        }
+    }
+
     /// Shrinks every lease in proportion to the limits, and builds a grant for each client.
     fn shrink_leases(&mut self, previous_limit: u32) -> Vec<(String, LeaseGrant)> {
         let limit = u64::from(self.limit);
@@ -209,6 +250,7 @@
                 client_count,
                 client_incarnation: record.incarnation,
                 server_incarnation: self.incarnation,
+                grants_tokens: true,
             };
             grants.push((name.clone(), grant));
         }
--- a/crates/quota-lease/src/server/rebalance.rs
+++ b/crates/quota-lease/src/server/rebalance.rs
@@ -23,6 +23,8 @@
     limit: f64,
     client_count: f64,
     total_demand_rps: f64,
+    /// The quota is too small for leases: clients that can request tokens get none.
+    is_pooled: bool,
 }
 
 impl TargetShares {
@@ -36,11 +38,17 @@
 
     /// The share that this client should have.
     fn target_of(&self, record: &ClientRecord, tenant: &str) -> u32 {
+        if self.is_pooled && record.uses_tokens {
+            return 0;
+        }
         self.target_ppm(f64::from(record.demand_milli_rps(tenant)) / 1000.0)
     }
 
     /// Whether a change of a lease is large enough to be granted.
     fn is_significant(&self, next_ppm: u32, granted_ppm: u32) -> bool {
+        if self.is_pooled && next_ppm == 0 {
+            return granted_ppm > 0;
+        }
         let min_change = (MIN_CHANGE_OF_LIMIT * self.limit)
             .max(MIN_CHANGE_OF_LEASE * f64::from(granted_ppm.min(next_ppm)));
         f64::from(next_ppm.abs_diff(granted_ppm)) > min_change
@@ -80,12 +88,14 @@
             let has_demand = record.demand_milli_rps(tenant) > 0;
             let never_granted = !record.leases.contains_key(tenant);
             let freed = effect.freed.contains_key(tenant);
+            let is_pooled = self.pools.is_pooled(tenant, client_count);
             let is_affected = effect.full
                 || freed
                 || effect.previous_demand.contains_key(tenant)
                 || has_demand
                 || never_granted
-                || client_count_changed;
+                || client_count_changed
+                || is_pooled;
             if !is_affected {
                 continue;
             }
@@ -112,8 +122,14 @@
         }
     }
 
+    /// The same as a fraction of the whole quota.
+    pub(super) fn unleased_fraction(&self, tenant: &str, recovering: bool) -> f64 {
+        f64::from(self.unleased_ppm(tenant, recovering)) / f64::from(WHOLE_QUOTA_PPM)
+    }
+
     fn target_shares(&self, tenant: &str) -> TargetShares {
         TargetShares {
+            is_pooled: self.pools.is_pooled(tenant, self.clients.len()),
             limit: f64::from(self.limit),
             client_count: self.clients.len().max(1) as f64,
             total_demand_rps: self.clients.totals(tenant).demand_milli_rps as f64 / 1000.0,
@@ -136,6 +152,10 @@
         let target = targets.target_of(record, tenant);
         // From now on it has a lease, if an empty one.
         let before = *record.lease_mut(tenant);
+        if target == 0 && targets.is_significant(target, before.granted_ppm) {
+            record.lease_mut(tenant).granted_ppm = target;
+            add_change(changed, client, tenant, target);
+        }
         let unleased = self.unleased_ppm(tenant, recovering);
         let is_short = targets.is_significant(target, before.granted_ppm)
             && target > before.upper_bound_ppm.saturating_add(unleased);
--- /dev/null
+++ b/crates/quota-lease/src/server/token_pools.rs
@@ -0,0 +1,94 @@
+//! The part of each quota that a lease server has not leased, as a token bucket from which it grants single tokens.
+//!
+//! Invariant: a pool holds what is not outstanding, no more. Whenever that becomes less, the pool is refilled with its new share in the same
+//! step, which cuts it to size. So the buckets of all clients and pools together are one bucket of the whole quota at most, and a
+//! token that is spent within [`TOKEN_LIFETIME`] of its request was in one of them that long ago.
+
+use crate::*;
+use maplefall_load_estimators::TokenBucket;
+use std::collections::BTreeMap;
+
+/// What a client is to wait before it asks again for tokens of a tenant that has no quota here.
+const UNKNOWN_TENANT_WAIT: Millis = 1_000.0;
+
+/// One tenant's pool.
+#[derive(Clone, Debug)]
+struct TokenPool {
+    quota: TenantQuota,
+    bucket: TokenBucket,
+}
+
+/// The pools of all tenants with a quota; their number is bounded by the configuration's.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TokenPools {
+    by_tenant: BTreeMap<String, TokenPool>,
+}
+
+impl TokenPools {
+    /// Sets or removes a tenant's quota. A pool begins empty: another controller may have granted what was in it.
+    pub(super) fn set_quota(&mut self, now: Millis, tenant: &str, quota: Option<TenantQuota>) {
+        let Some(quota) = quota.filter(|quota| quota.rate > 0.0) else {
+            self.by_tenant.remove(tenant);
+            return;
+        };
+        if let Some(pool) = self.by_tenant.get_mut(tenant) {
+            pool.quota = quota;
+            return;
+        }
+        let bucket = TokenBucket::new(now, 0.0);
+        self.by_tenant
+            .insert(tenant.to_owned(), TokenPool { quota, bucket });
+    }
+
+    /// Whether a tenant's quota is too small for leases to so many clients.
+    pub(super) fn is_pooled(&self, tenant: &str, client_count: usize) -> bool {
+        self.by_tenant
+            .get(tenant)
+            .is_some_and(|pool| pool.quota.is_pooled(client_count))
+    }
+
+    /// This fraction of a tenant's quota is not leased from now on.
+    pub(super) fn refill(&mut self, now: Millis, tenant: &str, unleased: f64) {
+        if let Some(pool) = self.by_tenant.get_mut(tenant) {
+            pool.refill(now, unleased);
+        }
+    }
+
+    /// Less may be granted of every quota, how much less is not known yet: the pools are emptied.
+    pub(super) fn empty(&mut self) {
+        for pool in self.by_tenant.values_mut() {
+            pool.bucket.clear();
+        }
+    }
+
+    /// Takes as many whole tokens as there are, at most `count`.
+    pub(super) fn take(
+        &mut self,
+        now: Millis,
+        tenant: &str,
+        unleased: f64,
+        count: u32,
+    ) -> GrantedTokens {
+        let mut granted = GrantedTokens {
+            tenant: tenant.to_owned(),
+            count: 0,
+            wait_ms: UNKNOWN_TENANT_WAIT as u32,
+        };
+        if let Some(pool) = self.by_tenant.get_mut(tenant) {
+            pool.refill(now, unleased);
+            // The cast cuts off fractions, and what is below zero.
+            granted.count = count.min(pool.bucket.tokens() as u32);
+            pool.bucket.take(f64::from(granted.count));
+            granted.wait_ms = pool.bucket.wait(1.0).ceil() as u32;
+        }
+        granted
+    }
+}
+
+impl TokenPool {
+    fn refill(&mut self, now: Millis, unleased: f64) {
+        let rate_per_ms = self.quota.rate * unleased / 1000.0;
+        self.bucket
+            .refill(now, rate_per_ms, self.quota.depth * unleased);
+    }
+}
--- a/crates/quota-lease/tests/server.rs
+++ b/crates/quota-lease/tests/server.rs
@@ -266,6 +266,7 @@
         client_count: 1,
         client_incarnation: 1,
         server_incarnation: server,
+        grants_tokens: true,
     };
     client.handle_grant(1.0, "x", &grant(7, 4, request, WHOLE_QUOTA_PPM / 2));
     client.handle_grant(1.0, "x", &grant(8, 5, request, WHOLE_QUOTA_PPM));
