Pools are refilled at half of the overshoot; single tokens in the simulation of QUOTA

Need: with clocks 1 in 100 fast and tokens that are spent up to 100 ms later, pools refilled by 0.8 of the overshoot could let 5.56 s of a rate run in a window whose bound is 5.5 s (by calculation, less what slack is left). Pools get 0.5 of it, and a token's lifetime follows from the bounds.

--- a/crates/proxy/src/core/admission.rs
+++ b/crates/proxy/src/core/admission.rs
@@ -141,7 +141,7 @@
                 self.stats.penalty_box_rejected += 1;
                 Err(Rejection::Rejected(response(wait)))
             }
-            Err(Turned::Bucket(_)) if self.uses_tokens(quota) => {
+            Err(Turned::Bucket(_)) if self.uses_tokens(tenant) => {
                 self.take_single_token(now, is_retry, route, name, out)
             }
             Err(Turned::Bucket(wait)) => {
--- a/crates/proxy/src/core/mod.rs
+++ b/crates/proxy/src/core/mod.rs
@@ -87,7 +87,7 @@
             tenants: Tenants::new(settings.bootstrap),
             tenant_names: HashMap::new(),
             lease_client: LeaseClient::new(seed.max(1)),
-            token_client: TokenClient::default(),
+            token_client: TokenClient::new(tokens::lifetime(&settings.bounds)),
             connected_controllers: BTreeSet::new(),
             controllers: seed_controllers(settings).collect(),
             last_urgent_request: 0.0,
@@ -124,6 +124,8 @@
     pub fn reload(&mut self, settings: &Settings, out: &mut Vec<Output>) {
         self.bounds = settings.bounds;
         self.services.set_bounds(settings.bounds);
+        let lifetime = tokens::lifetime(&settings.bounds);
+        self.token_client.set_lifetime(lifetime);
         self.add_controllers(seed_controllers(settings), out);
     }
 
--- a/crates/proxy/src/core/quota_leases.rs
+++ b/crates/proxy/src/core/quota_leases.rs
@@ -29,7 +29,7 @@
 /// buckets contain together and what refills them meanwhile: that is kept within the window's bound. A fifth of the overshoot is kept
 /// for requests that wait for tokens: if all leases ended while they do, they would run without.
 pub fn quota(bounds: &Bounds, rate: f64, burst: f64, share: f64, latency_target: Millis) -> Quota {
-    let whole = TenantQuota::new(rate, burst, bounds.quota_overshoot, bounds.quota_slack);
+    let whole = whole_quota(bounds, rate, burst);
     let spare = 1000.0 * 0.2 * bounds.quota_overshoot * bounds.quota_window_s;
     let wait = spare.min(TOKEN_WAIT_LATENCY_TARGETS * latency_target);
     Quota {
@@ -41,6 +41,11 @@
     }
 }
 
+/// The whole quota of a tenant with this rate and burst.
+pub(super) fn whole_quota(bounds: &Bounds, rate: f64, burst: f64) -> TenantQuota {
+    TenantQuota::new(rate, burst, bounds.quota_overshoot, bounds.quota_slack)
+}
+
 impl Core {
     /// The shared name of a tenant: one allocation a tenant, not one a request.
     pub(super) fn intern_tenant(&mut self, tenant: &str) -> Rc<str> {
--- a/crates/proxy/src/core/tokens.rs
+++ b/crates/proxy/src/core/tokens.rs
@@ -1,18 +1,25 @@
 //! Tenants whose quota is too small to be leased to every proxy: each request takes a single token, which a controller grants.
 
+use super::quota_leases::whole_quota;
 use super::{Core, LocalResponse, Output, Rejection, RETRY_AFTER_LATENCY_TARGETS};
 use maplefall_control_messages::Frame;
-use maplefall_gateway_config::Route;
-use maplefall_policy::{Millis, Quota};
-use maplefall_quota_lease::{TenantQuota, TokenExpectation, TokenGrant, TOKEN_LIFETIME};
+use maplefall_gateway_config::{Route, Tenant};
+use maplefall_node_settings::Bounds;
+use maplefall_policy::Millis;
+use maplefall_quota_lease::{token_lifetime, TokenExpectation, TokenGrant};
 use std::rc::Rc;
 
+/// How long a token may be spent after it was requested.
+pub(super) fn lifetime(bounds: &Bounds) -> Millis {
+    token_lifetime(bounds.quota_overshoot, bounds.quota_window_s)
+}
+
 impl Core {
     /// Whether controllers keep a tenant's quota and grant single tokens of it.
-    pub(super) fn uses_tokens(&self, quota: Quota) -> bool {
-        let (rate, depth) = (quota.rate, quota.depth);
+    pub(super) fn uses_tokens(&self, tenant: &Tenant) -> bool {
         let client_count = self.lease_client.client_count() as usize;
-        TenantQuota { rate, depth }.is_pooled(client_count) && self.token_client.has_servers()
+        let quota = whole_quota(&self.bounds, tenant.rate, tenant.burst);
+        quota.is_pooled(client_count) && self.token_client.has_servers()
     }
 
     /// Takes a token that a controller has granted. If there is none, a request that comes for the first time asks for one, and waits
@@ -39,7 +46,8 @@
         match expectation {
             TokenExpectation::Requested => {
                 let response = LocalResponse::not_run(429, retry_after);
-                Err(Rejection::RejectedUnless(response, TOKEN_LIFETIME))
+                let longest = self.token_client.lifetime();
+                Err(Rejection::RejectedUnless(response, longest))
             }
             TokenExpectation::Refused(wait) => {
                 self.stats.quota_rejected += 1;
--- a/crates/proxy/tests/quota_leases.rs
+++ b/crates/proxy/tests/quota_leases.rs
@@ -3,24 +3,29 @@
 //! with their disk or without it, are paused, partitioned from the proxies or from the other controllers, and go on meanwhile; members
 //! join, leave and are replaced, also those that are partitioned or paused just then. Monotonic clocks drift apart by 2 % at most.
 //! Whatever happens, the leased shares add up to the quota at most, so do those that the servers count as outstanding, and in no window
-//! do all proxies together admit more than the quota's bound. Seeds are printed.
+//! do all proxies together admit more than the quota's bound, whether by leases or by single tokens. Seeds are printed.
 
 use maplefall_node_settings::Bounds;
 use maplefall_policy::Tenants;
 use maplefall_proxy::quota;
 use maplefall_quota_lease::{
-    membership_lease_valid, ClientId, Demand, LeaseClient, LeaseGrant, LeaseRequest, LeaseServer,
-    OwnedSlots, SlotEvent, Slots, CLOCK_SKEW, LEASE_DURATION, WHOLE_QUOTA_PPM,
+    membership_lease_valid, token_lifetime, ClientId, Demand, LeaseClient, LeaseGrant,
+    LeaseRequest, LeaseServer, OwnedSlots, SlotEvent, Slots, TenantQuota, TokenClient,
+    TokenExpectation, TokenGrant, TokenRequest, CLOCK_SKEW, LEASE_DURATION, WHOLE_QUOTA_PPM,
 };
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-const TENANTS: [(&str, f64, f64); 3] = [
+const TENANTS: [(&str, f64, f64); 4] = [
     ("large", 94.0, 94.0),
     ("small", 6.0, 6.0),
     ("odd", 20.0, 0.0),
+    // Too small for leases to more than two proxies.
+    ("pooled", 60.0, 0.0),
 ];
+/// Seeds of this remainder are played with little slack, so that the last two tenants are granted single tokens.
+const FEW_TOKENS_REMAINDER: u64 = 1;
 /// Simulated time, in milliseconds.
 const SIMULATED_MS: f64 = 75_000.0;
 /// A deposed leader may go on for this long, and its followers with it.
@@ -28,8 +33,14 @@
 
 type Members = BTreeSet<String>;
 
+/// A tenant's whole quota within the bounds.
+fn whole_quota(bounds: &Bounds, rate: f64, burst: f64) -> TenantQuota {
+    TenantQuota::new(rate, burst, bounds.quota_overshoot, bounds.quota_slack)
+}
+
 struct SimulatedProxy {
     lease_client: LeaseClient,
+    token_client: TokenClient,
     tenants: Tenants<&'static str>,
     incarnation: u64,
     /// The controllers that it is connected to, with the id of each connection.
@@ -39,7 +50,9 @@
     /// The rate of its monotonic clock.
     rate: f64,
     /// Requests per second of each tenant.
-    request_rates: [f64; 3],
+    request_rates: [f64; 4],
+    /// Requests that wait for a single token, by tenant.
+    waiting: [u32; 4],
 }
 
 /// The committed membership changes: the index of each entry and the members from then on.
@@ -93,6 +106,7 @@
     name: String,
     /// The rate of its monotonic clock.
     rate: f64,
+    bounds: Bounds,
     disk: Disk,
     incarnation: Option<ServerInstance>,
     /// When it starts; infinite if it is gone for good or not there yet.
@@ -118,7 +132,10 @@
     fn start(&mut self, now: f64, incarnation: u32, membership_log: &MembershipLog) {
         let clock = self.clock(now);
         let names_known = self.disk.names_known.then(|| self.disk.names.clone());
-        let lease_server = LeaseServer::new(clock, incarnation, 0, names_known);
+        let mut lease_server = LeaseServer::new(clock, incarnation, 0, names_known);
+        for (tenant, rate, burst) in TENANTS {
+            lease_server.set_quota(clock, tenant, Some(whole_quota(&self.bounds, rate, burst)));
+        }
         let slots = if self.disk.compacted_entries > 0 {
             membership_log.slots(self.disk.compacted_entries)
         } else {
@@ -208,25 +225,66 @@
         connection: u64,
         grant: LeaseGrant,
     },
+    /// To a lease server, as a request.
+    TokenRequest {
+        proxy: usize,
+        controller: usize,
+        server_incarnation: u32,
+        connection: u64,
+        request: TokenRequest,
+    },
+    /// From a lease server, as a grant.
+    TokenGrant {
+        proxy: usize,
+        controller: usize,
+        connection: u64,
+        grant: TokenGrant,
+    },
+}
+
+impl WireMessage {
+    fn connection(&self) -> u64 {
+        match self {
+            WireMessage::Request { connection, .. }
+            | WireMessage::Grant { connection, .. }
+            | WireMessage::TokenRequest { connection, .. }
+            | WireMessage::TokenGrant { connection, .. } => *connection,
+        }
+    }
+
+    /// The controller that a request goes to.
+    fn to_controller(&self) -> Option<usize> {
+        match self {
+            WireMessage::Request { controller, .. }
+            | WireMessage::TokenRequest { controller, .. } => Some(*controller),
+            _ => None,
+        }
+    }
 }
 
 fn run_simulation(seed: u64) {
     let mut rng = Pcg32::seed_from_u64(seed);
     let mut draw = move || f64::from(rng.next_u32()) / 4_294_967_296.0;
-    let bounds = Bounds::default();
+    let mut bounds = Bounds::default();
+    if seed % 2 == FEW_TOKENS_REMAINDER {
+        bounds.quota_slack = 6.0;
+    }
+    let lifetime = token_lifetime(bounds.quota_overshoot, bounds.quota_window_s);
     let proxy_count = 2 + (draw() * 9.0) as usize;
     // Three are members at the first start; where two may be lost there are five, and the others join later.
     let losses = if draw() < 0.4 { 2 } else { 1 };
     let mut rates: Vec<f64> = (0..32).map(|_| 0.99 + draw() * 0.02).collect();
     let mut new_client = |incarnation: u32, full: bool| SimulatedProxy {
         lease_client: LeaseClient::new(u64::from(incarnation)),
+        token_client: TokenClient::new(lifetime),
         tenants: Tenants::new(full),
         incarnation: u64::from(incarnation),
         open_connections: BTreeMap::new(),
         down_until: 0.0,
         partitioned_until: 0.0,
         rate: rates.pop().unwrap_or(1.0),
-        request_rates: [0.0; 3],
+        request_rates: [0.0; 4],
+        waiting: [0; 4],
     };
     let mut clients: Vec<SimulatedProxy> = (0..proxy_count)
         .map(|n| new_client(n as u32 + 1, true))
@@ -236,6 +294,7 @@
         .map(|n| SimulatedController {
             name: format!("10.0.0.{n}"),
             rate: 0.99 + draw() * 0.02,
+            bounds,
             disk: Disk::default(),
             incarnation: None,
             starts_at: f64::INFINITY,
@@ -251,6 +310,7 @@
         entries: vec![(0, first)],
     };
     let (mut last_incarnation, mut last_connection, mut admitted) = (100_u32, 0_u64, 0_u64);
+    let mut tokens_spent = 0_u64;
     for simulated_controller in &mut controllers[..3] {
         simulated_controller.disk = Disk {
             names_known: true,
@@ -507,6 +567,7 @@
                     draw() * 12.0 * peak,
                     draw() * 2.0 * peak,
                     draw() * 6.0 * peak,
+                    draw() * 30.0 * peak,
                 ];
             }
         }
@@ -540,6 +601,7 @@
                         incarnation.lease_server.incarnation(),
                     );
                     client.lease_client.connected(&lease_server.to_string());
+                    client.token_client.connected(&lease_server.to_string());
                 }
                 let Some(connection_id) = client.open_connections.get(&lease_server).copied()
                 else {
@@ -586,18 +648,17 @@
             .iter()
             .map(|target| now < target.paused_until)
             .collect();
-        let (mut due_messages, remaining_wait): (Vec<_>, Vec<_>) = in_transit.into_iter().partition(|(at, wire_message)| {
-            let waits = matches!(wire_message, WireMessage::Request { controller, .. } if paused_until[*controller]);
-            *at <= now && !waits
-        });
+        let (mut due_messages, remaining_wait): (Vec<_>, Vec<_>) =
+            in_transit.into_iter().partition(|(at, wire_message)| {
+                let waits = wire_message
+                    .to_controller()
+                    .is_some_and(|controller| paused_until[controller]);
+                *at <= now && !waits
+            });
         in_transit = remaining_wait;
         // What waited for a paused controller: connections in any order, each one in its own order.
         if draw() < 0.5 {
-            due_messages.sort_by_key(|(_, wire_message)| match wire_message {
-                WireMessage::Request { connection, .. } | WireMessage::Grant { connection, .. } => {
-                    u64::MAX - connection
-                }
-            });
+            due_messages.sort_by_key(|(_, wire_message)| u64::MAX - wire_message.connection());
         }
         for (_, wire_message) in due_messages {
             match wire_message {
@@ -677,6 +738,53 @@
                             &lease_server.to_string(),
                             &lease_grant,
                         );
+                        clients[n]
+                            .token_client
+                            .set_grants_tokens(&lease_server.to_string(), true);
+                    }
+                }
+                WireMessage::TokenRequest {
+                    proxy,
+                    controller,
+                    server_incarnation,
+                    connection,
+                    request,
+                } => {
+                    let target = &mut controllers[controller];
+                    let clock = target.clock(now);
+                    let Some(incarnation) = target.incarnation.as_mut().filter(|incarnation| {
+                        incarnation.lease_server.incarnation() == server_incarnation
+                    }) else {
+                        continue;
+                    };
+                    if !membership_lease_valid(clock, incarnation.quorum_contact_at) {
+                        continue;
+                    }
+                    let grant = incarnation.lease_server.grant_tokens(clock, &request);
+                    let delay = draw() * if draw() < 0.1 { 300.0 } else { 20.0 };
+                    let at = in_order(connection, false, now + delay);
+                    let grant = WireMessage::TokenGrant {
+                        proxy,
+                        controller,
+                        connection,
+                        grant,
+                    };
+                    in_transit.push((at, grant));
+                }
+                WireMessage::TokenGrant {
+                    proxy,
+                    controller,
+                    connection,
+                    grant,
+                } => {
+                    let client = &mut clients[proxy];
+                    if client.open_connections.get(&controller) == Some(&connection)
+                        && now >= client.partitioned_until
+                    {
+                        let clock = now * client.rate;
+                        client
+                            .token_client
+                            .handle_grant(clock, &controller.to_string(), &grant);
                     }
                 }
             }
@@ -700,7 +808,22 @@
                 out <= WHOLE_QUOTA_PPM,
                 "seed {seed}: {out} of {tenant} is outstanding at {now}"
             );
-            for client in clients.iter_mut().filter(|client| now >= client.down_until) {
+            for (n, client) in clients.iter_mut().enumerate() {
+                if now < client.down_until {
+                    continue;
+                }
+                let clock = now * client.rate;
+                for _ in 0..std::mem::take(&mut client.waiting[t]) {
+                    if client.token_client.take(clock, tenant) {
+                        run_times[t].push_back(now);
+                        admitted += 1;
+                        tokens_spent += 1;
+                    } else if client.token_client.expectation(clock, tenant)
+                        == TokenExpectation::Requested
+                    {
+                        client.waiting[t] += 1;
+                    }
+                }
                 let share = client.lease_client.fraction(now * client.rate, tenant);
                 client
                     .tenants
@@ -715,7 +838,33 @@
                     {
                         run_times[t].push_back(now + remaining_wait);
                         admitted += 1;
+                    } else if whole_quota(&bounds, *rate, *burst).is_pooled(proxy_count)
+                        && client.token_client.ask(clock, tenant) == TokenExpectation::Requested
+                    {
+                        client.waiting[t] += 1;
+                    }
+                }
+                for (server, request) in client.token_client.next_requests(clock) {
+                    let controller: usize = server.parse().expect("a controller");
+                    let target = &controllers[controller];
+                    let (Some(connection), Some(incarnation)) = (
+                        client.open_connections.get(&controller).copied(),
+                        target.incarnation.as_ref(),
+                    ) else {
+                        continue;
+                    };
+                    if now < client.partitioned_until || now < target.unreachable_until {
+                        continue;
                     }
+                    let delay = draw() * if draw() < 0.1 { 300.0 } else { 20.0 };
+                    let request = WireMessage::TokenRequest {
+                        proxy: n,
+                        controller,
+                        server_incarnation: incarnation.lease_server.incarnation(),
+                        connection,
+                        request,
+                    };
+                    in_transit.push((in_order(connection, true, now + delay), request));
                 }
             }
             let window = bounds.quota_window_s * 1000.0;
@@ -733,6 +882,10 @@
         admitted > 200,
         "seed {seed}: hardly any request was admitted"
     );
+    assert!(
+        seed % 2 != FEW_TOKENS_REMAINDER || proxy_count < 4 || tokens_spent > 100,
+        "seed {seed}: hardly any token was granted ({tokens_spent})"
+    );
 }
 
 #[test]
--- a/crates/quota-lease/src/lib.rs
+++ b/crates/quota-lease/src/lib.rs
@@ -41,7 +41,7 @@
 pub use pacer::Pacer;
 pub use server::{ClientId, LeaseServer};
 pub use slots::{Slot, Slots};
-pub use tenant_quota::{TenantQuota, TOKEN_LIFETIME};
+pub use tenant_quota::{token_lifetime, TenantQuota};
 pub use token_client::{TokenClient, TokenExpectation};
 
 /// Milliseconds on the caller's monotonic clock.
--- a/crates/quota-lease/src/server/token_pools.rs
+++ b/crates/quota-lease/src/server/token_pools.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: a pool holds what is not outstanding, no more. Whenever that becomes less, the pool is refilled with its new share in the same
 //! step, which cuts it to size. So the buckets of all clients and pools together are one bucket of the whole quota at most, and a
-//! token that is spent within [`TOKEN_LIFETIME`] of its request was in one of them that long ago.
+//! token that is spent within [`token_lifetime`] of its request was in one of them that long ago.
 
 use crate::*;
 use maplefall_load_estimators::TokenBucket;
@@ -87,7 +87,7 @@
 
 impl TokenPool {
     fn refill(&mut self, now: Millis, unleased: f64) {
-        let rate_per_ms = self.quota.rate * unleased / 1000.0;
+        let rate_per_ms = self.quota.pool_rate * unleased / 1000.0;
         self.bucket
             .refill(now, rate_per_ms, self.quota.depth * unleased);
     }
--- a/crates/quota-lease/src/token_client.rs
+++ b/crates/quota-lease/src/token_client.rs
@@ -1,6 +1,6 @@
 //! The token client of a proxy: requests single tokens of quotas that are too small to be leased to every proxy.
 //!
-//! A token is taken out of a server's pool when the request is answered and may be spent until [`TOKEN_LIFETIME`] after the request was
+//! A token is taken out of a server's pool when the request is answered and may be spent until [`token_lifetime`] after the request was
 //! *sent*, by the client's clock: later than that it is void. One request to a server is under way at a time, and what is asked for
 //! meanwhile goes with the next one, so a slow server is asked less often.
 
@@ -54,15 +54,17 @@
 /// Whether a token can be expected.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum TokenExpectation {
-    /// One was asked for, and the answer is due within [`TOKEN_LIFETIME`].
+    /// One was asked for, and the answer is due within [`TokenClient::lifetime`].
     Requested,
     /// No server has one now; they may after this time.
     Refused(Millis),
 }
 
 /// Single tokens of one incarnation of a proxy.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct TokenClient {
+    /// How long a token may be spent after it was requested.
+    lifetime: Millis,
     last_request: u64,
     /// The connected servers.
     servers: BTreeMap<String, TokenServer>,
@@ -75,6 +77,28 @@
 }
 
 impl TokenClient {
+    /// A client without tokens, each of which may be spent for `lifetime` after it was requested (see [`token_lifetime`]).
+    pub fn new(lifetime: Millis) -> TokenClient {
+        TokenClient {
+            lifetime,
+            last_request: 0,
+            servers: BTreeMap::new(),
+            tokens: BTreeMap::new(),
+            awaited: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// How long a token may be spent after it was requested: the answer to a request is worth waiting for that long.
+    pub fn lifetime(&self) -> Millis {
+        self.lifetime
+    }
+
+    /// Changes that for tokens that are requested from now on.
+    pub fn set_lifetime(&mut self, lifetime: Millis) {
+        self.lifetime = lifetime;
+    }
+
     /// There is a new connection to a server: nothing that was asked on an earlier one is answered.
     pub fn connected(&mut self, server: &str) {
         self.disconnected(server);
@@ -183,7 +207,7 @@
         let Some(pending) = pending else {
             return false;
         };
-        let void_at = pending.sent_at + TOKEN_LIFETIME;
+        let void_at = pending.sent_at + self.lifetime;
         let mut has_outcome = false;
         for (position, mut ask) in pending.asks.into_iter().enumerate() {
             let answer = grant
@@ -272,11 +296,12 @@
 
     /// Requests that were not answered in time bring no tokens any more.
     fn drop_unanswered(&mut self, now: Millis) {
+        let lifetime = self.lifetime;
         let mut dropped = Vec::new();
         for server in self.servers.values_mut() {
             let pending = server
                 .pending
-                .take_if(|pending| now >= pending.sent_at + TOKEN_LIFETIME);
+                .take_if(|pending| now >= pending.sent_at + lifetime);
             dropped.extend(pending.into_iter().flat_map(|pending| pending.asks));
         }
         for ask in dropped {
