Pools fill from when a quota is set; tests of single tokens

Need: a pool knew its rate only from the first request for a token of its tenant on, so that this one was refused.

Tests: pools (rate, depth, leases taken out, lower limit, recovery, proxies of before), token client (lifetime, stale answers, one request under way, refusals).

--- a/crates/quota-lease/src/server/mod.rs
+++ b/crates/quota-lease/src/server/mod.rs
@@ -116,6 +116,8 @@
     /// clients, however small it is.
     pub fn set_quota(&mut self, now: Millis, tenant: &str, quota: Option<TenantQuota>) {
         self.pools.set_quota(now, tenant, quota);
+        let unleased = self.unleased_fraction(tenant, self.recovering(now));
+        self.pools.refill(now, tenant, unleased);
     }
 
     /// Answers a request for single tokens: what is there of each tenant's unleased quota.
--- /dev/null
+++ b/crates/quota-lease/tests/tokens.rs
@@ -0,0 +1,269 @@
+//! Single tokens: what a lease server has not leased of a quota, and what a client makes of it.
+
+use maplefall_quota_lease::{
+    token_lifetime, ClientId, GrantedTokens, LeaseRequest, LeaseServer, TenantQuota, TokenClient,
+    TokenCount, TokenExpectation, TokenGrant, TokenRequest, WHOLE_QUOTA_PPM,
+};
+use std::collections::BTreeSet;
+
+const LIFETIME: f64 = 100.0;
+
+/// A server that may lease everything of tenant `t`: ten tokens a second, twenty at most.
+fn server() -> LeaseServer {
+    let mut server = LeaseServer::new(0.0, 1, WHOLE_QUOTA_PPM, Some(BTreeSet::new()));
+    server.set_quota(0.0, "t", Some(quota()));
+    server
+}
+
+fn quota() -> TenantQuota {
+    TenantQuota {
+        rate: 10.0,
+        pool_rate: 10.0,
+        depth: 20.0,
+    }
+}
+
+fn tokens(count: u32) -> TokenRequest {
+    TokenRequest {
+        sequence: 1,
+        tokens: vec![TokenCount {
+            tenant: "t".into(),
+            count,
+        }],
+    }
+}
+
+fn granted(server: &mut LeaseServer, now: f64, count: u32) -> u32 {
+    server.grant_tokens(now, &tokens(count)).tokens[0].count
+}
+
+/// A request of a client; returns the share of tenant `t` that it is granted, and the number of the grant.
+fn lease(
+    server: &mut LeaseServer,
+    now: f64,
+    name: &str,
+    request: &LeaseRequest,
+) -> Option<(u32, u64)> {
+    let client = ClientId {
+        name,
+        incarnation: 1,
+        connection: 1,
+    };
+    let grants = server.handle_request(now, client, request, ["t"].into_iter());
+    let grant = &grants.first()?.1;
+    Some((grant.leases.last()?.ppm, grant.sequence))
+}
+
+fn request(sequence: u64, uses_tokens: bool) -> LeaseRequest {
+    LeaseRequest {
+        sequence,
+        full: true,
+        uses_tokens,
+        ..LeaseRequest::default()
+    }
+}
+
+#[test]
+fn a_pool_fills_at_its_rate_and_is_emptied_by_grants() {
+    let mut server = server();
+    assert_eq!(granted(&mut server, 0.0, 5), 0, "it begins empty");
+    let answer = server.grant_tokens(50.0, &tokens(1));
+    assert_eq!((answer.tokens[0].count, answer.tokens[0].wait_ms), (0, 50));
+    assert_eq!(granted(&mut server, 1_000.0, 4), 4);
+    assert_eq!(granted(&mut server, 1_000.0, 100), 6);
+    assert_eq!(granted(&mut server, 100_000.0, 100), 20, "its depth");
+}
+
+/// Guards QUOTA: a lease takes its share out of the pool, and what the pool would have got meanwhile belongs to the lease.
+#[test]
+fn what_is_leased_is_not_in_the_pool() {
+    let mut server = server();
+    assert_eq!(granted(&mut server, 10_000.0, 1), 1);
+    let leased = lease(&mut server, 10_000.0, "a", &request(1, false));
+    assert!(leased.is_some_and(|(ppm, _)| ppm > 990_000), "{leased:?}");
+    let release = LeaseRequest {
+        release: true,
+        ..request(2, false)
+    };
+    lease(&mut server, 20_000.0, "a", &release);
+    assert_eq!(granted(&mut server, 20_000.0, 100), 0, "it was all leased");
+    assert_eq!(granted(&mut server, 20_500.0, 100), 5, "from then on");
+}
+
+/// Guards QUOTA where a slot moves to another controller: what is left may be granted there.
+#[test]
+fn a_lower_limit_empties_the_pools() {
+    let mut server = server();
+    assert_eq!(granted(&mut server, 10_000.0, 1), 1);
+    server.set_limit(WHOLE_QUOTA_PPM / 2);
+    server.set_limit(WHOLE_QUOTA_PPM);
+    assert_eq!(granted(&mut server, 10_000.0, 100), 0);
+}
+
+/// Guards QUOTA after a restart: nobody knows what an earlier incarnation has leased.
+#[test]
+fn a_server_that_recovers_grants_nothing() {
+    let mut server = LeaseServer::new(0.0, 1, WHOLE_QUOTA_PPM, None);
+    server.set_quota(0.0, "t", Some(quota()));
+    assert_eq!(granted(&mut server, 10_000.0, 100), 0);
+}
+
+/// A quota that is too small for leases to all clients stays in the pool; clients of before are leased their part of it.
+#[test]
+fn a_small_quota_is_leased_only_to_clients_that_need_leases() {
+    let mut server = server();
+    for n in 0..11 {
+        lease(&mut server, 0.0, &format!("new-{n}"), &request(1, true));
+    }
+    // Its leases of the time when there were few clients go back.
+    for n in 0..11 {
+        let name = format!("new-{n}");
+        let lowered = lease(&mut server, 1.0, &name, &request(2, true));
+        let (held, sequence) = lowered.expect("an answer");
+        assert_eq!(held, 0);
+        let acknowledgement = LeaseRequest {
+            acknowledged: sequence,
+            server_incarnation: 1,
+            ..request(3, true)
+        };
+        lease(&mut server, 1.0, &name, &acknowledgement);
+    }
+    let old = lease(&mut server, 2.0, "old", &request(1, false));
+    assert!(old.is_some_and(|(ppm, _)| ppm > 0), "{old:?}");
+    assert!(
+        !TenantQuota {
+            rate: 0.0,
+            ..quota()
+        }
+        .is_pooled(1000),
+        "no limit"
+    );
+}
+
+fn client_of(servers: &[&str]) -> TokenClient {
+    let mut client = TokenClient::new(LIFETIME);
+    for server in servers {
+        client.connected(server);
+        client.set_grants_tokens(server, true);
+    }
+    client
+}
+
+fn answer(request: &TokenRequest, count: u32, wait_ms: u32) -> TokenGrant {
+    let tokens = request.tokens.iter().map(|requested| GrantedTokens {
+        tenant: requested.tenant.clone(),
+        count: requested.count.min(count),
+        wait_ms,
+    });
+    TokenGrant {
+        request: request.sequence,
+        tokens: tokens.collect(),
+    }
+}
+
+/// Guards QUOTA: a token counts in the window in which it was taken out of the pool, and may not be spent long after.
+#[test]
+fn a_token_is_void_after_its_lifetime() {
+    for (arrives_at, spent_at, is_valid) in [
+        (50.0, 99.0, true),
+        (50.0, 100.0, false),
+        (99.0, 99.0, true),
+        (150.0, 150.0, false),
+    ] {
+        let mut client = client_of(&["a"]);
+        assert_eq!(client.ask(0.0, "t"), TokenExpectation::Requested);
+        let requests = client.next_requests(0.0);
+        client.handle_grant(arrives_at, "a", &answer(&requests[0].1, 1, 0));
+        assert_eq!(
+            client.take(spent_at, "t"),
+            is_valid,
+            "{arrives_at} {spent_at}"
+        );
+        assert!(!client.take(spent_at, "t"), "it is spent once");
+    }
+}
+
+#[test]
+fn an_answer_to_another_request_or_connection_brings_nothing() {
+    let mut client = client_of(&["a"]);
+    client.ask(0.0, "t");
+    let requests = client.next_requests(0.0);
+    let mut late = answer(&requests[0].1, 1, 0);
+    client.connected("a");
+    assert!(!client.handle_grant(1.0, "a", &late));
+    late.request += 1;
+    assert!(!client.handle_grant(1.0, "a", &late));
+    assert!(!client.take(1.0, "t"));
+    assert!(matches!(
+        client.expectation(1.0, "t"),
+        TokenExpectation::Refused(_)
+    ));
+}
+
+/// Guards controllers against a load that grows with the requests: one request at a time, and the next one says all.
+#[test]
+fn one_request_to_a_server_is_under_way_at_a_time() {
+    let mut client = client_of(&["a"]);
+    client.ask(0.0, "t");
+    let first = client.next_requests(0.0);
+    for _ in 0..50 {
+        client.ask(1.0, "t");
+        client.ask(1.0, "u");
+        assert!(client.next_requests(1.0).is_empty());
+    }
+    client.handle_grant(2.0, "a", &answer(&first[0].1, 1, 0));
+    let second = client.next_requests(2.0);
+    let counts: Vec<u32> = second[0].1.tokens.iter().map(|of| of.count).collect();
+    assert_eq!((second.len(), counts), (1, vec![50, 50]));
+    // One that is not answered holds up nothing for longer than its tokens would be good for.
+    client.ask(101.0, "t");
+    assert!(client.next_requests(101.0).is_empty());
+    assert_eq!(client.next_requests(102.0).len(), 1);
+}
+
+#[test]
+fn what_one_server_refuses_is_asked_of_the_next_one_until_all_have_refused() {
+    let mut client = client_of(&["a", "b", "c"]);
+    assert_eq!(client.ask(0.0, "t"), TokenExpectation::Requested);
+    let mut asked = BTreeSet::new();
+    for _ in 0..3 {
+        let requests = client.next_requests(0.0);
+        assert_eq!(requests.len(), 1);
+        let (server, request) = &requests[0];
+        asked.insert(server.clone());
+        client.handle_grant(0.0, server, &answer(request, 0, 70));
+    }
+    assert_eq!(asked.len(), 3);
+    assert_eq!(
+        client.expectation(0.0, "t"),
+        TokenExpectation::Refused(70.0)
+    );
+    // They are not asked before they have a token again.
+    assert_eq!(client.ask(69.0, "t"), TokenExpectation::Refused(10.0));
+    assert_eq!(client.ask(70.0, "t"), TokenExpectation::Requested);
+}
+
+#[test]
+fn servers_that_do_not_know_tokens_are_not_asked() {
+    let mut client = TokenClient::new(LIFETIME);
+    client.connected("a");
+    assert!(!client.has_servers());
+    assert!(matches!(client.ask(0.0, "t"), TokenExpectation::Refused(_)));
+    assert!(client.next_requests(0.0).is_empty());
+}
+
+/// What is spent in a window was refilled in the window and a lifetime, by a clock that is 1 in 100 fast at most.
+#[test]
+fn the_lifetime_fits_into_the_overshoot() {
+    for (overshoot, window_s) in [(0.1, 5.0), (0.05, 5.0), (0.2, 1.0), (0.01, 1.0)] {
+        let lifetime = token_lifetime(overshoot, window_s);
+        let whole = TenantQuota::new(1.0, 0.0, overshoot, 0.0);
+        let refilled = whole.pool_rate * 1.01 * (window_s + lifetime / 1000.0);
+        let bound = window_s * (1.0 + overshoot);
+        assert!(
+            refilled <= bound * 1.0001 || lifetime == 0.0,
+            "{refilled} of {bound}"
+        );
+    }
+    assert_eq!(token_lifetime(0.1, 5.0), 100.0);
+}
