--- a/crates/quota-lease/tests/tokens.rs
+++ b/crates/quota-lease/tests/tokens.rs
@@ -188,12 +188,15 @@
     let mut client = client_of(&["a"]);
     client.ask(0.0, "t");
     let requests = client.next_requests(0.0);
-    let mut late = answer(&requests[0].1, 1, 0);
+    let late = answer(&requests[0].1, 1, 0);
     client.connected("a");
     assert!(!client.handle_grant(1.0, "a", &late));
-    late.request += 1;
+    client.set_grants_tokens("a", true);
+    client.ask(1.0, "t");
+    assert_eq!(client.next_requests(1.0).len(), 1);
     assert!(!client.handle_grant(1.0, "a", &late));
     assert!(!client.take(1.0, "t"));
+    client.disconnected("a");
     assert!(matches!(
         client.expectation(1.0, "t"),
         TokenExpectation::Refused(_)
