Soak of proxies over sockets: open connections, stops, drains and changes that overlap

Checked: one answer by its own id, nothing of a once-only route run twice, no promise for what ran, no closed connection for what ran, no work a second after a client has left.

--- /dev/null
+++ b/crates/proxy/tests/soak/operator.rs
@@ -0,0 +1,154 @@
+//! Stops and replaces proxies, drains backends and changes the configuration, without waiting for one to end before the next.
+
+use super::common::random::Random;
+use super::common::slow_backend::TIMEOUT;
+use super::common::{TestProxy, CONFIGURATION};
+use super::World;
+use maplefall_control_messages::{ConfigUpdate, Frame, InstanceUpdates};
+use maplefall_gateway_config::parse_amend;
+use maplefall_service_registry::{InstanceRecord, InstanceState};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+const PROXIES: usize = 3;
+const MAX_PAUSE_MS: usize = 60;
+const MAX_DRAIN_MS: usize = 120;
+
+pub struct Operator {
+    world: Rc<World>,
+    random: Random,
+    backends: Vec<SocketAddr>,
+    proxies: Vec<TestProxy>,
+    stopping: Vec<JoinHandle<()>>,
+    stops: usize,
+    changes: u32,
+    seed: u64,
+}
+
+impl Operator {
+    pub async fn start(world: Rc<World>, seed: u64, backends: Vec<SocketAddr>) -> Operator {
+        let mut operator = Operator {
+            world,
+            random: Random::new(seed),
+            backends,
+            proxies: Vec::new(),
+            stopping: Vec::new(),
+            stops: 0,
+            changes: 1,
+            seed,
+        };
+        for _ in 0..PROXIES {
+            operator.start_proxy().await;
+        }
+        operator
+    }
+
+    /// One step, and a pause that may be none.
+    pub async fn step(&mut self) {
+        match self.random.below(10) {
+            0..4 => self.replace_proxy().await,
+            4..7 => self.change_configuration(),
+            _ => self.drain_or_return_backend(),
+        }
+        let pause = self.random.below(MAX_PAUSE_MS) as u64;
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
+    pub async fn stop_all(&mut self) {
+        while let Some(proxy) = self.proxies.pop() {
+            self.stop(proxy);
+        }
+        for stopping in self.stopping.drain(..) {
+            stopping.await.expect("a shutdown");
+        }
+    }
+
+    pub fn summary(&self) -> String {
+        format!("stops={} changes={}", self.stops, self.changes)
+    }
+
+    async fn start_proxy(&mut self) {
+        self.seed += 1;
+        let proxy = TestProxy::start(self.seed, &self.backends).await;
+        self.proxies.push(proxy);
+        self.publish_proxies();
+    }
+
+    /// The new one starts first; connections to the old one stay in use until it closes them.
+    async fn replace_proxy(&mut self) {
+        self.start_proxy().await;
+        let chosen = self.random.below(self.proxies.len() - 1);
+        let proxy = self.proxies.remove(chosen);
+        self.publish_proxies();
+        self.stop(proxy);
+    }
+
+    fn publish_proxies(&self) {
+        let addresses = self.proxies.iter().map(|proxy| proxy.address);
+        *self.world.proxies.borrow_mut() = addresses.collect();
+    }
+
+    fn stop(&mut self, proxy: TestProxy) {
+        self.stops += 1;
+        let drain = Duration::from_millis(self.random.below(MAX_DRAIN_MS) as u64);
+        self.stopping.push(tokio::task::spawn_local(async move {
+            proxy.proxy.with_core(|core| core.shut_down());
+            let deadline = Instant::now() + TIMEOUT;
+            proxy.server.shut_down_by(drain, deadline).await;
+        }));
+    }
+
+    /// All items in a newer version.
+    fn change_configuration(&mut self) {
+        let before = self.changes;
+        self.changes += 1;
+        let text = CONFIGURATION.replace("\"00000001\"", &format!("\"{:08x}\"", self.changes));
+        let items = parse_amend(text.as_bytes()).expect("a configuration").items;
+        let update = ConfigUpdate {
+            after: 0,
+            index: u64::from(before) + 1,
+            changes: Vec::new(),
+            items,
+            controllers: Vec::new(),
+        };
+        self.send_to_all(&Frame::ConfigUpdate(update));
+    }
+
+    /// One of the backends drains, or serves again.
+    fn drain_or_return_backend(&mut self) {
+        self.changes += 1;
+        let number = self.random.below(self.backends.len());
+        let state = if self.random.percent(40) {
+            InstanceState::Draining
+        } else {
+            InstanceState::Serving
+        };
+        let record = InstanceRecord {
+            id: format!("i-{number}"),
+            service: "one".to_owned(),
+            address: self.backends[number].to_string(),
+            zone: "z".to_owned(),
+            capacity: 8,
+            state: state as i32,
+            seq: u64::from(self.changes),
+            warmup_left_ms: 0,
+        };
+        let updates = InstanceUpdates {
+            records: vec![record],
+            complete: false,
+            ack_number: 0,
+        };
+        self.send_to_all(&Frame::InstanceUpdates(updates));
+    }
+
+    fn send_to_all(&self, frame: &Frame) {
+        for proxy in &self.proxies {
+            proxy
+                .proxy
+                .drive(|core, now, out| core.receive(now, "x", frame.clone(), out));
+        }
+    }
+}
