--- a/crates/proxy/tests/common/slow_backend.rs
+++ b/crates/proxy/tests/common/slow_backend.rs
@@ -61,6 +61,11 @@
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a{path}\r\nContent-Length: 0\r\n\r\n"
     );
     stream.write_all(text.as_bytes()).await?;
+    read_response(stream).await
+}
+
+/// Reads the response to a POST.
+pub async fn read_response(stream: &mut TcpStream) -> std::io::Result<Message> {
     let (mut buffer, mut chunk) = (Vec::new(), [0_u8; 4096]);
     loop {
         match parse_response(&buffer, 0, "POST") {
--- a/crates/proxy/tests/soak/client.rs
+++ b/crates/proxy/tests/soak/client.rs
@@ -1,11 +1,12 @@
 //! A client that sends one request after the other on the same connection for as long as it is open, and sometimes leaves.
 
-use super::common::http::{parse_response, Message, ParseError};
+use super::common::http::Message;
 use super::common::random::Random;
+use super::common::slow_backend::read_response;
 use super::{Kind, World};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -97,16 +98,5 @@
         "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Time-Remaining: 8000\r\nContent-Length: 2\r\n\r\nab"
     );
     stream.write_all(text.as_bytes()).await?;
-    let (mut buffer, mut chunk) = (Vec::new(), [0_u8; 4096]);
-    loop {
-        match parse_response(&buffer, 0, "POST") {
-            Ok((message, _)) => return Ok(message),
-            Err(ParseError::Invalid(why)) => panic!("not a response: {why}"),
-            Err(ParseError::Incomplete) => {}
-        }
-        match stream.read(&mut chunk).await? {
-            0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
-            count => buffer.extend_from_slice(&chunk[..count]),
-        }
-    }
+    read_response(stream).await
 }
