--- a/crates/quota-lease/src/tenant_quota.rs
+++ b/crates/quota-lease/src/tenant_quota.rs
@@ -17,7 +17,7 @@
 const MAX_TOKEN_LIFETIME: Millis = 100.0;
 
 /// How long a token may be spent after it was requested, within the bounds `QuotaOvershoot` and `QuotaWindowS`: what runs in a window was
-/// taken from pools within the window and this time. With an overshoot of 0.1 in a window of 5 s it is [`MAX_TOKEN_LIFETIME`].
+/// taken from pools within the window and this time. With an overshoot of 0.1 in a window of 5 s it is the longest, 100 ms.
 pub fn token_lifetime(overshoot: f64, window_s: f64) -> Millis {
     let refilled = (1.0 + POOL_OVERSHOOT_FRACTION * overshoot) * (1.0 + CLOCK_DRIFT);
     let spare = (1.0 + overshoot) / refilled - 1.0;
