--- a/crates/rehearsal/tests/rehearse.rs
+++ b/crates/rehearsal/tests/rehearse.rs
@@ -127,8 +127,9 @@
     );
     // One that does not serve at all is no front door that broke a rule.
     let text = said(&["run", "short", "--daemon", "/bin/false"]);
+    // Both of the scenario's front doors end at once: either may be seen first.
     assert!(
-        text.contains("front door 0 ended before it was ready"),
+        (0..2).any(|door| text.contains(&format!("front door {door} ended before it was ready"))),
         "{text}"
     );
     let path = file("bad.toml");
