--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -38,6 +38,16 @@
 
     /// The same with a budget of descriptors.
     pub async fn with_sockets(seed: u64, backends: &[SocketAddr], max_sockets: usize) -> TestProxy {
+        TestProxy::with_configuration(seed, backends, max_sockets, CONFIGURATION).await
+    }
+
+    /// The same with a configuration other than [`CONFIGURATION`].
+    pub async fn with_configuration(
+        seed: u64,
+        backends: &[SocketAddr],
+        max_sockets: usize,
+        configuration: &str,
+    ) -> TestProxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let text = format!(
@@ -49,7 +59,7 @@
             settings.bounds.retry_slack,
         ) = (50.0, 10_000.0);
         let proxy = Proxy::new(&settings, seed);
-        let items = parse_amend(CONFIGURATION.as_bytes())
+        let items = parse_amend(configuration.as_bytes())
             .expect("a configuration")
             .items;
         let config = ConfigUpdate {
--- a/crates/proxy/tests/common/slow_backend.rs
+++ b/crates/proxy/tests/common/slow_backend.rs
@@ -14,7 +14,8 @@
 /// Longest time that a test may take; only a fault uses it up.
 pub const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// A backend that responds to requests with `held` in their path once `release` is notified, and to all others at once.
+/// A backend that responds to requests with `held` in their path once `release` is notified, and to all others after its
+/// `work_time`.
 #[derive(Default)]
 pub struct SlowBackend {
     /// Requests received so far.
@@ -23,6 +24,8 @@
     pub request_held: Notify,
     /// Releases a held request.
     pub release: Notify,
+    /// How long it takes for each request.
+    pub work_time: Cell<Duration>,
 }
 
 /// Serves the backend on a loopback port.
@@ -45,6 +48,7 @@
                         backend.request_held.notify_one();
                         backend.release.notified().await;
                     }
+                    tokio::time::sleep(backend.work_time.get()).await;
                     let id = request.single("x-attempt-id").unwrap_or_default();
                     let text = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok");
                     let _ = stream.write_all(text.as_bytes()).await;
