Requests taken late after SIGTERM are finished: admission ends before the process

Cause: the shutdown waited for a moment without open requests and accepted until then. Where fewer than half of a zone's proxies are ready, the platform sends clients to all of them, so that moment never came, and what was accepted last was cut by the end of the process.

Change: after the drain delay no request is admitted whose response may be due after the process's end (503, Retry-After, not run); the listener closes that much before the end, having accepted what waits in the backlog; an unused connection gets 250 ms for its request.

--- a/crates/downstream/src/connection_table.rs
+++ b/crates/downstream/src/connection_table.rs
@@ -67,6 +67,11 @@
         self.connections.borrow().is_empty()
     }
 
+    /// Whether a further connection is within the limit.
+    pub fn has_capacity(&self) -> bool {
+        self.len() < self.max_connections
+    }
+
     /// Whether the limit is reached and no connection can be asked to close. Responses then close their connections.
     pub fn is_saturated(&self) -> bool {
         self.saturated.get()
@@ -85,7 +90,7 @@
         select: impl Fn(&mut dyn Iterator<Item = &Rc<T>>) -> Option<C>,
         close: impl Fn(C),
     ) {
-        while self.len() >= self.max_connections {
+        while !self.has_capacity() {
             let selected = select(&mut self.connections.borrow().values());
             match selected {
                 Some(connection) => close(connection),
--- a/crates/gateway-config/src/route_table.rs
+++ b/crates/gateway-config/src/route_table.rs
@@ -49,6 +49,12 @@
         table
     }
 
+    /// The longest timeout of all routes, in milliseconds; 0 without routes.
+    pub fn longest_timeout(&self) -> f64 {
+        let timeouts = self.routes.values().map(|route| route.timeout);
+        timeouts.fold(0.0, f64::max)
+    }
+
     /// Follows changes that were applied to these items. The work grows with the changes, not with the items.
     pub fn patch<'a>(
         &mut self,
--- a/crates/proxy/src/core/admission.rs
+++ b/crates/proxy/src/core/admission.rs
@@ -42,7 +42,8 @@
         let unavailable =
             || LocalResponse::not_run(503, RETRY_AFTER_LATENCY_TARGETS * route.latency_target);
         let deadline = response_deadline(incoming, route);
-        if self.requests.len() >= MAX_PENDING_REQUESTS || deadline <= now {
+        let has_time = now < deadline && deadline <= self.last_response_at;
+        if self.requests.len() >= MAX_PENDING_REQUESTS || !has_time {
             return Err(Rejection::Rejected(unavailable()));
         }
         let service = self.choose_service(route);
--- a/crates/proxy/src/core/mod.rs
+++ b/crates/proxy/src/core/mod.rs
@@ -71,6 +71,8 @@
     last_request_id: u32,
     timers: TimerQueue<Timer>,
     shutting_down: bool,
+    /// Requests whose responses may come later than this are rejected; infinite unless the proxy is about to end.
+    last_response_at: Millis,
     was_ready: bool,
     stats: Stats,
 }
@@ -100,6 +102,7 @@
             last_request_id: 0,
             timers: TimerQueue::default(),
             shutting_down: false,
+            last_response_at: f64::INFINITY,
             was_ready: false,
             stats: Stats::default(),
         }
@@ -134,6 +137,16 @@
         self.shutting_down = true;
     }
 
+    /// The process ends at `at`: from now on a request that may take longer is rejected.
+    pub fn end_at(&mut self, at: Millis) {
+        self.last_response_at = at;
+    }
+
+    /// The longest time that a request may take by the configuration; 0 without one.
+    pub fn longest_timeout(&self) -> Millis {
+        self.route_table.longest_timeout()
+    }
+
     /// Known controllers, by IP address.
     pub fn controllers(&self) -> &BTreeSet<String> {
         &self.controllers
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -10,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -18,6 +19,8 @@
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Most bytes that a connection buffers in each direction, whatever the configured limit of a head is.
 const MAX_BUFFER_BYTES: usize = 1 << 20;
+/// How long a connection on which nothing has been received is kept once idle connections are closed.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 
 /// A client's connection, as shared between its task, its socket and the accept loop.
 pub(super) struct ClientConnection {
@@ -49,6 +52,11 @@
         self.state.borrow().idle_since()
     }
 
+    /// Whether nothing has been received on it.
+    pub fn is_unused(&self) -> bool {
+        self.state.borrow().is_unused()
+    }
+
     pub fn bytes_received(&self, now: Millis) {
         if self.state.borrow_mut().bytes_received(now) {
             self.deadline_changed.notify_one();
@@ -87,6 +95,9 @@
         let mut http = std::pin::pin!(http);
         let mut phase = self.phase.subscribe();
         let mut closing_idle = false;
+        // Guards clients that have just connected while the proxy stops: their first request is on its way, and the HTTP library
+        // closes a connection without a request at once. The response to that request closes the connection.
+        let mut first_request_by = None;
         loop {
             let deadline = self
                 .close_deadline(connection)
@@ -96,6 +107,13 @@
                 _ = http.as_mut() => return,
                 _ = phase.wait_for(|phase| *phase == ShutdownPhase::ClosingIdle), if !closing_idle => {
                     closing_idle = true;
+                    if connection.is_unused() {
+                        first_request_by = Some(Instant::now() + FIRST_REQUEST_GRACE);
+                        continue;
+                    }
+                }
+                () = tokio::time::sleep_until(first_request_by.unwrap_or_else(Instant::now)), if first_request_by.is_some() => {
+                    first_request_by = None;
                 }
                 () = tokio::time::sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
                     match self.due_close_mode(connection) {
--- a/crates/proxy/src/downstream/connection_state.rs
+++ b/crates/proxy/src/downstream/connection_state.rs
@@ -99,6 +99,11 @@
         is_idle.then_some(self.idle_since)
     }
 
+    /// Whether nothing has been received on it.
+    pub fn is_unused(&self) -> bool {
+        !self.has_requested && self.head_started_at.is_none()
+    }
+
     /// It was asked to close.
     pub fn closing(&mut self) {
         self.closing = true;
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -16,7 +16,7 @@
 use maplefall_downstream::{CloseNotification, ConnectionTable, ShutdownPhase};
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
 
 /// The server that clients connect to.
@@ -25,6 +25,8 @@
     body_memory: BodyMemory,
     connections: Rc<ConnectionTable<ClientConnection>>,
     accept_task: RefCell<Option<JoinHandle<()>>>,
+    /// Tells the accept task to end.
+    stop_accepting: Notify,
     phase: watch::Sender<ShutdownPhase>,
 }
 
@@ -40,6 +42,7 @@
                 CloseNotification::Remembered,
             ),
             accept_task: RefCell::default(),
+            stop_accepting: Notify::new(),
             phase: watch::Sender::new(ShutdownPhase::Serving),
         })
     }
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -22,22 +22,45 @@
     }
 
     /// The same with explicit times: for `drain_delay` idle connections stay open, at `deadline` connections are abandoned.
+    ///
+    /// Guards requests that are accepted late (the users' rule LOST): where most proxies of a zone stop at once, the platform goes on
+    /// sending clients, so that there is always a request open. After `drain_delay` no request is admitted that may take until after
+    /// the deadline, and connections are refused once no request could be admitted on them.
     pub async fn shut_down_by(&self, drain_delay: Duration, deadline: Instant) {
         self.phase.send_replace(ShutdownPhase::ClosingAfterResponse);
         tokio::time::sleep(drain_delay).await;
         self.phase.send_replace(ShutdownPhase::ClosingIdle);
+        self.end_admission_by(deadline);
+        let longest_timeout = self.proxy.with_core(|core| core.longest_timeout());
+        let longest_timeout = Duration::from_secs_f64(longest_timeout.max(0.0) / 1000.0);
+        let last_accept = deadline.checked_sub(longest_timeout).unwrap_or(deadline);
+        self.wait_for_open_work(last_accept).await;
+        // Guards connections that would be accepted and cut while the process ends: the listener is closed before the last request
+        // has its response, so that clients are refused and try another proxy.
+        if let Some(accept_task) = self.close_listener() {
+            let _ = accept_task.await;
+        }
+        self.wait_for_open_work(deadline).await;
+        if self.has_open_work() {
+            log::warn!("event=shutdown_timeout open={}", self.connections.len());
+        }
+    }
+
+    /// From now on requests are rejected that may take until after `deadline`.
+    fn end_admission_by(&self, deadline: Instant) {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let end = self.proxy.clock.now() + time_left.as_secs_f64() * 1000.0;
+        self.proxy.with_core(|core| core.end_at(end));
+    }
+
+    /// Waits until no connection is open and no request is pending, until `deadline` at the latest.
+    async fn wait_for_open_work(&self, deadline: Instant) {
         while self.has_open_work() {
             let closed = tokio::time::timeout_at(deadline, self.connections.closed()).await;
             if closed.is_err() {
-                log::warn!("event=shutdown_timeout open={}", self.connections.len());
-                break;
+                return;
             }
         }
-        // Guards connections that would be accepted and cut while the process ends: the listener is closed when this returns,
-        // so that clients are refused and try another proxy.
-        if let Some(accept_task) = self.close_listener() {
-            let _ = accept_task.await;
-        }
     }
 
     fn has_open_work(&self) -> bool {
