Shutdown: the listener stays open until the shortest timeout before the end

Change: connections are accepted until not even the route with the shortest timeout could admit a request; requests of longer routes are turned away one by one, as before.

--- a/crates/gateway-config/src/route_table.rs
+++ b/crates/gateway-config/src/route_table.rs
@@ -49,10 +49,10 @@
         table
     }
 
-    /// The longest timeout of all routes, in milliseconds; 0 without routes.
-    pub fn longest_timeout(&self) -> f64 {
+    /// The shortest timeout of all routes, in milliseconds; `None` without routes.
+    pub fn shortest_timeout(&self) -> Option<f64> {
         let timeouts = self.routes.values().map(|route| route.timeout);
-        timeouts.fold(0.0, f64::max)
+        timeouts.min_by(f64::total_cmp)
     }
 
     /// Follows changes that were applied to these items. The work grows with the changes, not with the items.
--- a/crates/proxy/src/core/mod.rs
+++ b/crates/proxy/src/core/mod.rs
@@ -142,9 +142,9 @@
         self.last_response_at = at;
     }
 
-    /// The longest time that a request may take by the configuration; 0 without one.
-    pub fn longest_timeout(&self) -> Millis {
-        self.route_table.longest_timeout()
+    /// The shortest time that any route gives its requests; 0 without routes.
+    pub fn shortest_timeout(&self) -> Millis {
+        self.route_table.shortest_timeout().unwrap_or(0.0)
     }
 
     /// Known controllers, by IP address.
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -20,7 +20,7 @@
 /// Most bytes that a connection buffers in each direction, whatever the configured limit of a head is.
 const MAX_BUFFER_BYTES: usize = 1 << 20;
 /// How long a connection on which nothing has been received is kept once idle connections are closed.
-const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
+pub(super) const FIRST_REQUEST_GRACE: Duration = Duration::from_millis(250);
 
 /// A client's connection, as shared between its task, its socket and the accept loop.
 pub(super) struct ClientConnection {
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown: no request that has arrived is dropped while there is time, and no connection is accepted that could not
 //! be served.
 
+use super::connection::FIRST_REQUEST_GRACE;
 use super::DownstreamServer;
 use maplefall_downstream::ShutdownPhase;
 use std::time::Duration;
@@ -31,10 +32,7 @@
         tokio::time::sleep(drain_delay).await;
         self.phase.send_replace(ShutdownPhase::ClosingIdle);
         self.end_admission_by(deadline);
-        let longest_timeout = self.proxy.with_core(|core| core.longest_timeout());
-        let longest_timeout = Duration::from_secs_f64(longest_timeout.max(0.0) / 1000.0);
-        let last_accept = deadline.checked_sub(longest_timeout).unwrap_or(deadline);
-        self.wait_for_open_work(last_accept).await;
+        self.wait_for_open_work(self.last_accept(deadline)).await;
         // Guards connections that would be accepted and cut while the process ends: the listener is closed before the last request
         // has its response, so that clients are refused and try another proxy.
         if let Some(accept_task) = self.close_listener() {
@@ -53,6 +51,16 @@
         self.proxy.with_core(|core| core.end_at(end));
     }
 
+    /// From when on a new connection's request could not be admitted, whatever its route.
+    fn last_accept(&self, deadline: Instant) -> Instant {
+        let shortest_timeout = self.proxy.with_core(|core| core.shortest_timeout());
+        let shortest_timeout = Duration::try_from_secs_f64(shortest_timeout / 1000.0);
+        let time_needed = shortest_timeout
+            .unwrap_or_default()
+            .max(FIRST_REQUEST_GRACE);
+        deadline.checked_sub(time_needed).unwrap_or(deadline)
+    }
+
     /// Waits until no connection is open and no request is pending, until `deadline` at the latest.
     async fn wait_for_open_work(&self, deadline: Instant) {
         while self.has_open_work() {
