Attempts are given up for a retry only; proxies of large fleets have retries

Symptom 1: a young proxy answers 502 while the backend is at work, with most of the client's time left (LOST after SIGTERM, second form). Cause: an attempt's timeout is set in the sight of a retry that another attempt may have used by the time it is due.

Ruled out for 1: that no backend could be chosen.

Change: a timeout that is due asks the decision module whether a retry would follow; if not, the attempt goes on until its client's time is over. Timers run up to the first that gives an attempt up, so that two do not count on one retry.

--- a/crates/policy/src/gateway/attempts.rs
+++ b/crates/policy/src/gateway/attempts.rs
@@ -77,7 +77,7 @@
         // Where answers are slow everywhere, a retry would only add to the queues.
         let has_headroom = self.backpressure.admitted_fraction > RETRY_HEADROOM
             && self.backpressure.pressure < 1.0 - RETRY_HEADROOM
-            && self.retry_budget >= 1.0;
+            && self.retries.has_retry(self.now);
         if is_repeatable && has_time && may_retry && has_headroom {
             return timeout;
         }
@@ -108,7 +108,7 @@
             pending.first_exposure.get_or_insert(exposure);
         }
         if let Some(backend) = self.backend_for_retry(&pending) {
-            self.retry_budget -= 1.0;
+            self.retries.spend(self.now);
             self.send(pending, backend);
         } else {
             self.actions.push(self.final_answer(&pending));
@@ -121,17 +121,26 @@
             .record_answer(self.now, self.target, gateways, fraction);
     }
 
+    /// Whether an attempt that is given up at `now` is followed by another; several may have been
+    /// sent in the sight of the same retry.
+    pub fn would_retry(&self, now: Millis, id: RequestId) -> bool {
+        let pending = self.requests.get(id);
+        pending.is_some_and(|pending| self.has_retry(now, pending))
+    }
+
+    fn has_retry(&self, now: Millis, pending: &Pending) -> bool {
+        let is_open = !pending.stream_started && !self.backends.index().ready().is_empty();
+        let has_time = self.answer_by(pending) - now > self.settings.tick;
+        let may_retry = pending.attempts < self.settings.attempt_limit(&pending.request);
+        is_open && has_time && may_retry && self.retries.has_retry(now)
+    }
+
     fn backend_for_retry(&mut self, pending: &Pending) -> Option<BackendId> {
-        let request = &pending.request;
-        let has_time = self.answer_by(pending) - self.now > self.settings.tick;
-        let may_retry =
-            pending.attempts < self.settings.attempt_limit(request) && self.retry_budget >= 1.0;
-        if pending.stream_started || !has_time || !may_retry {
+        if !self.has_retry(self.now, pending) {
             return None;
         }
-        let reach = self.reach(request, pending.first_exposure);
-        let candidate = self.choose(request, reach)?;
-        Some(candidate.key)
+        let reach = self.reach(&pending.request, pending.first_exposure);
+        self.choose(&pending.request, reach).map(|found| found.key)
     }
 
     /// Where a request may be sent after its first attempt that may have run.
--- a/crates/policy/src/gateway/customers.rs
+++ b/crates/policy/src/gateway/customers.rs
@@ -50,8 +50,7 @@
 
     /// Sends a request on for the first time.
     fn forward(&mut self, pending: Pending, backend: BackendId) {
-        let saved = self.retry_budget + self.settings.retry_share;
-        self.retry_budget = saved.min(self.settings.retry_depth);
+        self.retries.earn(self.now, self.settings.retry_limits());
         let alarm_at = self.slow_at(&pending).min(self.answer_by(&pending));
         self.set_alarm(pending.request.id.into(), alarm_at);
         self.send(pending, backend);
--- a/crates/policy/src/gateway/mod.rs
+++ b/crates/policy/src/gateway/mod.rs
@@ -14,7 +14,7 @@
 use maplefall_backend_index::BackendTable;
 use maplefall_load_estimators::{
     uniform, Attempt, Backpressure, BalanceBounds, ConcurrencyLimit, EjectionChange, EvictingMap,
-    HealthScore, MeteredUsage, ServiceTime, ServiceTimePrior, SharedBalances, Usage,
+    HealthScore, MeteredUsage, RetryBudget, ServiceTime, ServiceTimePrior, SharedBalances, Usage,
 };
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -168,7 +168,7 @@
     /// Of all backends.
     service_time: ServiceTime,
     backpressure: Backpressure,
-    retry_budget: f64,
+    retries: RetryBudget,
     /// When a connection to any backend last broke.
     connection_broke_at: Millis,
     /// Mean units of a request.
@@ -190,7 +190,7 @@
             requests: PendingRequests::default(),
             service_time: ServiceTime::default(),
             backpressure: Backpressure::new(settings.gateways),
-            retry_budget: settings.retry_start,
+            retries: RetryBudget::new(settings.retry_start),
             connection_broke_at: f64::NEG_INFINITY,
             typical_units: 1.0,
             settings,
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -162,6 +162,9 @@
     pub retry_start: f64,
     /// See above.
     pub retry_depth: f64,
+    /// The span over which the fleet's retries are counted, where a gateway whose `retry_depth` is below one
+    /// retry may save what it has earned in that span; 0 where it may not.
+    pub retry_window: Millis,
     /// Whether one request may have two attempts out at a time.
     pub second_copies: bool,
     /// Whether attempts may be called off.
@@ -533,6 +536,7 @@
             retry_share: 0.2,
             retry_start: 10.0,
             retry_depth: 10.0,
+            retry_window: 0.0,
             second_copies: false,
             cancel: false,
             probes: false,
--- a/crates/policy/src/lookup.rs
+++ b/crates/policy/src/lookup.rs
@@ -4,7 +4,9 @@
 use crate::interface::{
     AlarmId, Class, Elsewhere, Millis, Outcome, Plan, PlanId, Request, RequestId, Settings, Settled,
 };
-use maplefall_load_estimators::{clamp_or, AttemptEnd, AttemptResult, SlowStart, UsageReport};
+use maplefall_load_estimators::{
+    clamp_or, AttemptEnd, AttemptResult, RetryLimits, SlowStart, UsageReport,
+};
 
 /// The shortest latency target where there is no class.
 const DEFAULT_TARGET_MS: Millis = 1000.0;
@@ -51,6 +53,15 @@
         deadlines.fold(MIN_DEADLINE_MS, f64::max)
     }
 
+    /// What this gateway may use of the fleet's retry budget.
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
+        RetryLimits {
+            share: self.retry_share,
+            depth: self.retry_depth,
+            window: self.retry_window,
+        }
+    }
+
     /// How backends warm up.
     pub(crate) fn slow_start(&self) -> SlowStart {
         SlowStart {
--- a/crates/proxy/src/core/stats.rs
+++ b/crates/proxy/src/core/stats.rs
@@ -24,6 +24,8 @@
     pub failed: u64,
     /// Attempts beyond the first of a request.
     pub retries: u64,
+    /// Attempts that were given up by their timeout.
+    pub attempts_given_up: u64,
     /// Requests without a route or with an unknown key.
     pub unroutable: u64,
     /// `quota_rejected`, by tenant.
@@ -60,7 +62,7 @@
             .unwrap_or_default();
         Some(format!(
             "event=stats arrived={} forwarded={} quota_rejected={} tokens_requested={} penalty_box_rejected={} no_backend={} failed={} \
-             retries={} unroutable={}{tenant}",
+             retries={} attempts_given_up={} unroutable={}{tenant}",
             stats.arrived,
             stats.forwarded,
             stats.quota_rejected,
@@ -69,6 +71,7 @@
             stats.no_backend,
             stats.failed,
             stats.retries,
+            stats.attempts_given_up,
             stats.unroutable,
         ))
     }
--- a/crates/proxy/src/core/timers.rs
+++ b/crates/proxy/src/core/timers.rs
@@ -15,6 +15,17 @@
     AttemptTimeout { request: RequestId, attempt: u32 },
 }
 
+/// What became of an attempt whose time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Timeout {
+    /// It has ended before.
+    Ignored,
+    /// It goes on until its client's time is over.
+    Extended,
+    /// It is given up.
+    GivenUp,
+}
+
 impl Timer {
     fn is_obsolete(&self, requests: &HashMap<RequestId, PendingRequest>) -> bool {
         match self {
@@ -33,14 +44,17 @@
         self.timers.next_due(|timer| timer.is_obsolete(requests))
     }
 
-    /// Runs the timers that are due.
+    /// Runs the timers that are due, up to the first that gives an attempt up: what the next ones do depends on whether a retry
+    /// has followed, so the outputs have to be carried out first. [`next_due`](Self::next_due) tells whether any is left.
     pub fn run_timers(&mut self, now: Millis, out: &mut Vec<Output>) {
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Alarm(id) => self.policy_alarm(now, id, out),
                 Timer::QuotaToken(id) => self.quota_token_available(now, id, out),
                 Timer::AttemptTimeout { request, attempt } => {
-                    self.attempt_timed_out(now, request, attempt, out);
+                    if self.attempt_timed_out(now, request, attempt, out) == Timeout::GivenUp {
+                        return;
+                    }
                 }
             }
         }
@@ -65,27 +79,32 @@
         }
     }
 
+    /// Guards requests whose backends are at work on them (the users' rule LOST): an attempt is given up before its client's time is
+    /// over only if a retry follows, and never during a planned stop.
     fn attempt_timed_out(
         &mut self,
         now: Millis,
-        id: RequestId,
+        request: RequestId,
         attempt: u32,
         out: &mut Vec<Output>,
-    ) {
-        let Some(pending) = self.requests.get(&id) else {
-            return;
+    ) -> Timeout {
+        let pending = self.requests.get(&request);
+        let Some(pending) = pending.filter(|pending| pending.is_in_flight(attempt)) else {
+            return Timeout::Ignored;
         };
         let deadline = pending.deadline;
-        if !pending.is_in_flight(attempt) {
-            return;
-        }
-        // Guards in-flight requests at a planned stop: a slow backend is no reason to give up before the client does.
-        if self.shutting_down && now < deadline {
-            let request = id;
+        let would_retry = !self.shutting_down
+            && self
+                .services
+                .get(pending.service)
+                .is_some_and(|service| service.gateway.would_retry(now, request));
+        if now < deadline && !would_retry {
             self.timers
                 .set(deadline, Timer::AttemptTimeout { request, attempt });
-        } else {
-            out.push(Output::CancelAttempt(id, attempt));
+            return Timeout::Extended;
         }
+        self.stats.attempts_given_up += 1;
+        out.push(Output::CancelAttempt(request, attempt));
+        Timeout::GivenUp
     }
 }
--- a/crates/proxy/src/services.rs
+++ b/crates/proxy/src/services.rs
@@ -111,6 +111,11 @@
     }
 
     /// A service by its index.
+    pub fn get(&self, index: usize) -> Option<&Service> {
+        self.services.get(index)
+    }
+
+    /// The same, to change it.
     pub fn get_mut(&mut self, index: usize) -> Option<&mut Service> {
         self.services.get_mut(index)
     }
@@ -149,6 +154,7 @@
             retry_share: self.bounds.retry_budget_ratio,
             retry_start: 0.0,
             retry_depth: self.retry_depth(),
+            retry_window: self.bounds.retry_window_s * 1000.0,
             retry_after: true,
             max_retry_after: MAX_RETRY_AFTER,
             cross_zone_price: CROSS_ZONE_PRICE,
@@ -181,11 +187,13 @@
     fn update_gateways(&mut self) {
         let proxies = self.proxy_count;
         let retry_depth = self.retry_depth();
+        let retry_window = self.bounds.retry_window_s * 1000.0;
         let retry_share = self.bounds.retry_budget_ratio;
         for service in &mut self.services {
             service.gateway.amend(|settings| {
                 settings.gateways = proxies;
                 settings.retry_depth = retry_depth;
+                settings.retry_window = retry_window;
                 settings.retry_share = retry_share;
             });
         }
--- a/crates/proxy/tests/attempt_timeouts.rs
+++ b/crates/proxy/tests/attempt_timeouts.rs
@@ -25,6 +25,11 @@
 /// Their route has 20 s; responses leave a little earlier.
 const BEFORE_THE_DEADLINE: u32 = 19_900;
 
+/// `RetrySlack` of the users' first deployments.
+const USERS_RETRY_SLACK: f64 = 62.0;
+/// A slack of which one proxy's part is less than a retry: as many proxies as this share 62.
+const SLACK_OF_ONE_OF_MANY: f64 = USERS_RETRY_SLACK / 100.0;
+
 /// A proxy with the users' retry budget and backends that never respond.
 struct Proxy {
     core: Core,
@@ -38,9 +43,10 @@
 }
 
 impl Proxy {
-    fn new() -> Proxy {
+    fn new(retry_slack: f64) -> Proxy {
         let text = "Node = \"edge\"\nIp = \"127.0.0.1\"\nInternalPorts = [1,1]\nSeedAddrs = [\"127.0.0.1:1\"]\nBootstrap = false\nZone = \"z\"\n[Bind]\nFrontHttp = \"127.0.0.1:1\"\nReadyProbe = \"127.0.0.1:1\"\n";
-        let settings = Settings::parse(text, Path::new("edge.toml")).expect("settings");
+        let mut settings = Settings::parse(text, Path::new("edge.toml")).expect("settings");
+        settings.bounds.retry_slack = retry_slack;
         let mut proxy = Proxy {
             core: Core::new(&settings, 1),
             in_flight: Vec::new(),
@@ -137,7 +143,7 @@
 /// before its client's time is over.
 #[test]
 fn an_attempt_is_given_up_for_a_retry_only() {
-    let mut proxy = Proxy::new();
+    let mut proxy = Proxy::new(USERS_RETRY_SLACK);
     for _ in 0..REQUESTS {
         proxy.admit(10.0);
     }
@@ -156,3 +162,23 @@
         "requests outlast their clients"
     );
 }
+
+/// Guards proxies of a large fleet, whose part of the retry slack is less than one retry: they never retried (beyond 37 proxies with a
+/// slack of 62, beyond 128 with 214). What a proxy earns with its requests is enough for a retry, and is not more than its share.
+#[test]
+fn a_proxy_of_a_large_fleet_retries_what_it_has_earned() {
+    let mut proxy = Proxy::new(SLACK_OF_ONE_OF_MANY);
+    for _ in 0..2 * REQUESTS {
+        proxy.admit(10.0);
+    }
+    for now in 10..BEFORE_THE_DEADLINE {
+        proxy.run_timers(f64::from(now));
+        assert_eq!(proxy.given_up, proxy.retries, "given up after {now} ms");
+    }
+    let max_retries = (0.2 * 2.0 * REQUESTS as f64 + SLACK_OF_ONE_OF_MANY) as usize;
+    assert!(
+        (1..=max_retries).contains(&proxy.retries),
+        "{} retries",
+        proxy.retries
+    );
+}
