A broken stream's messages reach its client: none is dropped before the deadline

Head and status come, messages do not; both kinds of streams.

Cause: every final answer but "served" dropped the messages that were queued for the client. Where the front door reads messages and the end of their stream in one go, they are still queued. Evidence: a trial's log line of each drop, in just the failed runs (9 of 9, none of 91), 14 bytes each, 7.99 of 8 s left. Refuted: that it is the first call only (Watch): WatchCharge lost its messages too. Ruled out for these runs: the stand-in's own drop at its reset (h2): the front door had the bytes.

Change: what waits is a type of maplefall-grpc without I/O (ResponseQueue): messages come before the status; at the deadline, and only then, they are dropped, and a served response that is cut by it gets DEADLINE_EXCEEDED; a message is begun once it is complete (or longer than the queue), so that half of one does not stand before a status.

--- a/crates/grpc/src/call.rs
+++ b/crates/grpc/src/call.rs
@@ -232,7 +232,7 @@
     pub fn fail(&mut self, now: Millis, outputs: &mut Vec<Output>) {
         let timed_out = now >= self.deadline || self.current_attempt.is_some();
         let mut trailers = match self.last_end.take() {
-            _ if timed_out => status_trailers(Code::DeadlineExceeded, "no answer in time"),
+            _ if timed_out => deadline_status(),
             None => status_trailers(Code::Unknown, "it may have run"),
             Some((end, _)) if end.code.is_retried_by_clients() => status_trailers(
                 Code::Unknown,
@@ -242,7 +242,7 @@
             Some((end, trailers)) if end.why.is_empty() => trailers,
             Some((end, _)) => status_trailers(end.code, end.why),
         };
-        insert(&mut trailers, RETRY_PUSHBACK, NO_RETRY);
+        forbid_retries(&mut trailers);
         self.finish(CallResult::Failed, trailers, outputs);
     }
 
@@ -271,6 +271,17 @@
     trailers
 }
 
+/// Trailers of a call that has failed because its deadline has passed.
+pub(crate) fn deadline_status() -> HeaderMap {
+    let mut trailers = status_trailers(Code::DeadlineExceeded, "no answer in time");
+    forbid_retries(&mut trailers);
+    trailers
+}
+
+fn forbid_retries(trailers: &mut HeaderMap) {
+    insert(trailers, RETRY_PUSHBACK, NO_RETRY);
+}
+
 fn insert(trailers: &mut HeaderMap, name: HeaderName, value: &str) {
     // All values written here are printable ASCII, so the conversion does not fail.
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/grpc/src/frames.rs
+++ b/crates/grpc/src/frames.rs
@@ -73,6 +73,16 @@
         self.prefix_bytes > 0
     }
 
+    /// Bytes received of the current message, its prefix included; 0 between messages.
+    pub fn bytes_within(&self) -> usize {
+        let prefix_bytes = usize::from(self.prefix_bytes);
+        if self.prefix_bytes == PREFIX_BYTES {
+            prefix_bytes + (self.length - self.remaining) as usize
+        } else {
+            prefix_bytes
+        }
+    }
+
     /// Length in bytes of the message whose prefix was received last.
     pub fn length(&self) -> u32 {
         self.length
--- a/crates/grpc/src/lib.rs
+++ b/crates/grpc/src/lib.rs
@@ -18,7 +18,7 @@
 //! 6. **Deadlines shrink**: the timeout that a backend receives never exceeds the time that is left ([`timeout`]).
 //!
 //! Modules: [`routes`] (the route trie), [`timeout`] (deadlines), [`Code`] (status codes and the mapping of HTTP and reset
-//! codes), [`Attempt`] (what may be retried), [`Call`] (what the client sees), [`Replay`] (the request, kept for retries),
+//! codes), [`Attempt`] (what may be retried), [`Call`] (what the client sees), [`ResponseQueue`] (what it has yet to take), [`Replay`] (the request, kept for retries),
 //! [`frames`] (message boundaries), [`percent_encoding`] (`grpc-message`).
 
 mod attempt;
@@ -27,6 +27,7 @@
 mod headers;
 pub mod percent_encoding;
 mod replay;
+mod response_queue;
 pub mod routes;
 mod status;
 pub mod timeout;
@@ -35,6 +36,7 @@
 pub use call::{status_trailers, Call, CallResult, Closed, Output};
 pub use headers::{is_grpc, GRPC_MESSAGE, GRPC_STATUS, NOT_STARTED, RETRY_PUSHBACK};
 pub use replay::{Next, Replay};
+pub use response_queue::{NextOutput, ResponseQueue};
 pub use status::{Code, StatusClass, CANCEL, REFUSED_STREAM};
 
 /// Cardinality of a method's messages (gRPC's "Core concepts", "Service definition").
--- a/crates/maplefall/src/net/grpc/call_handler.rs
+++ b/crates/maplefall/src/net/grpc/call_handler.rs
@@ -129,6 +129,10 @@
             }
         }
         let mut answered = false;
+        let mut expired = false;
+        let mut deadline_timer = std::pin::pin!(tokio::time::sleep_until(
+            self.driver.clock.instant(deadline)
+        ));
         loop {
             tokio::select! {
                 biased;
@@ -138,6 +142,11 @@
                     self.apply_answer(&call, received.unwrap_or(Answer::Failed));
                 }
                 step = response.step(&call) => if step != Step::Sent { return },
+                // Guards the status of a client that does not read on.
+                () = &mut deadline_timer, if answered && !expired => {
+                    expired = true;
+                    call.expire();
+                }
             }
         }
     }
@@ -165,9 +174,6 @@
     /// Ends a call by the final answer of the decision module.
     fn apply_answer(&self, call: &ProxiedCall, answer: Answer) {
         let now = self.driver.clock.now();
-        if !matches!(answer, Answer::Served(_)) {
-            call.drop_messages();
-        }
         call.update(|call: &mut Call, outputs| match answer {
             Answer::Served(_) => call.serve(outputs),
             Answer::Refused(retry_after) => call.refuse(retry_after, outputs),
--- a/crates/maplefall/src/net/grpc/client_stream.rs
+++ b/crates/maplefall/src/net/grpc/client_stream.rs
@@ -3,13 +3,13 @@
 //! Invariant: nothing is taken out of a call's queue before the client's flow control has capacity for it, so a wait may be
 //! dropped at any time.
 
-use super::proxied_call::{NextOutput, ProxiedCall};
+use super::proxied_call::ProxiedCall;
 use h2::server::SendResponse;
 use h2::{RecvStream, SendStream};
 use hyper::body::Bytes;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::{HeaderMap, Response};
-use maplefall_grpc::Output;
+use maplefall_grpc::{NextOutput, Output};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::task::AbortHandle;
--- a/crates/maplefall/src/net/grpc/proxied_call.rs
+++ b/crates/maplefall/src/net/grpc/proxied_call.rs
@@ -6,10 +6,9 @@
 use hyper::body::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Uri};
-use maplefall_grpc::{Call, Closed, End, Next, Output, Replay, Shape};
+use maplefall_grpc::{Call, Closed, End, Next, NextOutput, Output, Replay, ResponseQueue, Shape};
 use maplefall_policy::Millis;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::task::{Context, Poll, Waker};
 use tokio::sync::Notify;
 
@@ -26,8 +25,7 @@
     pub metadata: HeaderMap,
     call: RefCell<Call>,
     replay: RefCell<Replay>,
-    outputs: RefCell<VecDeque<Output>>,
-    queued: Cell<usize>,
+    response: RefCell<ResponseQueue>,
     /// Wakes the sender of the response once there is something to send.
     output_waker: Cell<Option<Waker>>,
     /// The client has taken something.
@@ -59,8 +57,7 @@
             metadata,
             call: RefCell::new(Call::new(shape, deadline, max_replay_bytes)),
             replay: RefCell::new(Replay::new(max_replay_bytes)),
-            outputs: RefCell::default(),
-            queued: Cell::new(0),
+            response: RefCell::new(ResponseQueue::new(MAX_QUEUED_BYTES)),
             output_waker: Cell::new(None),
             output_taken: Notify::new(),
             upload_added: Notify::new(),
@@ -87,10 +84,7 @@
         for output in outputs {
             match output {
                 Output::Commit => committed = true,
-                output => {
-                    self.queued.set(self.queued.get() + size(&output));
-                    self.outputs.borrow_mut().push_back(output);
-                }
+                output => self.response.borrow_mut().push(output),
             }
         }
         if let Some(waker) = self.output_waker.take() {
@@ -114,7 +108,7 @@
 
     /// Waits until no more than [`MAX_QUEUED_BYTES`] are queued for the client.
     pub async fn wait_for_capacity(&self) {
-        while self.queued.get() > MAX_QUEUED_BYTES && !self.call.borrow().over() {
+        while self.response.borrow().is_full() && !self.call.borrow().over() {
             self.output_taken.notified().await;
         }
     }
@@ -123,9 +117,8 @@
 
     /// What is sent to the client next, once there is something.
     pub fn poll_output(&self, cx: &mut Context<'_>) -> Poll<NextOutput> {
-        match self.outputs.borrow().front() {
-            Some(Output::Data(data)) => Poll::Ready(NextOutput::Data(data.len())),
-            Some(_) => Poll::Ready(NextOutput::Other),
+        match self.response.borrow().next() {
+            Some(next) => Poll::Ready(next),
             None => {
                 self.output_waker.set(Some(cx.waker().clone()));
                 Poll::Pending
@@ -135,22 +128,14 @@
 
     /// Takes what is sent to the client next; of messages `max` bytes at most.
     pub fn take_output(&self, max: usize) -> Option<Output> {
-        let mut outputs = self.outputs.borrow_mut();
-        let taken = match outputs.front_mut() {
-            Some(Output::Data(data)) if data.len() > max => Output::Data(data.split_to(max)),
-            _ => outputs.pop_front()?,
-        };
-        self.queued.set(self.queued.get() - size(&taken));
+        let taken = self.response.borrow_mut().take(max);
         self.output_taken.notify_one();
-        Some(taken)
+        taken
     }
 
-    /// Drops the queued messages: the call's deadline has passed, and its status must not wait behind them.
-    pub fn drop_messages(&self) {
-        self.outputs
-            .borrow_mut()
-            .retain(|output| !matches!(output, Output::Data(_)));
-        self.queued.set(0);
+    /// The client's deadline has passed: what it has not read is dropped, and its status does not wait.
+    pub fn expire(&self) {
+        self.response.borrow_mut().expire();
         self.output_taken.notify_one();
     }
 
@@ -205,19 +190,3 @@
         self.replay.borrow().next(index) == Next::End
     }
 }
-
-/// What is sent to a client next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NextOutput {
-    /// So many bytes of messages.
-    Data(usize),
-    /// The head or the status.
-    Other,
-}
-
-fn size(output: &Output) -> usize {
-    match output {
-        Output::Data(data) => data.len(),
-        _ => 0,
-    }
-}
--- a/crates/maplefall/tests/grpc/connections.rs
+++ b/crates/maplefall/tests/grpc/connections.rs
@@ -1,10 +1,10 @@
 //! Connections to backends: GOAWAY, liveness, limits, drains and shutdown.
 
 use crate::harness::*;
+use crate::raw_backend::{go_away, raw_backend};
 use maplefall_event_trace::Recorder;
 use maplefall_test_servers::agent::{Agent, List};
 use maplefall_test_servers::grpc::{framed, Client, Fault, Service};
-use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -36,52 +36,6 @@
     });
 }
 
-/// A backend written frame by frame: what the library would not do on call.
-async fn raw_backend(listener: TcpListener, answer: impl Fn(usize) -> Vec<u8>) -> usize {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    listener.set_nonblocking(true).unwrap();
-    let listener = tokio::net::TcpListener::from_std(listener).unwrap();
-    let mut connections = 0;
-    loop {
-        let (mut stream, _) = listener.accept().await.unwrap();
-        let bytes = answer(connections);
-        connections += 1;
-        let mut got = Vec::new();
-        // SETTINGS, empty; then whatever is called for, once the call has come whole (END_STREAM on its DATA).
-        stream
-            .write_all(&[0, 0, 0, 4, 0, 0, 0, 0, 0])
-            .await
-            .unwrap();
-        let ended = loop {
-            if stream.read_buf(&mut got).await.unwrap_or(0) == 0 {
-                break false;
-            }
-            // A PING is answered.
-            if let Some(at) = got.windows(9).position(|w| w[..5] == [0, 0, 8, 6, 0]) {
-                if got.len() >= at + 17 {
-                    let mut pong = got[at..at + 17].to_vec();
-                    pong[4] = 1;
-                    stream.write_all(&pong).await.unwrap();
-                    got.drain(..at + 17);
-                }
-            }
-            if got
-                .windows(9)
-                .any(|w| w[3] == 0 && w[4] & 1 == 1 && w[5..9] == [0, 0, 0, 1])
-            {
-                break true;
-            }
-        };
-        if ended {
-            stream.write_all(&bytes).await.unwrap();
-        }
-    }
-}
-
-fn go_away(last: u8) -> Vec<u8> {
-    vec![0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, last, 0, 0, 0, 0]
-}
-
 /// Guards the two meanings of a `GOAWAY`: streams above its last were never looked at, those up to it may have run though the
 /// connection ends behind it.
 #[test]
--- a/crates/maplefall/tests/grpc/main.rs
+++ b/crates/maplefall/tests/grpc/main.rs
@@ -5,7 +5,9 @@
 mod harness;
 mod mixed_faults;
 mod pass_through;
+mod raw_backend;
 mod retries;
+mod slow_clients;
 
 #[path = "../sockets/mod.rs"]
 mod sockets;
--- a/crates/maplefall/tests/grpc/retries.rs
+++ b/crates/maplefall/tests/grpc/retries.rs
@@ -141,6 +141,11 @@
 
 /// Guards a stream that breaks halfway: what its client has seen of it can't be taken back, so nothing else takes its place,
 /// whatever the class.
+///
+/// It failed now and then beside load (9 of 100 runs beside sixteen busy processes): head and status came, the two messages did not. The
+/// front door had read messages and reset in one go, and dropped what was queued as the final answer came. A trial's log line of each drop
+/// showed it: 9 lines in these 9 runs, none in the 91 others, each with both messages and 7.99 s left. `slow_clients.rs` shows it
+/// without load.
 #[test]
 fn stream_that_breaks_halfway_is_not_retried() {
     run(async {
--- a/crates/test-servers/src/grpc.rs
+++ b/crates/test-servers/src/grpc.rs
@@ -519,12 +519,27 @@
     /// # Errors
     /// If no connection comes up.
     pub async fn open(to: SocketAddr) -> Result<Client, String> {
+        Client::open_with(to, h2::client::Builder::new()).await
+    }
+
+    /// Connects, with a window of so many bytes for each answer.
+    ///
+    /// # Errors
+    /// If no connection comes up.
+    pub async fn open_with_window(to: SocketAddr, window: u32) -> Result<Client, String> {
+        let mut builder = h2::client::Builder::new();
+        builder.initial_window_size(window);
+        Client::open_with(to, builder).await
+    }
+
+    async fn open_with(to: SocketAddr, builder: h2::client::Builder) -> Result<Client, String> {
         let stream = TcpStream::connect(to)
             .await
             .map_err(|error| error.to_string())?;
         // Without it calls are late, not wrong.
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = h2::client::handshake(stream)
+        let (sender, connection) = builder
+            .handshake(stream)
             .await
             .map_err(|error| error.to_string())?;
         tokio::task::spawn_local(async move {
