--- a/crates/proxy/tests/attempt_timeouts.rs
+++ b/crates/proxy/tests/attempt_timeouts.rs
@@ -11,17 +11,13 @@
 
 mod common;
 
-use common::CONFIGURATION;
-use maplefall_control_messages::{ConfigUpdate, Frame, InstanceUpdates};
-use maplefall_gateway_config::parse_amend;
-use maplefall_node_settings::Settings;
+use common::{config_update, serving_instances, settings_of, unused_addresses, CONFIGURATION};
 use maplefall_policy::{Outcome, RequestId};
 use maplefall_proxy::{AttemptEnd, Core, IncomingRequest, Output};
-use maplefall_service_registry::{InstanceRecord, InstanceState};
-use std::path::Path;
 
 /// Requests that are sent at once. By the users' ratio of 0.2 they earn two retries.
 const REQUESTS: usize = 12;
+const BACKENDS: u16 = 4;
 /// Their route has 20 s; responses leave a little earlier.
 const BEFORE_THE_DEADLINE: u32 = 19_900;
 
@@ -44,8 +40,7 @@
 
 impl Proxy {
     fn new(retry_slack: f64) -> Proxy {
-        let text = "Node = \"edge\"\nIp = \"127.0.0.1\"\nInternalPorts = [1,1]\nSeedAddrs = [\"127.0.0.1:1\"]\nBootstrap = false\nZone = \"z\"\n[Bind]\nFrontHttp = \"127.0.0.1:1\"\nReadyProbe = \"127.0.0.1:1\"\n";
-        let mut settings = Settings::parse(text, Path::new("edge.toml")).expect("settings");
+        let mut settings = settings_of(unused_addresses(1)[0]);
         settings.bounds.retry_slack = retry_slack;
         let mut proxy = Proxy {
             core: Core::new(&settings, 1),
@@ -54,34 +49,11 @@
             given_up: 0,
             responses: 0,
         };
-        let config = ConfigUpdate {
-            after: 0,
-            index: 1,
-            changes: Vec::new(),
-            items: parse_amend(CONFIGURATION.as_bytes())
-                .expect("a configuration")
-                .items,
-            controllers: Vec::new(),
-        };
-        let records = (1..=4).map(|n| InstanceRecord {
-            id: format!("i-{n}"),
-            service: "one".to_owned(),
-            address: format!("127.0.0.1:{}", 1000 + n),
-            zone: "z".to_owned(),
-            capacity: 8,
-            state: InstanceState::Serving as i32,
-            seq: 1,
-            warmup_left_ms: 0,
-        });
-        let updates = InstanceUpdates {
-            records: records.collect(),
-            complete: true,
-            ack_number: 0,
-        };
         let mut out = Vec::new();
         let core = &mut proxy.core;
-        core.receive(0.0, "x", Frame::ConfigUpdate(config), &mut out);
-        core.receive(0.0, "x", Frame::InstanceUpdates(updates), &mut out);
+        core.receive(0.0, "x", config_update(CONFIGURATION), &mut out);
+        let instances = serving_instances(&unused_addresses(BACKENDS));
+        core.receive(0.0, "x", instances, &mut out);
         proxy
     }
 
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -22,6 +22,55 @@
 /// Routes to one service: `/safe/` is idempotent, `/once/` is not; `/patient/` is idempotent, and its attempts have long.
 pub const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/safe/","safe",20,0.2,3,"00000001","one"],["r2","h.example","/once/","nonidempotent",20,0.2,3,"00000001","one"],["r3","h.example","/patient/","safe",20,10,3,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
 
+/// The settings of a proxy that listens there, with the users' bounds.
+pub fn settings_of(address: SocketAddr) -> Settings {
+    let text = format!(
+        "Node = \"edge\"\nIp = \"127.0.0.1\"\nInternalPorts = [1,1]\nSeedAddrs = [\"127.0.0.1:1\"]\nBootstrap = true\nZone = \"z\"\n[Bind]\nFrontHttp = \"{address}\"\nReadyProbe = \"{address}\"\n"
+    );
+    Settings::parse(&text, Path::new("edge.toml")).expect("settings")
+}
+
+/// A controller's update with a whole configuration.
+pub fn config_update(configuration: &str) -> Frame {
+    let amendment = parse_amend(configuration.as_bytes()).expect("a configuration");
+    Frame::ConfigUpdate(ConfigUpdate {
+        after: 0,
+        index: 1,
+        changes: Vec::new(),
+        items: amendment.items,
+        controllers: Vec::new(),
+    })
+}
+
+/// A controller's complete list of the instances of service `one`: these, all serving, named from `i-0` on.
+pub fn serving_instances(addresses: &[SocketAddr]) -> Frame {
+    let records = addresses
+        .iter()
+        .enumerate()
+        .map(|(number, address)| InstanceRecord {
+            id: format!("i-{number}"),
+            service: "one".to_owned(),
+            address: address.to_string(),
+            zone: "z".to_owned(),
+            capacity: 8,
+            state: InstanceState::Serving as i32,
+            seq: 1,
+            warmup_left_ms: 0,
+        });
+    Frame::InstanceUpdates(InstanceUpdates {
+        records: records.collect(),
+        complete: true,
+        ack_number: 0,
+    })
+}
+
+/// Addresses of so many backends that nobody connects to.
+pub fn unused_addresses(count: u16) -> Vec<SocketAddr> {
+    (1..=count)
+        .map(|number| SocketAddr::from(([127, 0, 0, 1], 1000 + number)))
+        .collect()
+}
+
 /// A proxy that serves clients on a loopback port until it is dropped.
 pub struct TestProxy {
     pub proxy: Rc<Proxy>,
@@ -50,46 +99,17 @@
     ) -> TestProxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let text = format!(
-            "Node = \"edge\"\nIp = \"127.0.0.1\"\nInternalPorts = [1,1]\nSeedAddrs = [\"127.0.0.1:1\"]\nBootstrap = true\nZone = \"z\"\n[Bind]\nFrontHttp = \"{address}\"\nReadyProbe = \"{address}\"\n"
-        );
-        let mut settings = Settings::parse(&text, Path::new("edge.toml")).expect("settings");
+        let mut settings = settings_of(address);
         (
             settings.bounds.retry_budget_ratio,
             settings.bounds.retry_slack,
         ) = (50.0, 10_000.0);
         let proxy = Proxy::new(&settings, seed);
-        let items = parse_amend(configuration.as_bytes())
-            .expect("a configuration")
-            .items;
-        let config = ConfigUpdate {
-            after: 0,
-            index: 1,
-            changes: Vec::new(),
-            items,
-            controllers: Vec::new(),
-        };
-        let updates = backends
-            .iter()
-            .enumerate()
-            .map(|(n, address)| InstanceRecord {
-                id: format!("i-{n}"),
-                service: "one".to_owned(),
-                address: address.to_string(),
-                zone: "z".to_owned(),
-                capacity: 8,
-                state: InstanceState::Serving as i32,
-                seq: 1,
-                warmup_left_ms: 0,
-            });
-        let updates = InstanceUpdates {
-            records: updates.collect(),
-            complete: true,
-            ack_number: 0,
-        };
+        let config = config_update(configuration);
+        let instances = serving_instances(backends);
         proxy.drive(|core, now, out| {
-            core.receive(now, "x", Frame::ConfigUpdate(config), out);
-            core.receive(now, "x", Frame::InstanceUpdates(updates), out);
+            core.receive(now, "x", config, out);
+            core.receive(now, "x", instances, out);
         });
         let server = DownstreamServer::new(proxy.clone(), max_sockets, 256 << 20);
         server.serve(listener);
--- a/crates/proxy/tests/graceful_shutdown.rs
+++ b/crates/proxy/tests/graceful_shutdown.rs
@@ -3,14 +3,11 @@
 mod common;
 
 use common::slow_backend::{listen, run_local, send_request, SlowBackend, TIMEOUT};
-use common::{TestProxy, CONFIGURATION};
-use maplefall_control_messages::{ConfigUpdate, Frame, InstanceUpdates};
-use maplefall_gateway_config::parse_amend;
-use maplefall_node_settings::Settings;
+use common::{
+    config_update, serving_instances, settings_of, unused_addresses, TestProxy, CONFIGURATION,
+};
 use maplefall_proxy::{Core, IncomingRequest, Output};
-use maplefall_service_registry::{InstanceRecord, InstanceState};
 use std::io::ErrorKind;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -77,38 +74,13 @@
 #[test]
 fn during_a_shutdown_no_attempt_is_aborted_before_its_deadline() {
     for shutting_down in [false, true] {
-        let text = "Node = \"edge\"\nIp = \"127.0.0.1\"\nInternalPorts = [1,1]\nSeedAddrs = [\"127.0.0.1:1\"]\nBootstrap = true\nZone = \"z\"\n[Bind]\nFrontHttp = \"127.0.0.1:1\"\nReadyProbe = \"127.0.0.1:1\"\n";
-        let mut settings = Settings::parse(text, Path::new("edge.toml")).expect("settings");
+        let mut settings = settings_of(unused_addresses(1)[0]);
         settings.bounds.retry_budget_ratio = 50.0;
         let mut core = Core::new(&settings, 1);
-        let items = parse_amend(CONFIGURATION.as_bytes())
-            .expect("a configuration")
-            .items;
-        let record = |n: u32| InstanceRecord {
-            id: format!("i-{n}"),
-            service: "one".to_owned(),
-            address: format!("127.0.0.1:{}", 1000 + n),
-            zone: "z".to_owned(),
-            capacity: 8,
-            state: InstanceState::Serving as i32,
-            seq: 1,
-            warmup_left_ms: 0,
-        };
         let mut out = Vec::new();
-        let config = ConfigUpdate {
-            after: 0,
-            index: 1,
-            changes: Vec::new(),
-            items,
-            controllers: Vec::new(),
-        };
-        core.receive(0.0, "x", Frame::ConfigUpdate(config), &mut out);
-        let updates = InstanceUpdates {
-            records: vec![record(1), record(2)],
-            complete: true,
-            ack_number: 0,
-        };
-        core.receive(0.0, "x", Frame::InstanceUpdates(updates), &mut out);
+        core.receive(0.0, "x", config_update(CONFIGURATION), &mut out);
+        let instances = serving_instances(&unused_addresses(2));
+        core.receive(0.0, "x", instances, &mut out);
         let incoming = IncomingRequest {
             host: "h.example",
             path: "/safe/a",
