Program in service: clients' side split into listener, connection state and socket

Change: clients/connection.rs (what phase a connection is in, until when, which is missed least), clients/socket.rs (when bytes arrive), clients/mod.rs (listener, shutdown, the final answer), with the names of the proxy's downstream side. No behaviour changes.

--- /dev/null
+++ b/crates/maplefall/src/net/clients/socket.rs
@@ -0,0 +1,89 @@
+//! A client's socket that notes when bytes arrive, which the HTTP library does not show before a head is complete.
+
+use super::connection::ClientConnection;
+#[cfg(feature = "breakages")]
+use crate::net::breakages;
+use maplefall_upstream::Clock;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+pub(super) struct ObservedSocket {
+    stream: TcpStream,
+    connection: Rc<ClientConnection>,
+    clock: Clock,
+}
+
+impl ObservedSocket {
+    pub fn new(stream: TcpStream, connection: Rc<ClientConnection>, clock: Clock) -> Self {
+        ObservedSocket {
+            stream,
+            connection,
+            clock,
+        }
+    }
+}
+
+impl AsyncRead for ObservedSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.connection.bytes_received(self.clock.now());
+        }
+        read
+    }
+}
+
+impl AsyncWrite for ObservedSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        #[cfg(feature = "breakages")]
+        if (buf.starts_with(b"HTTP/1.1 200") && breakages::is(breakages::Breakage::SecondAnswer))
+            || (buf.starts_with(b"HTTP/1.1 503")
+                && breakages::is(breakages::Breakage::LateVerdictAnswers))
+        {
+            let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+            // Where there is no room for it, this one answer stays alone.
+            let _ = self.stream.try_write(buf);
+            return wrote;
+        }
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        #[cfg(feature = "breakages")]
+        if breakages::is(breakages::Breakage::SecondAnswer)
+            || breakages::is(breakages::Breakage::LateVerdictAnswers)
+        {
+            return false;
+        }
+        self.stream.is_write_vectored()
+    }
+}
