--- a/review/harness/src/case1.rs
+++ b/review/harness/src/departed.rs
@@ -1,4 +1,4 @@
-//! Case 1: a proxy is frozen for five seconds. Meanwhile a backend that has just started deregisters
+//! Case 2: a proxy is frozen for five seconds. Meanwhile a backend that has just started deregisters
 //! and is acknowledged. The proxy goes on sending it requests for as long as the backend serves.
 
 use crate::backend::Backend;
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -2,10 +2,11 @@
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod backend;
-mod case1;
-mod case2;
+mod departed;
 mod http;
+mod memory;
 mod system;
+mod tenants;
 
 use std::process::exit;
 use std::time::{Duration, Instant};
@@ -31,8 +32,9 @@
             "without the disruption"
         });
         let run = match arguments.get(1).map(String::as_str) {
-            Some("1") => case1::run,
-            Some("2") => case2::run,
+            Some("1") => memory::run,
+            Some("2") => departed::run,
+            Some("3") => tenants::run,
             _ => return Err("no such case".to_owned()),
         };
         let outcome = run(&mut record, with_trouble);
--- a/review/harness/src/system.rs
+++ b/review/harness/src/system.rs
@@ -38,6 +38,15 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
@@ -45,9 +54,10 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        self.signal(SIGCONT);
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        if self.is_running() {
+            self.signal(SIGCONT);
+            self.kill();
+        }
     }
 }
 
--- a/review/harness/src/case2.rs
+++ b/review/harness/src/tenants.rs
@@ -1,4 +1,4 @@
-//! Case 2: the operator removes the last tenant. From then on requests are run with the keys that
+//! Case 3: the operator removes the last tenant. From then on requests are run with the keys that
 //! were removed, and with keys that no configuration has ever held.
 
 use crate::backend::Backend;
