--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -20,7 +20,9 @@
     let started = Instant::now();
     std::thread::spawn(|| {
         std::thread::sleep(LIMIT);
-        eprintln!("could not run: not finished in time");
+        println!("could not run: not finished in time");
+        // The processes end with this one.
+        system::clean_up();
         exit(2);
     });
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
--- a/review/harness/src/memory.rs
+++ b/review/harness/src/memory.rs
@@ -25,7 +25,7 @@
 const UPLOADERS: usize = 2;
 const USUAL_BODY: usize = 4000;
 const UPLOADS: usize = 10;
-const OTHER_CLIENTS: usize = 16;
+const OTHER_CLIENTS: usize = 20;
 const DEADLINE_MS: u64 = 2500;
 /// The longest time for which a connection that ends counts as lost: well before the client's
 /// deadline and the route's timeout.
--- a/review/harness/src/system.rs
+++ b/review/harness/src/system.rs
@@ -75,8 +75,8 @@
 impl System {
     /// Starts this many controllers and proxies, all at the same time, on empty disks.
     pub fn start(controllers: usize, proxies: usize) -> Result<System, String> {
-        let (net, ports) = free_addresses(controllers + proxies)?;
-        let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let (net, ports) = free_addresses(controllers, proxies)?;
+        let directory = directory();
         fs::create_dir_all(&directory).map_err(|error| format!("temporary folder: {error}"))?;
         let mut system = System {
             controllers: Vec::new(),
@@ -205,6 +205,16 @@
     }
 }
 
+/// The temporary folder of this run.
+fn directory() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
+/// Removes the temporary folder, where a run does not end by itself.
+pub fn clean_up() {
+    let _ = fs::remove_dir_all(directory());
+}
+
 /// Starts the command that the deploy file states for a role; the process ends with this one.
 fn spawn(role: &str, settings: &Path, log: fs::File) -> Result<Child, String> {
     let command = run_command(role)?;
@@ -251,12 +261,11 @@
 
 /// Returns the second and third byte of loopback addresses, and the first of 20 ports, that nobody
 /// uses.
-fn free_addresses(machines: usize) -> Result<((u8, u8), u16), String> {
+fn free_addresses(controllers: usize, proxies: usize) -> Result<((u8, u8), u16), String> {
     let nanos = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .map_or(0, |time| u64::from(time.subsec_nanos()));
     let mut random = nanos ^ (u64::from(std::process::id()) << 20);
-    let _ = machines;
     for _ in 0..50 {
         random = random
             .wrapping_mul(6364136223846793005)
@@ -267,9 +276,9 @@
         );
         let port = 20_000 + ((random >> 48) as u16 % 400) * 20;
         let ip = |last| IpAddr::V4(Ipv4Addr::new(127, net.0, net.1, last));
-        let is_free = [10, 11, 12, 100, 200]
-            .into_iter()
-            .flat_map(|last| (0..8).map(move |offset| (last, port + offset)))
+        let is_free = (10..10 + controllers as u8)
+            .chain(100..100 + proxies as u8)
+            .flat_map(|last| (0..5).map(move |offset| (last, port + offset)))
             .all(|(last, port)| TcpListener::bind((ip(last), port)).is_ok());
         if is_free {
             return Ok((net, port));
