--- a/review/harness/src/memory.rs
+++ b/review/harness/src/memory.rs
@@ -4,7 +4,7 @@
 
 use crate::backend::Backend;
 use crate::http::{call, read_message};
-use crate::system::{Record, System};
+use crate::system::{kill_process, Record, System};
 use std::collections::HashSet;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -25,7 +25,7 @@
 const UPLOADERS: usize = 2;
 const USUAL_BODY: usize = 4000;
 const UPLOADS: usize = 10;
-const OTHER_CLIENTS: usize = 20;
+const OTHER_CLIENTS: usize = 30;
 const DEADLINE_MS: u64 = 2500;
 /// The longest time for which a connection that ends counts as lost: well before the client's
 /// deadline and the route's timeout.
@@ -40,7 +40,7 @@
 }
 
 pub fn run(record: &mut Record, with_trouble: bool) -> Result<bool, String> {
-    let mut system = System::start(CONTROLLERS, PROXIES)?;
+    let system = System::start(CONTROLLERS, PROXIES)?;
     let controllers: Vec<SocketAddr> = (0..CONTROLLERS)
         .map(|index| system.control(index))
         .collect();
@@ -84,11 +84,12 @@
                 let mut highest = highest.lock().unwrap();
                 highest.0 = highest.0.max(memory);
                 if memory > MEMORY_KB {
+                    kill_process(watched);
                     highest.1 = Some(Instant::now());
                     return;
                 }
                 drop(highest);
-                thread::sleep(Duration::from_millis(2));
+                thread::sleep(Duration::from_millis(1));
             }
         })
     };
@@ -116,9 +117,6 @@
     let mut killed_at = None;
     while killed_at.is_none() && !uploaders.iter().all(|uploader| uploader.is_finished()) {
         killed_at = highest.lock().unwrap().1;
-        if killed_at.is_some() {
-            system.proxies[0].kill();
-        }
         thread::sleep(Duration::from_millis(1));
     }
     if let Some(at) = killed_at {
--- a/review/harness/src/system.rs
+++ b/review/harness/src/system.rs
@@ -26,6 +26,12 @@
 const SIGKILL: i32 = 9;
 const PR_SET_PDEATHSIG: i32 = 1;
 
+/// Kills a process that this run has started and not waited for yet.
+pub fn kill_process(id: u32) {
+    // SAFETY: the child has not been waited for, so its id is still its own.
+    unsafe { kill(id as i32, SIGKILL) };
+}
+
 /// One process of the system.
 pub struct Process {
     pub ip: Ipv4Addr,
