--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -4,6 +4,7 @@
 mod early;
 mod memory;
 mod http;
+mod malformed;
 mod world;
 
 use std::path::PathBuf;
@@ -27,6 +28,7 @@
     let record = world::Record::new();
     let verdict = match case.as_str() {
         "early" => early::run(trouble, &record),
+        "malformed" => malformed::run(trouble, &record),
         "memory" => memory::run(trouble, &record),
         _ => Verdict::NotRun,
     };
--- a/review/stand-in-2/src/world.rs
+++ b/review/stand-in-2/src/world.rs
@@ -206,6 +206,14 @@
         status
     }
 
+    /// Reads the configuration back.
+    pub fn read(&self) -> Option<String> {
+        let answers = self.control_addresses().into_iter();
+        let mut answers = answers.filter_map(|door| rpc(&door, "call=config.read", "", 2));
+        let answer = answers.find(|answer| answer.status == 200)?;
+        String::from_utf8(answer.body).ok()
+    }
+
     /// Waits until all proxies answer their readiness probes with 200.
     pub fn wait_ready(&self) -> bool {
         let end = Instant::now() + Duration::from_secs(20);
