--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 cargo build --release --locked --offline --manifest-path review/stand-in-2/Cargo.toml --target-dir target/review-2
+cargo build --release --locked --offline --manifest-path review/lab/Cargo.toml --target-dir target/review-lab
--- a/review/lab/src/drip.rs
+++ b/review/lab/src/drip.rs
@@ -32,9 +32,15 @@
             return;
         }
         *runs.lock().unwrap().entry(attempt.clone()).or_default() += 1;
-        record.line(&format!("backend {name} runs {attempt} ({} bytes)", request.length));
+        record.line(&format!(
+            "backend {name} runs {attempt} ({} bytes)",
+            request.length
+        ));
         thread::sleep(Duration::from_millis(84));
-        if stream.write_all(&answer_bytes(200, &attempt, true, "", b"done")).is_err() {
+        if stream
+            .write_all(&answer_bytes(200, &attempt, true, "", b"done"))
+            .is_err()
+        {
             return;
         }
     }
@@ -82,11 +88,19 @@
 
 /// Sends short requests on a kept connection; returns how many were sent, how many were answered,
 /// and the ids of those whose connection ended without an answer.
-fn kept(record: Record, number: usize, front: SocketAddr, until: Instant) -> (u64, u64, Vec<String>) {
+fn kept(
+    record: Record,
+    number: usize,
+    front: SocketAddr,
+    until: Instant,
+) -> (u64, u64, Vec<String>) {
     let (mut n, mut ok, mut cut) = (0u64, 0u64, Vec::new());
     let mut connection: Option<TcpStream> = None;
     while Instant::now() < until {
-        let Some(mut stream) = connection.take().or_else(|| TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok()) else {
+        let Some(mut stream) = connection
+            .take()
+            .or_else(|| TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok())
+        else {
             thread::sleep(Duration::from_millis(50));
             continue;
         };
@@ -102,14 +116,24 @@
         match read_answer(&mut stream) {
             Ok(answer) => {
                 ok += u64::from(answer.status == 200);
-                record.line(&format!("client: {attempt} is answered with {}", answer.status));
-                thread::sleep(Duration::from_millis(if answer.status == 200 { 20 } else { 200 }));
+                record.line(&format!(
+                    "client: {attempt} is answered with {}",
+                    answer.status
+                ));
+                thread::sleep(Duration::from_millis(if answer.status == 200 {
+                    20
+                } else {
+                    200
+                }));
                 if answer.headers.get("connection").map(String::as_str) != Some("close") {
                     connection = Some(stream);
                 }
             }
             Err(error) => {
-                record.line(&format!("client: {attempt}: the kept connection ends without an answer ({:?})", error.kind()));
+                record.line(&format!(
+                    "client: {attempt}: the kept connection ends without an answer ({:?})",
+                    error.kind()
+                ));
                 cut.push(attempt);
             }
         }
@@ -122,20 +146,35 @@
     std::fs::read_to_string(format!("/proc/{id}/status"))
         .ok()
         .and_then(|text| {
-            let line = text.lines().find(|line| line.starts_with("VmRSS:"))?.to_owned();
+            let line = text
+                .lines()
+                .find(|line| line.starts_with("VmRSS:"))?
+                .to_owned();
             line.split_whitespace().nth(1)?.parse().ok()
         })
         .unwrap_or(0)
 }
 
 pub fn run(record: Record, trouble: bool) -> bool {
-    let mut lab = Lab::new(record.clone(), &Options { controllers: 3, proxies: 2 });
+    let mut lab = Lab::new(
+        record.clone(),
+        &Options {
+            controllers: 3,
+            proxies: 2,
+        },
+    );
     lab.start();
     let runs = Runs::default();
     for i in 0..16 {
         let (record, runs) = (record.clone(), runs.clone());
         let handler: Serve = Arc::new(move |name, stream| serve(&record, &runs, name, stream));
-        Backend::start(&lab, "punkt", &format!("i-000000{i:02}"), ZONES[i % 3], handler);
+        Backend::start(
+            &lab,
+            "punkt",
+            &format!("i-000000{i:02}"),
+            ZONES[i % 3],
+            handler,
+        );
     }
     lab.must_amend(CONFIG);
     lab.wait_ready();
@@ -149,7 +188,11 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(2));
-    record.line(if trouble { "clients send long bodies in pieces" } else { "clients send long bodies, each in one piece" });
+    record.line(if trouble {
+        "clients send long bodies in pieces"
+    } else {
+        "clients send long bodies, each in one piece"
+    });
     let uploads: Vec<_> = (0..2 * UPLOADERS)
         .map(|c| {
             let (record, front) = (record.clone(), fronts[c % 2]);
@@ -162,7 +205,10 @@
     let stop = AtomicBool::new(false);
     while Instant::now() < until && !stop.load(Ordering::SeqCst) {
         for (i, process) in lab.proxies.iter_mut().enumerate() {
-            let kb = process.child.as_ref().map_or(0, |child| memory_kb(child.id()));
+            let kb = process
+                .child
+                .as_ref()
+                .map_or(0, |child| memory_kb(child.id()));
             peak = peak.max(kb);
             if kb > MEMORY_MB * 1024 {
                 record.line(&format!("platform: {} has {kb} kB, over {MEMORY_MB} MB: it is killed, and started again", process.name));
@@ -185,7 +231,10 @@
         let _ = upload.join();
     }
     let runs = runs.lock().unwrap().clone();
-    let lost = cut.iter().filter(|attempt| runs.contains_key(*attempt)).count();
+    let lost = cut
+        .iter()
+        .filter(|attempt| runs.contains_key(*attempt))
+        .count();
     let text = format!(
         "{} short requests on kept connections, {} served; LOST: {lost} were passed on to a backend and their connection closed without an answer; proxies ended by memory: {ends:?}; peak {peak} kB of {} kB",
         total.0, total.1, MEMORY_MB * 1024
--- a/review/lab/src/lab.rs
+++ b/review/lab/src/lab.rs
@@ -50,7 +50,9 @@
 
 /// Kills a process that this program has started.
 fn kill(id: u32) {
-    let _ = Command::new("sh").args(["-c", &format!("kill -KILL {id}")]).status();
+    let _ = Command::new("sh")
+        .args(["-c", &format!("kill -KILL {id}")])
+        .status();
 }
 
 pub struct Process {
@@ -146,7 +148,13 @@
             .collect();
         let seeds = seeds.join(",");
         let losses = (options.controllers.max(1) - 1) / 2;
-        let common = |ip: &str, node: &str, zone: &str, class: &str, role: &str, serves: &str, quorum: bool| {
+        let common = |ip: &str,
+                      node: &str,
+                      zone: &str,
+                      class: &str,
+                      role: &str,
+                      serves: &str,
+                      quorum: bool| {
             format!(
                 "Node = \"{node}\"\nRole = \"{role}\"\nMachineClass = \"{class}\"\nServes = [\"{serves}\"]\nIp = \"{ip}\"\n\
                  Zone = \"{zone}\"\nRegion = \"valle-central\"\nInternalPorts = [{},{}]\nSeedAddrs = [{seeds}]\nBootstrap = BOOTSTRAP\n\
@@ -172,12 +180,24 @@
             let (ip, node) = (controller_ip(i), format!("core-{}", i + 1));
             let data = dir.join(format!("data-{node}"));
             let _ = fs::create_dir_all(&data);
-            let text = common(&ip, &node, ZONES[i % 3], "core", "controller", "controller", true)
-                + &format!("DataDir = \"{}\"\n", data.display())
+            let text = common(
+                &ip,
+                &node,
+                ZONES[i % 3],
+                "core",
+                "controller",
+                "controller",
+                true,
+            ) + &format!("DataDir = \"{}\"\n", data.display())
                 + zones
                 + &format!("[Bind]\nControl = \"{ip}:{control_port}\"\n")
                 + &tail(256, 4096, 256);
-            controllers.push(Self::process(&dir, node, program("maplefall-controller"), &text));
+            controllers.push(Self::process(
+                &dir,
+                node,
+                program("maplefall-controller"),
+                &text,
+            ));
         }
         let mut proxies = Vec::new();
         for i in 0..options.proxies {
@@ -204,7 +224,8 @@
 
     fn process(dir: &std::path::Path, name: String, program: String, text: &str) -> Process {
         let settings = dir.join(format!("{name}.toml"));
-        fs::write(&settings, text.replace("BOOTSTRAP", "true")).unwrap_or_else(|_| cannot_run("settings"));
+        fs::write(&settings, text.replace("BOOTSTRAP", "true"))
+            .unwrap_or_else(|_| cannot_run("settings"));
         Process {
             log: dir.join(format!("{name}.log")),
             name,
@@ -222,7 +243,10 @@
         thread::sleep(Duration::from_millis(1500));
         for process in self.controllers.iter().chain(&self.proxies) {
             if let Ok(text) = fs::read_to_string(&process.settings) {
-                let _ = fs::write(&process.settings, text.replace("Bootstrap = true", "Bootstrap = false"));
+                let _ = fs::write(
+                    &process.settings,
+                    text.replace("Bootstrap = true", "Bootstrap = false"),
+                );
             }
         }
         self.record.line(&format!(
@@ -250,7 +274,9 @@
     }
 
     pub fn control_addrs(&self) -> Vec<SocketAddr> {
-        (0..self.controller_count).map(|i| self.controller_addr(i)).collect()
+        (0..self.controller_count)
+            .map(|i| self.controller_addr(i))
+            .collect()
     }
 
     /// Sends an order until it is taken (status 200) or rejected; returns the status.
@@ -259,10 +285,24 @@
         let mut door = 0;
         let mut pause = 50;
         while Instant::now() < until {
-            match rpc(self.controller_addr(door), &format!("/api/rpc?call={call}"), body.as_bytes(), 1000) {
-                Ok(answer) if answer.status == 200 || (400..500).contains(&answer.status) && answer.status != 408 && answer.status != 429 => {
-                    self.record.line(&format!("operator {call} -> {}", answer.status));
-                    return (answer.status, String::from_utf8_lossy(&answer.body).into_owned());
+            match rpc(
+                self.controller_addr(door),
+                &format!("/api/rpc?call={call}"),
+                body.as_bytes(),
+                1000,
+            ) {
+                Ok(answer)
+                    if answer.status == 200
+                        || (400..500).contains(&answer.status)
+                            && answer.status != 408
+                            && answer.status != 429 =>
+                {
+                    self.record
+                        .line(&format!("operator {call} -> {}", answer.status));
+                    return (
+                        answer.status,
+                        String::from_utf8_lossy(&answer.body).into_owned(),
+                    );
                 }
                 _ => {}
             }
@@ -290,7 +330,8 @@
                 if Instant::now() > until {
                     cannot_run("a proxy does not become ready");
                 }
-                let request = b"GET /api/readiness HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n";
+                let request =
+                    b"GET /api/readiness HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n";
                 if exchange(probe, request, 1000).is_ok_and(|answer| answer.status == 200) {
                     break;
                 }
@@ -343,7 +384,10 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
-    let length: usize = headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let length: usize = headers
+        .get("content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     while body.len() < length {
         let n = stream.read(&mut chunk)?;
         if n == 0 {
@@ -351,7 +395,11 @@
         }
         body.extend_from_slice(&chunk[..n]);
     }
-    Ok(Answer { status, headers, body })
+    Ok(Answer {
+        status,
+        headers,
+        body,
+    })
 }
 
 pub fn find(bytes: &[u8], part: &[u8]) -> Option<usize> {
@@ -369,7 +417,12 @@
 }
 
 /// A call of the operator or of a backend; follows 307 twice.
-pub fn rpc(mut address: SocketAddr, path: &str, body: &[u8], timeout_ms: u64) -> io::Result<Answer> {
+pub fn rpc(
+    mut address: SocketAddr,
+    path: &str,
+    body: &[u8],
+    timeout_ms: u64,
+) -> io::Result<Answer> {
     for _ in 0..3 {
         let mut request = format!(
             "POST {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n",
@@ -382,8 +435,13 @@
             return Ok(answer);
         }
         let location = answer.headers.get("location").cloned().unwrap_or_default();
-        let host = location.strip_prefix("http://").and_then(|l| l.split('/').next()).unwrap_or_default();
-        address = host.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let host = location
+            .strip_prefix("http://")
+            .and_then(|l| l.split('/').next())
+            .unwrap_or_default();
+        address = host
+            .parse()
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
     }
     Err(io::ErrorKind::Other.into())
 }
@@ -398,7 +456,10 @@
 
 impl Received {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        self.headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, v)| v.as_str())
     }
 
     pub fn attempt(&self) -> String {
@@ -443,7 +504,11 @@
 }
 
 /// Reads the rest of a request's body.
-pub fn read_rest(stream: &mut TcpStream, received: &mut Received, left: &mut Vec<u8>) -> io::Result<()> {
+pub fn read_rest(
+    stream: &mut TcpStream,
+    received: &mut Received,
+    left: &mut Vec<u8>,
+) -> io::Result<()> {
     let mut chunk = [0u8; 65536];
     while received.body.len() < received.length {
         let n = stream.read(&mut chunk)?;
@@ -458,7 +523,11 @@
 }
 
 pub fn answer_bytes(status: u16, attempt: &str, seal: bool, extra: &str, body: &[u8]) -> Vec<u8> {
-    let seal = if seal { "X-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n" } else { "" };
+    let seal = if seal {
+        "X-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
+    } else {
+        ""
+    };
     let mut bytes = format!(
         "HTTP/1.1 {status} X\r\nX-Attempt-Id: {attempt}\r\n{seal}{extra}Content-Length: {}\r\n\r\n",
         body.len()
@@ -484,7 +553,8 @@
 impl Backend {
     pub fn start(lab: &Lab, service: &str, id: &str, zone: &str, serve: Serve) -> Backend {
         let address = lab.backend_addr();
-        let listener = TcpListener::bind(address).unwrap_or_else(|_| cannot_run("a backend's address"));
+        let listener =
+            TcpListener::bind(address).unwrap_or_else(|_| cannot_run("a backend's address"));
         let backend = Backend {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -522,7 +592,12 @@
             "{{\"Address\":\"{}\",\"Details\":{{\"Service\":\"{}\",\"Version\":\"v1\",\"Zone\":\"{}\",\"Capacity\":2}},\"Observed\":{{\"State\":\"{state}\",\"CallSeq\":{seq},\"WarmupLeftS\":0}}}}",
             self.address, self.service, self.zone
         );
-        rpc(door, &format!("/api/rpc?call=instances.beat&of={}", self.id), body.as_bytes(), 1000)
-            .is_ok_and(|answer| answer.status == 200)
+        rpc(
+            door,
+            &format!("/api/rpc?call=instances.beat&of={}", self.id),
+            body.as_bytes(),
+            1000,
+        )
+        .is_ok_and(|answer| answer.status == 200)
     }
 }
--- a/review/lab/src/leave.rs
+++ b/review/lab/src/leave.rs
@@ -24,27 +24,48 @@
         if read_rest(&mut stream, &mut request, &mut left).is_err() {
             return;
         }
-        arrivals.lock().unwrap().entry(name.to_owned()).or_default().push(Instant::now());
+        arrivals
+            .lock()
+            .unwrap()
+            .entry(name.to_owned())
+            .or_default()
+            .push(Instant::now());
         if name == leaver {
             record.line(&format!("backend {name} runs {attempt}"));
         }
         thread::sleep(Duration::from_millis(20));
-        if stream.write_all(&answer_bytes(200, &attempt, true, "", b"paid")).is_err() {
+        if stream
+            .write_all(&answer_bytes(200, &attempt, true, "", b"paid"))
+            .is_err()
+        {
             return;
         }
     }
 }
 
 pub fn run(record: Record, trouble: bool) -> bool {
-    let mut lab = Lab::new(record.clone(), &Options { controllers: 3, proxies: 2 });
+    let mut lab = Lab::new(
+        record.clone(),
+        &Options {
+            controllers: 3,
+            proxies: 2,
+        },
+    );
     lab.start();
     let arrivals = Arrivals::default();
     let leaver = "i-00000000";
     let mut backends = Vec::new();
     for i in 0..4 {
         let (record, arrivals) = (record.clone(), arrivals.clone());
-        let handler: Serve = Arc::new(move |name, stream| serve(&record, &arrivals, leaver, name, stream));
-        backends.push(Backend::start(&lab, "caja", &format!("i-0000000{i}"), ZONES[i % 3], handler));
+        let handler: Serve =
+            Arc::new(move |name, stream| serve(&record, &arrivals, leaver, name, stream));
+        backends.push(Backend::start(
+            &lab,
+            "caja",
+            &format!("i-0000000{i}"),
+            ZONES[i % 3],
+            handler,
+        ));
     }
     lab.must_amend(CONFIG);
     lab.wait_ready();
@@ -79,7 +100,11 @@
         record.line("core-3 is killed");
     }
     let killed = Instant::now();
-    let wait_until = |ms: u64| thread::sleep((killed + Duration::from_millis(ms)).saturating_duration_since(Instant::now()));
+    let wait_until = |ms: u64| {
+        thread::sleep(
+            (killed + Duration::from_millis(ms)).saturating_duration_since(Instant::now()),
+        )
+    };
     // From ContactS after the kill on, the core is settled again, and the two others are in touch.
     wait_until(2000);
     backends[0].alive.store(false, Ordering::SeqCst);
@@ -87,7 +112,12 @@
     // The backend leaves: it says so at one door after the other until it is acknowledged.
     let mut door = 0;
     let acknowledged = loop {
-        let answer = rpc(lab.controller_addr(door), &format!("/api/rpc?call=instances.leave&of={leaver}"), b"{}", 1000);
+        let answer = rpc(
+            lab.controller_addr(door),
+            &format!("/api/rpc?call=instances.leave&of={leaver}"),
+            b"{}",
+            1000,
+        );
         if answer.is_ok_and(|answer| answer.status == 200) {
             break Instant::now();
         }
@@ -97,7 +127,10 @@
         }
         thread::sleep(Duration::from_millis(20));
     };
-    record.line(&format!("backend {leaver}: its leave is acknowledged by core-{}; it serves on", door % 3 + 1));
+    record.line(&format!(
+        "backend {leaver}: its leave is acknowledged by core-{}; it serves on",
+        door % 3 + 1
+    ));
     wait_until(3250);
     let back = if trouble {
         for process in lab.controllers.iter_mut().chain(&mut lab.proxies) {
@@ -127,7 +160,10 @@
             .filter(|at| at.saturating_duration_since(back).as_secs_f64() > contact)
             .count()
     };
-    let last = at_leaver.iter().map(|at| at.saturating_duration_since(acknowledged).as_secs_f64()).fold(0.0, f64::max);
+    let last = at_leaver
+        .iter()
+        .map(|at| at.saturating_duration_since(acknowledged).as_secs_f64())
+        .fold(0.0, f64::max);
     let text = format!(
         "{} requests, {} served; at the backend that left, later than DrainS after the acknowledgement: {} (ContactS after the start), {} (twice ContactS); the last {last:.2} s after it",
         served.0, served.1, late(CONTACT_S), late(2.0 * CONTACT_S)
--- a/review/lab/src/main.rs
+++ b/review/lab/src/main.rs
@@ -2,8 +2,6 @@
 //! if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod drip;
-mod early;
-mod keys;
 mod lab;
 mod leave;
 
@@ -15,12 +13,17 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = lab::Record::new(record);
     let broken = match case.as_str() {
-        "early" => early::run(record, trouble),
         "leave" => leave::run(record, trouble),
         "drip" => drip::run(record, trouble),
-        "dropped" => keys::dropped(record, trouble),
         _ => lab::cannot_run("no such case"),
     };
-    println!("{}", if broken { "the rule was broken" } else { "the rule held" });
+    println!(
+        "{}",
+        if broken {
+            "the rule was broken"
+        } else {
+            "the rule held"
+        }
+    );
     std::process::exit(i32::from(broken));
 }
