--- a/review/lab/src/drip.rs
+++ b/review/lab/src/drip.rs
@@ -10,13 +10,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The body of an upload: a sixty-fourth of the `BodyBytes` of the configuration.
-const BODY_BYTES: usize = 1_000_000;
+/// The body of an upload: about a fortieth of the `BodyBytes` of the configuration.
+const BODY_BYTES: usize = 1_600_000;
 /// With the disruption, an upload is written in pieces of less than one segment.
 const PIECE_BYTES: usize = 1_000;
 const UPLOAD: Duration = Duration::from_millis(2400);
-const UPLOADERS: usize = 70;
-const CLIENTS: usize = 12;
+const UPLOADERS: usize = 50;
+const CLIENTS: usize = 9;
 const MEMORY_MB: u64 = 260;
 const SECONDS: u64 = 24;
 
