--- a/benches/examples/slopes.rs
+++ b/benches/examples/slopes.rs
@@ -534,7 +534,7 @@
                     {
                         let ended = AttemptEnd {
                             outcome: Outcome::Ok,
-                            broken_connections: 0,
+                            connections: Default::default(),
                             wrong_instance: false,
                         };
                         let mut after = Vec::new();
@@ -623,7 +623,7 @@
                 {
                     let ended = AttemptEnd {
                         outcome: Outcome::Ok,
-                        broken_connections: 0,
+                        connections: Default::default(),
                         wrong_instance: false,
                     };
                     let mut after = Vec::new();
--- a/crates/controller/tests/common/processor/gateway_proxy.rs
+++ b/crates/controller/tests/common/processor/gateway_proxy.rs
@@ -178,7 +178,7 @@
     fn respond(&mut self, now: f64, request: RequestId, attempt: u32, out: &mut Vec<Output>) {
         let end = AttemptEnd {
             outcome: Outcome::Ok,
-            broken_connections: 0,
+            connections: Default::default(),
             wrong_instance: false,
         };
         self.core.attempt_ended(now, request, attempt, end, out);
--- a/crates/maplefall/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -146,11 +146,13 @@
         handle,
         |left| build_request(forwarded, left),
         async |response| read_response(reader, response).await,
+        // A response names no request, so it is not certain which one an early response belongs to.
+        // Only one that states that nothing was run is accepted.
         |ended: &EndedAttempt| ended.outcome == Outcome::Full,
     )
     .await;
     EndedAttempt {
-        broken_connections: result.broken_connections,
+        broken_connections: result.connections.broken,
         ..result.result.unwrap_or_else(EndedAttempt::without_response)
     }
 }
--- a/crates/maplefall/src/net/backends/tests.rs
+++ b/crates/maplefall/src/net/backends/tests.rs
@@ -4,6 +4,8 @@
 use hyper::{Method, Uri};
 use maplefall_settings::ConnectionTimeouts;
 use socket2::SockRef;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -25,6 +27,11 @@
     assert!((report.utilisation.unwrap() - 0.61).abs() < 1e-6);
 }
 
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const HEAD_BUT_LAST_BYTE: &[u8] = b"\r\n\r";
+/// Length of a request body: more than the kernel buffers on the way to a backend that does not
+/// read.
+const LONG_BODY_BYTES: usize = 32 << 20;
 /// Time limit of a scenario.
 const SCENARIO_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -69,8 +76,8 @@
 }
 
 /// Guards non-idempotent requests against connections, reused or new, that are dead without notice:
-/// the connection is reset in response to the bytes before the last one, so the request has not
-/// run. In place of a dead reused connection another one is tried within the attempt; on a dead new
+/// the connection is reset in response to the bytes before the last one of the head, so the request
+/// has not run. In place of a dead reused connection another one is tried within the attempt; on a dead new
 /// one the attempt ends as never run.
 #[test]
 fn request_lost_on_a_dead_connection_has_not_run() {
@@ -82,14 +89,14 @@
         let backend = tokio::task::spawn_local(async move {
             let (mut kept, _) = listener.accept().await.expect("a connection");
             serve(&mut kept, "one").await;
-            receive_until(&mut kept, b"hell").await;
+            receive_until(&mut kept, HEAD_BUT_LAST_BYTE).await;
             reset(kept);
             let (mut fresh, _) = listener.accept().await.expect("a replacement connection");
             serve(&mut fresh, "two").await;
-            receive_until(&mut fresh, b"hell").await;
+            receive_until(&mut fresh, HEAD_BUT_LAST_BYTE).await;
             reset(fresh);
             let (mut fresh, _) = listener.accept().await.expect("a replacement connection");
-            receive_until(&mut fresh, b"hell").await;
+            receive_until(&mut fresh, HEAD_BUT_LAST_BYTE).await;
             reset(fresh);
         });
         let ((pools, reader), test_request, id) = (pools(), test_request(), BackendId(1));
@@ -128,6 +135,54 @@
     );
 }
 
+/// Guards against a second run: a connection that breaks after the complete head, even a reused one,
+/// or a response of which it is uncertain that it belongs to the request, says nothing about
+/// whether the backend has begun to work on it.
+#[test]
+fn request_is_not_sent_again_after_its_head() {
+    for responds in [false, true] {
+        let (end, connections) = run_scenario(async move {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+                .await
+                .expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let connections = Rc::new(Cell::new(0));
+            let accepted = connections.clone();
+            tokio::task::spawn_local(async move {
+                let (mut kept, _) = listener.accept().await.expect("a connection");
+                accepted.set(1);
+                serve(&mut kept, "one").await;
+                receive_head(&mut kept).await;
+                if responds {
+                    let response = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo";
+                    kept.write_all(response).await.expect("a response");
+                } else {
+                    reset(kept);
+                }
+                while listener.accept().await.is_ok() {
+                    accepted.set(accepted.get() + 1);
+                }
+            });
+            let ((pools, reader), id) = (pools(), BackendId(1));
+            pools.open(id, address, 0.0);
+            let long_request = ForwardedRequest {
+                body: Bytes::from(vec![b'b'; LONG_BODY_BYTES]),
+                ..test_request()
+            };
+            let mut ends = Vec::new();
+            for request in [&test_request(), &long_request] {
+                let mode = SendMode::WithholdLastByteOnProvenConnection;
+                let handle = AttemptHandle::default();
+                let end = send_attempt(&pools, &reader, id, request, 20_000.0, mode, &handle);
+                ends.push(end.await.outcome);
+            }
+            (ends, connections.get())
+        });
+        let expected = (vec![Outcome::Ok, Outcome::Reset], 1);
+        assert_eq!((end, connections), expected, "responds={responds}");
+    }
+}
+
 /// Guards non-idempotent requests against connections that only look alive: if reused connections
 /// of some idle age have taken a request and broken, a non-idempotent request gets a new
 /// connection, and other requests still reuse old ones.
@@ -240,6 +295,15 @@
     });
 }
 
+/// Reads until the head of a request is complete.
+async fn receive_head(stream: &mut TcpStream) {
+    let mut received = Vec::new();
+    while !received.windows(HEAD_END.len()).any(|end| end == HEAD_END) {
+        let count = stream.read_buf(&mut received).await.expect("a request");
+        assert!(count > 0, "the connection ended early");
+    }
+}
+
 async fn serve(stream: &mut TcpStream, body: &str) {
     receive_until(stream, b"hello").await;
     let response = format!(
--- a/crates/maplefall/src/net/driver/attempts.rs
+++ b/crates/maplefall/src/net/driver/attempts.rs
@@ -146,9 +146,9 @@
                 return;
             };
             if matches!(end.outcome, Outcome::Cancelled | Outcome::Timeout) {
-                // A request that has not been written to its last byte when the connection closes
+                // A request whose head has not been completely written when the connection closes
                 // cannot run.
-                if end.outcome == Outcome::Timeout && !attempt.handle.fully_written() {
+                if end.outcome == Outcome::Timeout && !attempt.handle.may_have_run() {
                     end.outcome = Outcome::ConnectFailed;
                 }
                 attempt.handle.abort();
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -277,7 +277,8 @@
     Full,
     /// No response in time; the request may have run or may still run.
     Timeout,
-    /// No connection could be established; the request did not run.
+    /// No connection could be established, or it broke before the request's head was completely
+    /// written; the request did not run.
     ConnectFailed,
     /// The connection broke; the request may have run.
     Reset,
@@ -292,8 +293,8 @@
 pub enum SendMode {
     /// No protection: the request is written at once, on any connection.
     Immediate,
-    /// The last byte is withheld until the connection has carried the rest. If the connection
-    /// breaks before, the request cannot have run.
+    /// The last byte of the head is withheld until the connection has carried the rest of the
+    /// head. If the connection breaks before, the request cannot have run.
     WithholdLastByte,
     /// As [`SendMode::WithholdLastByte`], and an idle connection is reused only at an idle age at
     /// which other connections have recently proved intact.
--- a/crates/proxy/src/core/attempts.rs
+++ b/crates/proxy/src/core/attempts.rs
@@ -34,6 +34,7 @@
         else {
             return;
         };
+        self.stats.record_connections(end.connections);
         pending.may_have_run |= !has_not_run(end.outcome);
         if end.outcome == Outcome::Ok && !pending.responded {
             pending.responded = true;
@@ -41,6 +42,9 @@
             out.push(Output::ForwardResponse(id));
         }
         let (service, request_closed) = (pending.service, pending.responded);
+        if end.connections.early_responses > 0 {
+            self.log_early_response(attempt.backend, &end, out);
+        }
         if end.wrong_instance {
             self.expire_wrong_instance(now, attempt.backend, out);
         }
@@ -54,12 +58,22 @@
             metered_usage: None,
             true_units: None,
             report: Report::default(),
-            broken_connections: end.broken_connections,
+            broken_connections: end.connections.broken,
         };
         self.handle_policy_event(now, service, Event::AttemptEnded(ended), out);
         self.remove_if_finished(id);
     }
 
+    /// Logs an attempt in which the backend responded before its request was completely written.
+    fn log_early_response(&self, backend: BackendId, end: &AttemptEnd, out: &mut Vec<Output>) {
+        let backend = self.services.backend(backend);
+        let instance = backend.map_or("unknown", |backend| &backend.instance);
+        out.push(Output::Log(format!(
+            "event=early_response backend={instance} outcome={:?} early_responses={} connections_broken={}",
+            end.outcome, end.connections.early_responses, end.connections.broken
+        )));
+    }
+
     /// Passes an event to a service's policy and executes the resulting actions.
     pub(super) fn handle_policy_event(
         &mut self,
--- a/crates/proxy/src/core/messages.rs
+++ b/crates/proxy/src/core/messages.rs
@@ -4,6 +4,7 @@
 use crate::services::PoolCommand;
 use maplefall_control_messages::Frame;
 use maplefall_policy::{BackendId, Millis, Outcome, RequestId, SendMode};
+use maplefall_upstream::ConnectionCounts;
 use std::rc::Rc;
 
 /// Smallest `Retry-After`: a client that retries sooner finds the proxy in the same state.
@@ -93,8 +94,8 @@
 pub struct AttemptEnd {
     /// The outcome of the attempt.
     pub outcome: Outcome,
-    /// Number of established connections that broke during the attempt.
-    pub broken_connections: u32,
+    /// What was seen on the attempt's connections.
+    pub connections: ConnectionCounts,
     /// Whether another instance listens at the backend's address (status 421).
     pub wrong_instance: bool,
 }
@@ -104,7 +105,7 @@
     pub(crate) fn without_response(outcome: Outcome) -> AttemptEnd {
         AttemptEnd {
             outcome,
-            broken_connections: 0,
+            connections: ConnectionCounts::default(),
             wrong_instance: false,
         }
     }
--- a/crates/proxy/src/core/stats.rs
+++ b/crates/proxy/src/core/stats.rs
@@ -2,6 +2,7 @@
 
 use super::Core;
 use maplefall_policy::Millis;
+use maplefall_upstream::ConnectionCounts;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -32,6 +33,11 @@
     pub failed: u64,
     /// Attempts beyond the first of a request.
     pub retries: u64,
+    /// Connections to backends that broke during an attempt. In place of a pooled one that broke
+    /// before the request's head was completely written, the attempt uses another connection.
+    pub connections_broken: u64,
+    /// Backend responses that were read before their request was completely written.
+    pub early_responses: u64,
     /// Attempts that were cancelled by their timeout.
     pub attempts_given_up: u64,
     /// Requests without a route or with an unknown key.
@@ -41,6 +47,12 @@
 }
 
 impl Stats {
+    /// Counts what was seen on the connections of an ended attempt.
+    pub(super) fn record_connections(&mut self, connections: ConnectionCounts) {
+        self.connections_broken += u64::from(connections.broken);
+        self.early_responses += u64::from(connections.early_responses);
+    }
+
     /// Returns the tenant with the most quota rejections and their number; among equals, the first
     /// by name.
     fn most_rejected_tenant(&self) -> Option<(&Rc<str>, u64)> {
@@ -73,7 +85,7 @@
             .unwrap_or_default();
         Some(format!(
             "event=stats arrived={} forwarded={} quota_rejected={} tokens_requested={} penalty_box_rejected={} no_backend={} failed={} \
-             retries={} attempts_given_up={} unroutable={}{tenant}",
+             retries={} connections_broken={} early_responses={} attempts_given_up={} unroutable={}{tenant}",
             stats.arrived,
             stats.forwarded,
             stats.quota_rejected,
@@ -82,6 +94,8 @@
             stats.no_backend,
             stats.failed,
             stats.retries,
+            stats.connections_broken,
+            stats.early_responses,
             stats.attempts_given_up,
             stats.unroutable,
         ))
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -229,7 +229,7 @@
         // If the driver has no record of the attempt in flight, the attempt's task has not run yet,
         // so nothing of the request has been written.
         let outcome = match &attempt {
-            Some(attempt) if attempt.handle.fully_written() => Outcome::Timeout,
+            Some(attempt) if attempt.handle.may_have_run() => Outcome::Timeout,
             _ => Outcome::ConnectFailed,
         };
         if let Some(attempt) = attempt {
@@ -333,7 +333,8 @@
             &handle,
             |remaining| request.to_backend(&attempt.instance, remaining),
             async |response| request.read_response(response).await,
-            |response: &BackendResponse| response.outcome == Outcome::Full,
+            // Every response that was read repeats the request's own id.
+            |_| true,
         )
         .await;
         let (outcome, response) = match result.result {
@@ -342,7 +343,7 @@
         };
         let end = AttemptEnd {
             outcome,
-            broken_connections: result.broken_connections,
+            connections: result.connections,
             wrong_instance: response
                 .as_ref()
                 .is_some_and(|response| response.wrong_instance),
--- a/crates/proxy/tests/attempt_timeouts.rs
+++ b/crates/proxy/tests/attempt_timeouts.rs
@@ -17,6 +17,7 @@
 use common::{config_update, serving_instances, settings_of, unused_addresses, CONFIGURATION};
 use maplefall_policy::{Outcome, RequestId};
 use maplefall_proxy::{AttemptEnd, Core, IncomingRequest, Output};
+use maplefall_upstream::ConnectionCounts;
 
 /// Requests that are sent at once. At the retry budget ratio of 0.2 they earn two retries.
 const REQUESTS: usize = 12;
@@ -91,7 +92,7 @@
                     self.cancelled += 1;
                     let end = AttemptEnd {
                         outcome: Outcome::Timeout,
-                        broken_connections: 0,
+                        connections: ConnectionCounts::default(),
                         wrong_instance: false,
                     };
                     let mut out = Vec::new();
--- a/crates/proxy/tests/backend_responses/backend.rs
+++ b/crates/proxy/tests/backend_responses/backend.rs
@@ -1,6 +1,6 @@
 //! Backends that send valid and mutated responses, split anywhere.
 
-use crate::case::{ConnectionLog, TestCase};
+use crate::case::{ConnectionLog, EarlyResponse, TestCase};
 use crate::common::http::{parse_request, ParseError};
 use crate::common::random::Random;
 use std::cell::RefCell;
@@ -168,6 +168,11 @@
     (bytes, connection_end)
 }
 
+/// Returns whether the head of a request is complete.
+fn has_head(bytes: &[u8]) -> bool {
+    bytes.windows(4).any(|end| end == b"\r\n\r\n")
+}
+
 /// A backend's side of a connection.
 struct BackendConnection {
     stream: TcpStream,
@@ -217,7 +222,9 @@
             return;
         };
         let started = buffer.is_empty();
+        let had_head = has_head(&buffer);
         buffer.extend_from_slice(&chunk[..count]);
+        let head_completed = has_head(&buffer) && !had_head;
         if std::mem::take(&mut sends_unsolicited) {
             let unsolicited = valid_response(&mut random, &earlier_id);
             connection.write(&unsolicited, &mut random).await;
@@ -228,10 +235,10 @@
                 panic!("the proxy wrote an invalid request: {reason}")
             }
             Err(ParseError::Incomplete) => {
-                if !started || !random.percent(15) {
+                if !(started || head_completed) || !random.percent(15) {
                     continue;
                 }
-                // The request is incomplete: either only its last byte is missing, or only the
+                // The request is incomplete: either the last byte of its head is missing, or only the
                 // bytes of one write have arrived.
                 let text = String::from_utf8_lossy(&buffer);
                 let id = text
@@ -241,7 +248,11 @@
                 {
                     let mut log = connection.log.borrow_mut();
                     let written = log.written.len();
-                    log.early_responses.push((id.to_owned(), written));
+                    log.early_responses.push(EarlyResponse {
+                        id: id.to_owned(),
+                        from: written,
+                        had_head: has_head(&buffer),
+                    });
                 }
                 let (bytes, connection_end) = match random.below(6) {
                     0 => (Vec::new(), ConnectionEnd::Close),
--- a/crates/proxy/tests/backend_responses/case.rs
+++ b/crates/proxy/tests/backend_responses/case.rs
@@ -14,9 +14,19 @@
     pub write_times: Vec<(u64, usize)>,
     /// Each complete request, and the number of bytes written before it.
     pub requests: Vec<(Message, usize)>,
-    /// Responses that the backend began before their request was complete: the id, and the offset
-    /// in `written`.
-    pub early_responses: Vec<(String, usize)>,
+    /// What the backend did before the request was complete.
+    pub early_responses: Vec<EarlyResponse>,
+}
+
+/// What a backend did with a request before it was complete: it responded, wrote other bytes, or
+/// ended the connection.
+pub struct EarlyResponse {
+    /// The request's id.
+    pub id: String,
+    /// Offset in [`ConnectionLog::written`] at which the response begins.
+    pub from: usize,
+    /// Whether the backend had the complete head, so that it may have begun to work.
+    pub had_head: bool,
 }
 
 /// A request as a client sent it.
--- a/crates/proxy/tests/backend_responses/check.rs
+++ b/crates/proxy/tests/backend_responses/check.rs
@@ -2,7 +2,7 @@
 
 use crate::case::TestCase;
 use crate::common::http::{parse_response, Message, ParseError};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Totals over all cases.
 #[derive(Default, Debug)]
@@ -13,6 +13,7 @@
     pub never_forwarded: u64,
     pub unanswered: u64,
     pub attempts: u64,
+    pub partial_attempts: u64,
     pub retries: u64,
     pub unusable_connections: u64,
 }
@@ -87,6 +88,37 @@
             requests.entry(known_id).or_default().push(response);
         }
     }
+    for log in &logs {
+        let mut partial_ids = BTreeSet::new();
+        for early in log.early_responses.iter().filter(|early| early.had_head) {
+            if !partial_ids.insert(&early.id) {
+                continue;
+            }
+            let is_completed = log
+                .requests
+                .iter()
+                .any(|(request, _)| request.single("x-attempt-id") == Some(&early.id));
+            let Some((known_id, sent_request)) = sent.get_key_value(&early.id) else {
+                return Err(format!("{}: not sent by any client", early.id));
+            };
+            // An incomplete request whose backend had the head is an attempt that may have run,
+            // unless the first that the backend wrote for it, perhaps before it had the head, is a
+            // complete response that it was not run.
+            if !is_completed {
+                counts.partial_attempts += 1;
+                let first = log
+                    .early_responses
+                    .iter()
+                    .find(|first| first.id == early.id);
+                let from = first.map_or(early.from, |first| first.from);
+                let response = parse_response(&log.written, from, sent_request.method);
+                let response = response.ok().map(|(received, _)| received);
+                let response =
+                    response.filter(|response| response.single("x-attempt-id") == Some(&early.id));
+                requests.entry(known_id).or_default().push(response);
+            }
+        }
+    }
     counts.attempts += requests
         .values()
         .map(|attempts| attempts.len() as u64)
@@ -150,12 +182,9 @@
         };
         // Responses that began before their request was complete, and were read afterwards.
         let early_responses = logs.iter().flat_map(|log| {
-            let of_this_request = log
-                .early_responses
-                .iter()
-                .filter(|(early_id, _)| early_id == id);
+            let of_this_request = log.early_responses.iter().filter(|early| early.id == *id);
             of_this_request
-                .filter_map(|(_, from)| parse_response(&log.written, *from, sent[id].method).ok())
+                .filter_map(|early| parse_response(&log.written, early.from, sent[id].method).ok())
         });
         let early_responses: Vec<_> = early_responses
             .map(|(received, _)| received)
--- a/crates/proxy/tests/backend_responses/client.rs
+++ b/crates/proxy/tests/backend_responses/client.rs
@@ -28,7 +28,7 @@
         let id = format!("{name}-{number}");
         let at_most_once = random.percent(60);
         let method = random.one_of(&["GET", "POST", "POST", "PUT", "HEAD"]);
-        let max_body = if random.percent(2) { 400 << 10 } else { 64 };
+        let max_body = if random.percent(8) { 400 << 10 } else { 64 };
         let body = if ["GET", "HEAD"].contains(&method) {
             0
         } else {
--- a/crates/proxy/tests/backend_responses/main.rs
+++ b/crates/proxy/tests/backend_responses/main.rs
@@ -7,10 +7,10 @@
 //!   wrote to this request, with its id, and with a seal if it is a success.
 //! - A request that arrived after unsolicited bytes were written on a connection is never sent on
 //!   that connection.
-//! - A non-idempotent request is completely sent to one backend at most, unless those before
+//! - One backend at most gets the complete head of a non-idempotent request, unless those before
 //!   responded, completely and with its id, that they have not run it; and its client receives no
-//!   status that promises more than that. What a backend writes before it has the last byte of a
-//!   request does not count: without that byte there is no request.
+//!   status that promises more than that. With the head, a backend may begin to work on a request
+//!   and respond to it; what it writes before it has the head does not count.
 //! - A backend receives what a client sent.
 //!
 //! Failures are printed with their seeds.
@@ -116,7 +116,8 @@
     assert!(
         counts.forwarded > counts.local
             && counts.retries > CASES
-            && counts.unusable_connections > CASES,
+            && counts.unusable_connections > CASES
+            && counts.partial_attempts > CASES / 50,
         "{counts:?}"
     );
 }
--- a/crates/upstream/src/attempt.rs
+++ b/crates/upstream/src/attempt.rs
@@ -14,15 +14,24 @@
 pub struct AttemptResult<A> {
     /// The response, or the outcome of an attempt without one.
     pub result: Result<A, Outcome>,
-    /// Number of established connections that broke during the attempt.
-    pub broken_connections: u32,
+    /// What was seen on the attempt's connections.
+    pub connections: ConnectionCounts,
+}
+
+/// What was seen on the connections of one attempt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionCounts {
+    /// Number of established connections that broke.
+    pub broken: u32,
+    /// Number of responses that were read before the request was completely written.
+    pub early_responses: u32,
 }
 
 impl<A> AttemptResult<A> {
-    fn failed(outcome: Outcome, broken_connections: u32) -> AttemptResult<A> {
+    fn failed(outcome: Outcome, connections: ConnectionCounts) -> AttemptResult<A> {
         AttemptResult {
             result: Err(outcome),
-            broken_connections,
+            connections,
         }
     }
 }
@@ -42,40 +51,41 @@
 }
 
 /// Sends one request to a backend and reads the response. A pooled connection that breaks before
-/// the request was completely written is replaced by the next one. `build_request` creates the
-/// request from the remaining milliseconds; `read_response` reads a response and returns `None` if
-/// it is incomplete or invalid; `is_unprocessed` returns whether a response states that the request
-/// was not processed.
+/// the request's head was completely written is replaced by the next one. `build_request` creates
+/// the request from the remaining milliseconds; `read_response` reads a response and returns `None`
+/// if it is incomplete or invalid; `accepts_early` returns whether a response that arrived before
+/// the request was completely written is certain to belong to it.
 pub async fn send_request<A>(
     pools: &Pools,
     options: RequestOptions,
     handle: &AttemptHandle,
     build_request: impl Fn(Millis) -> Request<Full<Bytes>>,
     read_response: impl AsyncFn(Response<Incoming>) -> Option<A>,
-    is_unprocessed: impl Fn(&A) -> bool,
+    accepts_early: impl Fn(&A) -> bool,
 ) -> AttemptResult<A> {
     let started = Instant::now();
-    let mut broken_connections = 0;
+    let mut connections = ConnectionCounts::default();
     let Some(address) = pools.dial_address(options.backend) else {
-        return AttemptResult::failed(Outcome::NotSent, 0);
+        return AttemptResult::failed(Outcome::NotSent, connections);
     };
     loop {
         let (mut connection, pooled_idle) =
             match take_or_connect(pools, &options, handle, address).await {
                 Ok(connection) => connection,
                 Err(ConnectError::LocalLimit) => {
-                    return AttemptResult::failed(Outcome::NotSent, broken_connections);
+                    return AttemptResult::failed(Outcome::NotSent, connections);
                 }
                 // A failure to connect shows more about the backend than the connections that broke
                 // before, so these are not reported.
                 Err(ConnectError::Unreachable) => {
-                    return AttemptResult::failed(Outcome::ConnectFailed, 0);
+                    connections.broken = 0;
+                    return AttemptResult::failed(Outcome::ConnectFailed, connections);
                 }
             };
         // While the connection was being established, the backend may have been removed, may have
         // begun to drain, or may have been replaced by another instance at its address.
         if pools.dial_address(options.backend) != Some(address) {
-            return AttemptResult::failed(Outcome::NotSent, broken_connections);
+            return AttemptResult::failed(Outcome::NotSent, connections);
         }
         handle.attach_socket(&connection.socket);
         connection
@@ -91,33 +101,32 @@
             None => None,
         };
         let fully_written = connection.socket.fully_written();
-        // A response that arrived before the request was completely written does not belong to it,
-        // unless it states that the request was not processed. The connection cannot be reused in
-        // either case.
-        if let Some(response) =
-            response.filter(|response| fully_written || is_unprocessed(response))
+        connections.early_responses += u32::from(response.is_some() && !fully_written);
+        // After an early response the rest of the body is still due, so the connection is closed.
+        if let Some(response) = response.filter(|response| fully_written || accepts_early(response))
         {
             if fully_written {
                 pools.put_back(options.backend, address, connection);
             }
             return AttemptResult {
                 result: Ok(response),
-                broken_connections,
+                connections,
             };
         }
-        broken_connections += 1;
-        // A pooled connection that broke before the request was completely written says little
-        // about the backend, and the request has not run, so the next connection is tried. Each
-        // iteration removes a connection from the pool, so the loop ends.
-        if !fully_written && pooled_idle.is_some() {
+        connections.broken += 1;
+        // A pooled connection that broke before the head was completely written says little about
+        // the backend, and the request has not run, so the next connection is tried. Each iteration
+        // removes a connection from the pool, so the loop ends.
+        let may_have_run = connection.socket.may_have_run();
+        if !may_have_run && pooled_idle.is_some() {
             continue;
         }
-        let outcome = if fully_written {
+        let outcome = if may_have_run {
             Outcome::Reset
         } else {
             Outcome::ConnectFailed
         };
-        return AttemptResult::failed(outcome, broken_connections);
+        return AttemptResult::failed(outcome, connections);
     }
 }
 
--- a/crates/upstream/src/attempt_handle.rs
+++ b/crates/upstream/src/attempt_handle.rs
@@ -60,14 +60,20 @@
         self.multiplexed.set(true);
     }
 
-    /// Returns whether the request has been completely written. Before that, it cannot have run.
+    /// Returns whether the request may have run: a backend may have its complete head.
+    pub fn may_have_run(&self) -> bool {
+        self.multiplexed.get() || self.is_on_socket(UpstreamSocket::may_have_run)
+    }
+
+    /// Returns whether the request has been completely written.
     pub fn fully_written(&self) -> bool {
-        self.multiplexed.get()
-            || self
-                .socket
-                .borrow()
-                .as_ref()
-                .is_some_and(|socket| socket.fully_written())
+        self.multiplexed.get() || self.is_on_socket(UpstreamSocket::fully_written)
+    }
+
+    /// Returns whether a socket carries the attempt, and this holds for it.
+    fn is_on_socket(&self, holds: impl Fn(&UpstreamSocket) -> bool) -> bool {
+        let socket = self.socket.borrow();
+        socket.as_ref().is_some_and(|socket| holds(socket))
     }
 
     /// Aborts the attempt: its connection is closed before this returns.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -12,7 +12,7 @@
 mod socket;
 mod written_bytes;
 
-pub use attempt::{send_request, AttemptResult, RequestOptions};
+pub use attempt::{send_request, AttemptResult, ConnectionCounts, RequestOptions};
 pub use attempt_handle::AttemptHandle;
 pub use clock::Clock;
 pub use connection::{ConnectError, Connection, MAX_BUFFER_BYTES};
--- a/crates/upstream/src/socket.rs
+++ b/crates/upstream/src/socket.rs
@@ -1,5 +1,5 @@
 //! The socket of a connection to a backend, below the HTTP library. It tracks how much of a request
-//! has been written, can delay the last byte, and is closed immediately when its attempt is
+//! has been written, can delay the last byte of the head, and is closed immediately when its attempt is
 //! aborted.
 
 use crate::written_bytes::WrittenBytes;
@@ -16,20 +16,20 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-/// How long the last byte of a request is delayed to detect a broken connection: within one data
+/// How long the last byte of a request's head is delayed to detect a broken connection: within one data
 /// centre, a reset arrives in this time. Where the round trip is longer, the delay detects fewer
 /// broken connections at the same cost.
-const LAST_BYTE_DELAY: Duration = Duration::from_millis(2);
+const HEAD_END_DELAY: Duration = Duration::from_millis(2);
 
 /// A socket that can be closed immediately from outside the HTTP library, and that counts towards
 /// the connection limit until it is closed.
 pub struct UpstreamSocket {
     socket: RefCell<Option<(TcpStream, ConnectionPermit)>>,
     written: RefCell<WrittenBytes>,
-    /// Whether the last byte of the request is delayed to probe the connection.
-    delay_last_byte: Cell<bool>,
-    /// The delay of the last byte, set once all bytes before it are written.
-    last_byte_delay: RefCell<Option<Pin<Box<Sleep>>>>,
+    /// Whether the last byte of the request's head is delayed to probe the connection.
+    delay_head_end: Cell<bool>,
+    /// The delay of the head's last byte, set once all bytes before it are written.
+    head_end_delay: RefCell<Option<Pin<Box<Sleep>>>>,
 }
 
 impl UpstreamSocket {
@@ -37,41 +37,50 @@
         UpstreamSocket {
             socket: RefCell::new(Some((stream, permit))),
             written: RefCell::default(),
-            delay_last_byte: Cell::default(),
-            last_byte_delay: RefCell::default(),
+            delay_head_end: Cell::default(),
+            head_end_delay: RefCell::default(),
         }
     }
 
-    /// Returns whether the request has been completely written. Before that, it cannot have run.
+    /// Returns whether the request may have run: a backend may begin to work on it, and respond,
+    /// once it has the complete head.
+    pub fn may_have_run(&self) -> bool {
+        self.written.borrow().is_head_complete()
+    }
+
+    /// Returns whether the request has been completely written.
     pub fn fully_written(&self) -> bool {
         self.written.borrow().is_complete()
     }
 
-    /// Prepares for a request with a body of this length. With `delay_last_byte`, the connection is
-    /// probed before the last byte is written.
-    pub fn begin_request(&self, body_bytes: usize, delay_last_byte: bool) {
+    /// Prepares for a request with a body of this length. With `delay_head_end`, the connection is
+    /// probed before the last byte of the head is written.
+    pub fn begin_request(&self, body_bytes: usize, delay_head_end: bool) {
         *self.written.borrow_mut() = WrittenBytes::new(body_bytes);
-        self.delay_last_byte.set(delay_last_byte);
-        self.last_byte_delay.borrow_mut().take();
+        self.delay_head_end.set(delay_head_end);
+        self.head_end_delay.borrow_mut().take();
     }
 
     /// Returns how many of these bytes may be written now. To detect a connection that the backend
-    /// has closed unnoticed, the last byte is delayed and written only if nothing has come back. A
-    /// backend runs a request only after its last byte, so a request whose connection breaks before
-    /// that has not run and can be sent again even if it is not idempotent.
+    /// has closed unnoticed, the last byte of the head is delayed and written only if nothing has
+    /// come back. A request whose connection breaks before that byte has not run and can be sent
+    /// again even if it is not idempotent. With that byte, a backend may begin to work on it.
     fn writable_bytes(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if !self.delay_last_byte.get() || !self.written.borrow().would_complete(bytes) {
+        if !self.delay_head_end.get() {
             return Poll::Ready(Ok(bytes.len()));
         }
-        if bytes.len() > 1 {
-            return Poll::Ready(Ok(bytes.len() - 1));
+        let Some(head_bytes) = self.written.borrow().head_bytes_left(bytes) else {
+            return Poll::Ready(Ok(bytes.len()));
+        };
+        if head_bytes > 1 {
+            return Poll::Ready(Ok(head_bytes - 1));
         }
-        let mut delay = self.last_byte_delay.borrow_mut();
-        let delay = delay.get_or_insert_with(|| Box::pin(tokio::time::sleep(LAST_BYTE_DELAY)));
+        let mut delay = self.head_end_delay.borrow_mut();
+        let delay = delay.get_or_insert_with(|| Box::pin(tokio::time::sleep(HEAD_END_DELAY)));
         ready!(delay.as_mut().poll(cx));
         // A reset that arrived during the delay is known only to the kernel so far.
         Poll::Ready(if self.is_open_and_empty() {
-            Ok(1)
+            Ok(bytes.len())
         } else {
             Err(io::ErrorKind::ConnectionReset.into())
         })
--- a/crates/upstream/src/written_bytes/tests.rs
+++ b/crates/upstream/src/written_bytes/tests.rs
@@ -19,6 +19,23 @@
     }
 }
 
+/// Guards the statement that a request cannot have run: it holds up to the last byte of the head and
+/// not after it, however the writes are split; a withheld byte is the last one of the head.
+#[test]
+fn a_request_cannot_have_run_before_its_head_is_complete() {
+    let bytes = [HEAD, b"\r\n\r\nbody"].concat();
+    for split in 1..bytes.len() {
+        let mut written = WrittenBytes::new(8);
+        let in_first = written.head_bytes_left(&bytes[..split]);
+        assert_eq!(in_first, (split >= HEAD.len()).then_some(HEAD.len()));
+        written.record(&bytes[..split]);
+        assert_eq!(written.is_head_complete(), split >= HEAD.len());
+        let in_second = written.head_bytes_left(&bytes[split..]);
+        let left = HEAD.len().checked_sub(split).filter(|left| *left > 0);
+        assert_eq!(in_second, left, "split after {split} bytes");
+    }
+}
+
 /// Guards requests without a body: they are complete with the empty line, written byte by byte too.
 #[test]
 fn a_request_without_a_body_is_complete_with_its_head() {
