--- a/crates/controller/src/core/event.rs
+++ b/crates/controller/src/core/event.rs
@@ -15,6 +15,13 @@
     BackendDraining(&'a InstanceRecord),
     /// A backend has ended.
     BackendDeregistered(&'a InstanceRecord),
+    /// A peer's record makes known a live backend that this controller did not know.
+    BackendLearned {
+        record: &'a InstanceRecord,
+        peer: &'a str,
+    },
+    /// The instances that were found on the disk at the start.
+    InstancesRestored { live: usize, tombstones: usize },
     /// A heartbeat is malformed.
     BadHeartbeat { reason: &'a str },
     /// The leader that this controller follows has changed, or there is none now.
@@ -78,6 +85,16 @@
             Event::BackendExpired(record) => write_backend(f, "backend_expired", record),
             Event::BackendDraining(record) => write_backend(f, "backend_draining", record),
             Event::BackendDeregistered(record) => write_backend(f, "backend_deregistered", record),
+            Event::BackendLearned { record, peer } => {
+                write_backend(f, "backend_learned", record)?;
+                write!(f, " state={:?} seq={} peer={peer}", record.state(), record.seq)
+            }
+            Event::InstancesRestored { live, tombstones } => {
+                write!(
+                    f,
+                    "event=instances_restored live={live} tombstones={tombstones}"
+                )
+            }
             Event::BadHeartbeat { reason } => write!(f, "event=bad_heartbeat {reason}"),
             Event::LeaderChanged { leader, term } => {
                 let leader = leader.unwrap_or("none");
--- a/crates/controller/src/core/instances.rs
+++ b/crates/controller/src/core/instances.rs
@@ -2,7 +2,8 @@
 //! call is acknowledged.
 //!
 //! A drain or deregistration of a backend is acknowledged once a majority of the controllers, this
-//! one included, have persisted it. It then survives the simultaneous failure of any minority.
+//! one included, have persisted it. It then survives the simultaneous failure of any minority, and a
+//! restart of all: every majority that comes back has its record, which is later than any other.
 
 use super::event::Event;
 use super::pending_calls::PendingCall;
@@ -214,7 +215,12 @@
     ) {
         let mut changed = Vec::new();
         for record in updates.records {
+            let was_known = self.registry.contains(&record.id);
             if let Applied::Changed(record) = self.registry.apply(now, record) {
+                if !was_known && record.state().is_live() {
+                    let record = &record;
+                    out.push(Event::BackendLearned { record, peer }.into());
+                }
                 changed.push(record);
             }
         }
--- a/crates/controller/src/core/mod.rs
+++ b/crates/controller/src/core/mod.rs
@@ -216,7 +216,13 @@
             bounds: settings.bounds,
             ip,
         };
-        for record in stored.instances.into_values() {
+        let restored = Event::InstancesRestored {
+            live: stored.instances.len(),
+            tombstones: stored.tombstones.len(),
+        };
+        out.push(restored.into());
+        let instances = stored.instances.into_values();
+        for record in instances.chain(stored.tombstones) {
             core.registry.apply(now, record);
         }
         if is_first_start {
--- a/crates/controller/src/store/state.rs
+++ b/crates/controller/src/store/state.rs
@@ -2,13 +2,17 @@
 
 use super::record::StoreRecord;
 use maplefall_raft::PersistentState;
-use maplefall_service_registry::{InstanceRecord, InstanceState};
-use std::collections::{BTreeMap, BTreeSet};
+use maplefall_service_registry::InstanceRecord;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Number of latest log entries whose quota slots are remembered as waited for before leasing them;
 /// the slots of a forgotten entry are waited for once more.
 const MAX_WAITED_SLOTS: usize = 64;
 
+/// Maximum number of instances whose end is remembered; beyond it, the one that ended first is
+/// forgotten. More than all backends of a deployment that end within a minute.
+const MAX_TOMBSTONES: usize = 4096;
+
 /// The state on the disk: records 1 to [`number`](StoredState::number), applied in order. The store
 /// in memory, state files and recovery all use [`StoredState::apply`], so that they agree.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -20,6 +24,10 @@
     /// The last record of each backend instance that is neither expired nor deregistered, by
     /// instance id.
     pub instances: BTreeMap<String, InstanceRecord>,
+    /// The last record of the latest 4096 instances that have expired or were deregistered, in the
+    /// order of their ends. A controller that was down meanwhile has such an instance as live on its
+    /// disk; the tombstone overrides that record after a restart, too.
+    pub tombstones: VecDeque<InstanceRecord>,
     /// Whether `leased_to` contains every proxy that may hold a lease. `false` at first on a disk
     /// that was empty, because leases granted with an earlier disk of this controller may still be
     /// in use.
@@ -60,13 +68,16 @@
     }
 
     fn apply_instance(&mut self, instance: InstanceRecord) {
-        match instance.state() {
-            InstanceState::Expired | InstanceState::Deregistered => {
-                self.instances.remove(&instance.id);
-            }
-            _ => {
-                self.instances.insert(instance.id.clone(), instance);
-            }
+        self.instances.remove(&instance.id);
+        self.tombstones
+            .retain(|tombstone| tombstone.id != instance.id);
+        if instance.state().is_live() {
+            self.instances.insert(instance.id.clone(), instance);
+            return;
+        }
+        self.tombstones.push_back(instance);
+        if self.tombstones.len() > MAX_TOMBSTONES {
+            self.tombstones.pop_front();
         }
     }
 
--- a/crates/controller/src/store/state_file.rs
+++ b/crates/controller/src/store/state_file.rs
@@ -15,6 +15,7 @@
 const LOG_TAG: u32 = 7;
 const LEASED_TO_TAG: u32 = 8;
 const INSTANCES_TAG: u32 = 9;
+const TOMBSTONES_TAG: u32 = 16;
 
 /// The payload of a file `state-N`.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
@@ -46,9 +47,13 @@
     /// Proxies that may hold a quota lease of this controller.
     #[prost(string, repeated, tag = "8")]
     pub leased_to: Vec<String>,
-    /// Records of backend instances.
+    /// Records of backend instances that are neither expired nor deregistered.
     #[prost(message, repeated, tag = "9")]
     pub instances: Vec<InstanceRecord>,
+    /// Records of backend instances that have expired or were deregistered, in the order of their
+    /// ends.
+    #[prost(message, repeated, tag = "16")]
+    pub tombstones: Vec<InstanceRecord>,
     /// Whether `leased_to` contains every proxy that may hold a lease.
     #[prost(bool, tag = "14")]
     pub leased_to_complete: bool,
@@ -118,10 +123,15 @@
         .instances
         .values()
         .map(|instance| encoding::message::encoded_len(INSTANCES_TAG, instance));
+    let tombstones = state
+        .tombstones
+        .iter()
+        .map(|tombstone| encoding::message::encoded_len(TOMBSTONES_TAG, tombstone));
     encoding::message::encoded_len(SNAPSHOT_TAG, &state.raft.snapshot)
         + encoding::message::encoded_len_repeated(LOG_TAG, &state.raft.log)
         + leased_to.sum::<usize>()
         + instances.sum::<usize>()
+        + tombstones.sum::<usize>()
 }
 
 fn encode_long_fields(state: &StoredState, bytes: &mut Vec<u8>) {
@@ -133,6 +143,9 @@
     for instance in state.instances.values() {
         encoding::message::encode(INSTANCES_TAG, instance, bytes);
     }
+    for tombstone in &state.tombstones {
+        encoding::message::encode(TOMBSTONES_TAG, tombstone, bytes);
+    }
 }
 
 impl From<StateFile> for StoredState {
@@ -152,6 +165,7 @@
                 .into_iter()
                 .map(|instance| (instance.id.clone(), instance))
                 .collect(),
+            tombstones: state_file.tombstones.into(),
             leased_to_complete: state_file.leased_to_complete,
             waited_slots: state_file.waited_slots.into_iter().collect(),
             number: state_file.number,
--- a/crates/controller/tests/common/cluster.rs
+++ b/crates/controller/tests/common/cluster.rs
@@ -10,7 +10,7 @@
 };
 use maplefall_control_transport::liveness::{PING_INTERVAL, PONG_TIMEOUT};
 use maplefall_controller::core::TICK;
-use maplefall_controller::store::StoredState;
+use maplefall_controller::store::{StoreRecord, StoredState};
 use maplefall_controller::{Call, CallResponse, Core, Output};
 use maplefall_node_settings::Settings;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -54,14 +54,28 @@
 
 pub struct Node {
     pub core: Core,
-    /// Numbers of the writes that are not yet persisted, each with the time at which it will be
-    /// persisted.
-    pub pending_writes: VecDeque<(u64, f64)>,
+    /// The writes that are not yet persisted, each with the time at which it will be persisted.
+    pub pending_writes: VecDeque<(StoreRecord, f64)>,
+    /// What is on the disk.
+    pub disk: StoredState,
     pub is_disk_stalled: bool,
     pub is_paused: bool,
     last_tick: f64,
 }
 
+impl Node {
+    fn new(core: Core, disk: StoredState, now: f64) -> Node {
+        Node {
+            core,
+            pending_writes: VecDeque::new(),
+            disk,
+            is_disk_stalled: false,
+            is_paused: false,
+            last_tick: now,
+        }
+    }
+}
+
 pub struct Cluster {
     pub now: f64,
     pub nodes: Vec<Node>,
@@ -101,13 +115,8 @@
                 StoredState::default(),
                 &mut out,
             );
-            cluster.nodes.push(Node {
-                core,
-                pending_writes: VecDeque::new(),
-                is_disk_stalled: false,
-                is_paused: false,
-                last_tick: 0.0,
-            });
+            let disk = StoredState::default();
+            cluster.nodes.push(Node::new(core, disk, 0.0));
             cluster.handle_outputs(node, out);
         }
         for (a, b) in cluster.pairs() {
@@ -137,6 +146,42 @@
         }
     }
 
+    /// Kills a controller: its connections end and what its disk has not persisted is lost.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].is_paused = true;
+        self.nodes[node].pending_writes.clear();
+        self.network
+            .retain(|(_, from, to, _)| *from != node && *to != node);
+        for peer in (0..self.nodes.len()).filter(|peer| *peer != node) {
+            self.nodes[peer].core.peer_disconnected(&ip(node));
+        }
+    }
+
+    /// Starts these controllers, which were killed, from their disks, and connects them to all that
+    /// run.
+    pub fn start(&mut self, nodes: &[usize]) {
+        let size = self.nodes.len();
+        for node in nodes {
+            let disk = self.nodes[*node].disk.clone();
+            let (seed, mut out) = (self.now as u64 * 16 + *node as u64 + 1, Vec::new());
+            let core = Core::new(
+                &settings(*node, size),
+                self.now,
+                seed,
+                disk.clone(),
+                &mut out,
+            );
+            self.nodes[*node] = Node::new(core, disk, self.now);
+            self.handle_outputs(*node, out);
+        }
+        for (a, b) in self.pairs() {
+            let is_new = nodes.contains(&a) || nodes.contains(&b);
+            if is_new && !self.nodes[a].is_paused && !self.nodes[b].is_paused {
+                self.set_connected(a, b, true);
+            }
+        }
+    }
+
     pub fn drive(&mut self, node: usize, step: impl FnOnce(&mut Core, f64, &mut Vec<Output>)) {
         let mut out = Vec::new();
         step(&mut self.nodes[node].core, self.now, &mut out);
@@ -146,9 +191,12 @@
     fn handle_outputs(&mut self, node: usize, out: Vec<Output>) {
         for output in out {
             match output {
-                Output::Write(number, _) => self.nodes[node]
-                    .pending_writes
-                    .push_back((number, self.now + DISK_DELAY)),
+                Output::Write(number, record) => {
+                    let record = StoreRecord { number, ..*record };
+                    self.nodes[node]
+                        .pending_writes
+                        .push_back((record, self.now + DISK_DELAY));
+                }
                 Output::SendToPeer(to, bytes) => {
                     let to = (0..self.nodes.len()).find(|node| ip(*node) == to);
                     to.into_iter()
@@ -253,9 +301,11 @@
                 .front()
                 .is_some_and(|(_, at)| *at <= self.now)
         {
-            let Some((number, _)) = self.nodes[node].pending_writes.pop_front() else {
+            let Some((record, _)) = self.nodes[node].pending_writes.pop_front() else {
                 break;
             };
+            let number = record.number;
+            self.nodes[node].disk.apply(record);
             self.drive(node, |core, now, out| core.persisted(now, number, out));
         }
     }
--- a/crates/controller/tests/deregistration.rs
+++ b/crates/controller/tests/deregistration.rs
@@ -4,9 +4,10 @@
 #[path = "common/cluster.rs"]
 mod cluster;
 
-use cluster::{frame, ip, Cluster};
+use cluster::{frame, ip, Cluster, HEARTBEAT_INTERVAL};
 use maplefall_control_messages::{encode_frame, Frame, InstanceUpdates};
-use maplefall_service_registry::{InstanceRecord, InstanceState};
+use maplefall_controller::Call;
+use maplefall_service_registry::{InstanceRecord, InstanceState, Registry};
 
 /// A deregistration is acknowledged once a majority of the controllers has it on disk, among them
 /// the one that responds, whichever controller received it first and whether from the backend or
@@ -132,10 +133,10 @@
     assert_eq!(acknowledged(&cluster), 0);
     cluster.nodes[1].is_disk_stalled = false;
     while cluster.nodes[1].pending_writes.front().is_some() {
-        let Some((number, _)) = cluster.nodes[1].pending_writes.pop_front() else {
+        let Some((record, _)) = cluster.nodes[1].pending_writes.pop_front() else {
             break;
         };
-        cluster.drive(1, |core, now, out| core.persisted(now, number, out));
+        cluster.drive(1, |core, now, out| core.persisted(now, record.number, out));
     }
     assert!(
         acknowledged(&cluster) > 0
@@ -145,3 +146,99 @@
         acknowledged(&cluster)
     );
 }
+
+/// Time after a start within which the controllers have exchanged what they know, in milliseconds:
+/// a contact time of the users' pages.
+const CONTACT_TIME: f64 = 3000.0;
+
+/// Starts a backend at all three controllers of a new cluster, and kills the last one.
+fn cluster_with_a_stale_disk() -> Cluster {
+    let mut cluster = Cluster::new(3, 7);
+    cluster.run(2500.0);
+    cluster.find_leader(1);
+    let start = cluster.heartbeat(0, "b", "in_loop", 1);
+    cluster.run(100.0);
+    assert!(cluster.is_ok(start));
+    cluster.kill(2);
+    cluster
+}
+
+/// Kills the controllers that run and starts all three, and returns the state of the backend that a
+/// proxy has learned from each controller until a contact time later; `None` if it learned of none.
+fn states_after_a_restart_of_all(cluster: &mut Cluster) -> Vec<Option<InstanceState>> {
+    cluster.kill(0);
+    cluster.kill(1);
+    cluster.run(250.0);
+    cluster.start(&[0, 1, 2]);
+    let proxies: Vec<u64> = (0..3).map(|node| cluster.connect_proxy(node, 0)).collect();
+    cluster.run(CONTACT_TIME);
+    let state_at = |proxy: &u64| {
+        let mut registry = Registry::default();
+        for update in cluster.instance_updates(*proxy) {
+            for record in &update.records {
+                registry.apply(0.0, record.clone());
+            }
+        }
+        registry.record(0.0, "b").map(|record| record.state())
+    };
+    proxies.iter().map(state_at).collect()
+}
+
+fn is_serving(state: &Option<InstanceState>) -> bool {
+    *state == Some(InstanceState::Serving)
+}
+
+/// Guards acknowledged deregistrations against a restart of all controllers (rule DRAIN): one that
+/// was down meanwhile, and has the backend as serving on its disk, brought the backend back at all
+/// of them and at all proxies.
+#[test]
+fn an_acknowledged_deregistration_survives_a_restart_of_all() {
+    let mut cluster = cluster_with_a_stale_disk();
+    let call = cluster.call(0, Call::Deregister("b".to_owned()));
+    cluster.run(100.0);
+    assert!(cluster.is_ok(call), "{:?}", cluster.responses.get(&call));
+    let states = states_after_a_restart_of_all(&mut cluster);
+    assert!(!states.iter().any(is_serving), "{states:?}");
+    // The same after a second restart, with what the first one wrote.
+    cluster.kill(2);
+    let states = states_after_a_restart_of_all(&mut cluster);
+    assert!(!states.iter().any(is_serving), "second restart: {states:?}");
+}
+
+/// Guards acknowledged drains in the same way (rule DRAIN), also once the draining backend has
+/// expired: its record was removed from the disk then.
+#[test]
+fn an_acknowledged_drain_survives_expiry_and_a_restart_of_all() {
+    let mut cluster = cluster_with_a_stale_disk();
+    let call = cluster.heartbeat(0, "b", "decaying", 2);
+    cluster.run(100.0);
+    assert!(cluster.is_ok(call), "{:?}", cluster.responses.get(&call));
+    cluster.run(8.0 * HEARTBEAT_INTERVAL);
+    assert_eq!(
+        cluster.count_logged(0, "event=backend_expired backend=b"),
+        1
+    );
+    let states = states_after_a_restart_of_all(&mut cluster);
+    assert!(!states.iter().any(is_serving), "{states:?}");
+}
+
+/// Guards backends that only seemed to be gone: one that expired serves again after a restart of
+/// all as soon as its next heartbeat arrives.
+#[test]
+fn an_expired_backend_serves_again_after_a_restart_and_a_heartbeat() {
+    let mut cluster = cluster_with_a_stale_disk();
+    cluster.run(8.0 * HEARTBEAT_INTERVAL);
+    assert_eq!(
+        cluster.count_logged(0, "event=backend_expired backend=b"),
+        1
+    );
+    let states = states_after_a_restart_of_all(&mut cluster);
+    assert!(!states.iter().any(is_serving), "{states:?}");
+    let proxy = cluster.connect_proxy(1, 0);
+    cluster.heartbeat(0, "b", "in_loop", 9);
+    cluster.run(100.0);
+    let last = cluster.instance_updates(proxy).last().copied();
+    let records = last.map(|update| update.records.clone());
+    let state = records.and_then(|records| records.last().map(InstanceRecord::state));
+    assert!(is_serving(&state), "{state:?}");
+}
--- a/crates/controller/tests/store/restart.rs
+++ b/crates/controller/tests/store/restart.rs
@@ -2,9 +2,12 @@
 //! compaction.
 
 use crate::test_directory::TestDirectory;
-use crate::workload::entry_record;
+use crate::workload::{entry_record, SMALL_LIMITS};
 use maplefall_controller::disk::Directory;
-use maplefall_controller::store::{write_queue, Error, Store, StoreLimits, StoredState};
+use maplefall_controller::store::{
+    write_queue, Error, Store, StoreLimits, StoreRecord, StoredState,
+};
+use maplefall_service_registry::{InstanceRecord, InstanceState};
 use std::fs::{self, OpenOptions};
 use std::io::{Seek, SeekFrom, Write};
 
@@ -35,6 +38,53 @@
     );
 }
 
+/// Guards acknowledged deregistrations and drains: the ends of the latest 4096 instances survive a
+/// restart, from a state file and from the log, in their order; a later heartbeat of an instance
+/// that had only expired replaces its tombstone.
+#[test]
+fn ends_of_instances_survive_a_restart_and_are_bounded() {
+    const ENDED: u64 = 4200;
+    const REVIVED: u64 = 4100;
+    let record = |number: u64, id: u64, state: InstanceState| StoreRecord {
+        number,
+        instances: vec![InstanceRecord {
+            id: format!("i-{id}"),
+            state: state.into(),
+            seq: number,
+            ..InstanceRecord::default()
+        }],
+        ..StoreRecord::default()
+    };
+    let directory = TestDirectory::new("tombstones");
+    let open = || {
+        Store::open_with(Directory::new(directory.path()), SMALL_LIMITS).expect("a readable disk")
+    };
+    let (mut store, _) = open();
+    for id in 1..=ENDED {
+        let state = match id % 2 {
+            0 => InstanceState::Deregistered,
+            _ => InstanceState::Expired,
+        };
+        store.write(vec![record(id, id, state)]).expect("written");
+        while store.has_background_work() {
+            store.step().expect("a step of compaction");
+        }
+    }
+    store
+        .write(vec![record(ENDED + 1, REVIVED + 1, InstanceState::Serving)])
+        .expect("written");
+    drop(store);
+    let (_, found) = open();
+    let live: Vec<&str> = found.instances.keys().map(String::as_str).collect();
+    assert_eq!(live, [format!("i-{}", REVIVED + 1)]);
+    let ended: Vec<&str> = found.tombstones.iter().map(|end| end.id.as_str()).collect();
+    let expected: Vec<String> = (ENDED - 4095..=ENDED)
+        .filter(|id| *id != REVIVED + 1)
+        .map(|id| format!("i-{id}"))
+        .collect();
+    assert_eq!(ended, expected);
+}
+
 /// Returns both frames of a segment with the second torn at `torn_at` in four ways: the rest is
 /// missing, zeros after it, zeros before it, garbage after it.
 fn torn_versions(both: &[u8], first_frame_bytes: usize, torn_at: usize) -> [Vec<u8>; 4] {
--- a/crates/service-registry/src/record.rs
+++ b/crates/service-registry/src/record.rs
@@ -17,7 +17,7 @@
 
 impl InstanceState {
     /// Returns whether the instance is serving or draining; otherwise its record is a tombstone.
-    pub(crate) fn is_live(self) -> bool {
+    pub fn is_live(self) -> bool {
         matches!(self, InstanceState::Serving | InstanceState::Draining)
     }
 }
--- a/crates/service-registry/src/registry.rs
+++ b/crates/service-registry/src/registry.rs
@@ -147,6 +147,11 @@
         Applied::Refreshed
     }
 
+    /// Returns whether an instance is known, live or not.
+    pub fn contains(&self, id: &str) -> bool {
+        self.instances.contains_key(id)
+    }
+
     /// Returns the current record of one instance; `None` if it is unknown.
     pub fn record(&self, now: Millis, id: &str) -> Option<InstanceRecord> {
         self.instances
