--- a/crates/controller/src/core/instances.rs
+++ b/crates/controller/src/core/instances.rs
@@ -352,7 +352,8 @@
         self.send_all_instances(now, &incomplete, out);
     }
 
-    /// Sends proxies all serving and draining instances, encoded once for all of them. A controller
+    /// Sends proxies all instances, encoded once for all of them. Tombstones are included, since a
+    /// proxy that was disconnected may know an instance that has ended meanwhile. A controller
     /// without quorum contact sends nothing: the instances may come from its disk, and other
     /// controllers may know that some of them have ended.
     pub(super) fn send_all_instances(
@@ -365,14 +366,7 @@
             return;
         }
         let complete = self.has_all_instances(now);
-        let mut records = self.registry.records(now);
-        records.retain(|record| {
-            matches!(
-                record.state(),
-                InstanceState::Serving | InstanceState::Draining
-            )
-        });
-        let bytes = encode_instances(records, complete, 0);
+        let bytes = encode_instances(self.registry.records(now), complete, 0);
         for connection in connections {
             if let Some(proxy) = self.proxies.get_mut(connection) {
                 proxy.has_complete_instances = complete;
--- a/crates/controller/tests/deregistration.rs
+++ b/crates/controller/tests/deregistration.rs
@@ -7,6 +7,8 @@
 use cluster::{frame, ip, Cluster, HEARTBEAT_INTERVAL};
 use maplefall_control_messages::{encode_frame, Frame, InstanceUpdates};
 use maplefall_controller::Call;
+use maplefall_node_settings::Settings;
+use maplefall_proxy::Output;
 use maplefall_service_registry::{InstanceRecord, InstanceState, Registry};
 
 /// A deregistration is acknowledged once a majority of the controllers has it on disk, among them
@@ -242,3 +244,51 @@
     let state = records.and_then(|records| records.last().map(InstanceRecord::state));
     assert!(is_serving(&state), "{state:?}");
 }
+
+/// Returns a proxy's core without configuration and backends.
+fn proxy_core() -> maplefall_proxy::Core {
+    let text = "Node = \"edge\"\nIp = \"10.9.0.1\"\nInternalPorts = [1,1]\nSeedAddrs = [\"10.0.0.1:1\"]\nZone = \"a\"\n\
+                [Bind]\nFrontHttp = \"10.9.0.1:2\"\nReadyProbe = \"10.9.0.1:3\"\n";
+    let settings = Settings::parse(text, std::path::Path::new("edge.toml")).expect("settings");
+    maplefall_proxy::Core::new(&settings, 1)
+}
+
+/// Passes what controllers sent to a connection of a proxy to the proxy. Returns the changes of its
+/// connection pools.
+fn deliver(cluster: &Cluster, connection: u64, proxy: &mut maplefall_proxy::Core) -> Vec<String> {
+    let mut out = Vec::new();
+    for updates in cluster.instance_updates(connection) {
+        let frame = Frame::InstanceUpdates(updates.clone());
+        proxy.receive(cluster.now, &ip(0), frame, &mut out);
+    }
+    let pool_changes = out
+        .iter()
+        .filter(|output| matches!(output, Output::Pool(_)));
+    pool_changes.map(|change| format!("{change:?}")).collect()
+}
+
+/// Guards against requests to a backend that left while a proxy was frozen or cut off (rule DRAIN):
+/// the list that the proxy got when it connected again did not name the end, and a backend that had
+/// started a few seconds before was kept for as long as the connection lasted.
+#[test]
+fn a_proxy_that_missed_the_end_of_a_backend_learns_it_when_it_connects_again() {
+    let mut cluster = Cluster::new(3, 7);
+    cluster.run(2500.0);
+    cluster.find_leader(1);
+    cluster.run(8.0 * HEARTBEAT_INTERVAL);
+    cluster.heartbeat(0, "b", "in_loop", 1);
+    cluster.run(100.0);
+    let mut proxy = proxy_core();
+    let first = cluster.connect_proxy(0, 0);
+    assert_eq!(deliver(&cluster, first, &mut proxy).len(), 1, "b is known");
+    cluster.drive(0, |core, _, out| core.proxy_disconnected(first, out));
+    let call = cluster.call(0, Call::Deregister("b".to_owned()));
+    cluster.run(100.0);
+    assert!(cluster.is_ok(call));
+    for node in 0..3 {
+        let again = cluster.connect_proxy(node, 0);
+        let changes = deliver(&cluster, again, &mut proxy);
+        let removed = changes.iter().any(|change| change.contains("Remove"));
+        assert_eq!(removed, node == 0, "controller {node}: {changes:?}");
+    }
+}
--- a/crates/proxy/src/core/instances.rs
+++ b/crates/proxy/src/core/instances.rs
@@ -30,7 +30,13 @@
             .iter()
             .map(|record| record.id.as_str())
             .collect();
-        for record in self.registry.reconcile(now, &listed, UNLISTED_TIMEOUT) {
+        let reconciled = self.registry.reconcile(now, &listed, UNLISTED_TIMEOUT);
+        for id in reconciled.kept {
+            out.push(Output::Log(format!(
+                "event=unlisted_backend_kept backend={id}"
+            )));
+        }
+        for record in reconciled.expired {
             out.push(Output::Log(format!(
                 "event=backend_unlisted backend={}",
                 record.id
--- a/crates/service-registry/src/lib.rs
+++ b/crates/service-registry/src/lib.rs
@@ -15,7 +15,7 @@
 mod registry;
 
 pub use record::{InstanceRecord, InstanceState};
-pub use registry::{Applied, Registry};
+pub use registry::{Applied, Reconciled, Registry};
 
 /// Milliseconds on the caller's monotonic clock.
 pub type Millis = f64;
--- a/crates/service-registry/src/registry.rs
+++ b/crates/service-registry/src/registry.rs
@@ -79,6 +79,15 @@
     Stale,
 }
 
+/// The live instances that were missing from a complete list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reconciled {
+    /// The records of those that expired.
+    pub expired: Vec<InstanceRecord>,
+    /// The ids of those that were seen too recently to expire.
+    pub kept: Vec<String>,
+}
+
 /// The table of all known instances.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -168,17 +177,23 @@
     }
 
     /// Expires the live instances that are missing from `complete` and that no process has seen for
-    /// `timeout`. `complete` are the ids sent by a process that knows all instances. Returns the
-    /// records of the expired instances.
+    /// `timeout`. `complete` are the ids sent by a process that knows all instances.
     pub fn reconcile(
         &mut self,
         now: Millis,
         complete: &BTreeSet<&str>,
         timeout: Millis,
-    ) -> Vec<InstanceRecord> {
-        self.expire_where(now, |id, instance| {
+    ) -> Reconciled {
+        let expired = self.expire_where(now, |id, instance| {
             instance.timed_out(now, timeout) && !complete.contains(id)
-        })
+        });
+        let kept = self
+            .instances
+            .iter()
+            .filter(|(id, instance)| instance.is_live() && !complete.contains(id.as_str()))
+            .map(|(id, _)| id.clone())
+            .collect();
+        Reconciled { expired, kept }
     }
 
     /// Expires one instance, regardless of its state, after it was found to have ended. Returns its
