--- a/crates/gateway-config/src/item_set.rs
+++ b/crates/gateway-config/src/item_set.rs
@@ -73,6 +73,11 @@
         self.kinds.iter().all(BTreeSet::is_empty)
     }
 
+    /// Returns whether an item of this kind was ever set or removed.
+    pub fn has_any(&self, kind: ItemKind) -> bool {
+        !self.kinds[kind as usize].is_empty()
+    }
+
     /// Returns all items, including removed ones, in the order of kind and name.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.kinds.iter().flatten().map(|named| &*named.0)
--- a/crates/gateway-config/src/route_table.rs
+++ b/crates/gateway-config/src/route_table.rs
@@ -25,6 +25,8 @@
     hosts: HashMap<String, Vec<Arc<Route>>>,
     /// The tenant of each API key.
     keys: HashMap<String, Arc<Tenant>>,
+    /// Whether the items include a tenant, removed ones included.
+    requires_key: bool,
 }
 
 /// The result of a request lookup.
@@ -48,6 +50,7 @@
                 table.insert(item);
             }
         }
+        table.requires_key = items.as_ref().has_any(ItemKind::Tenant);
         table
     }
 
@@ -74,6 +77,7 @@
                 self.insert(item);
             }
         }
+        self.requires_key = items.as_ref().has_any(ItemKind::Tenant);
     }
 
     fn insert(&mut self, item: &Item) {
@@ -173,14 +177,20 @@
         self.keys.get(key).map(|tenant| &**tenant)
     }
 
-    /// Looks up a request by host, path and API key. No key is required if there are no tenants.
+    /// Returns whether a request on a route that is not public needs a known API key: it does from
+    /// the first tenant on, also once all tenants are removed, since a removal must not open routes.
+    pub fn requires_key(&self) -> bool {
+        self.requires_key
+    }
+
+    /// Looks up a request by host, path and API key.
     pub fn resolve(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch<'_> {
         let Some(route) = self.route(host, path) else {
             return RouteMatch::NoRoute;
         };
         let tenant = key.and_then(|key| self.tenant(key));
         match tenant {
-            None if !route.public && !self.tenants.is_empty() => RouteMatch::UnknownKey,
+            None if !route.public && self.requires_key() => RouteMatch::UnknownKey,
             tenant => RouteMatch::Matched(route, tenant),
         }
     }
--- a/crates/gateway-config/tests/config_state.rs
+++ b/crates/gateway-config/tests/config_state.rs
@@ -263,3 +263,50 @@
         RouteMatch::NoRoute
     ));
 }
+
+/// Guards against keys that open routes (rules CONFIG and ROUTE): once the last tenant was removed,
+/// every request was let in, with the removed key, with one that no configuration had, and without.
+#[test]
+fn removing_the_last_tenant_keeps_routes_closed() {
+    let mut state = initial_state();
+    let mut patched = RouteTable::from_items(&state);
+    let removal = r#"{"Remove":{"Tenants":[{"Name":"t1","Version":"00000008"}]}}"#;
+    let removal = parse_amend(removal.as_bytes()).expect("a valid call");
+    state.check(&removal).expect("a consistent call");
+    state.apply(&removal);
+    patched.patch(&state, [&removal].into_iter());
+    for table in [&patched, &RouteTable::from_items(&state)] {
+        for key in [Some("k1"), Some("never held"), None] {
+            let found = table.resolve("one.example", "/a/", key);
+            assert_eq!(found, RouteMatch::UnknownKey, "{key:?}");
+            let public = table.resolve("one.example", "/a/b/", key);
+            assert!(matches!(public, RouteMatch::Matched(_, None)), "{key:?}");
+        }
+    }
+    // A tenant that replaces the only one in a second call has access, and nobody else.
+    let addition = r#"{"Upsert":{"Tenants":{"ColumnNames":["Name","ApiKeys","Version"],"DataRows":[["t2",["k3"],"00000009"]]}}}"#;
+    let addition = parse_amend(addition.as_bytes()).expect("a valid call");
+    state.check(&addition).expect("a consistent call");
+    state.apply(&addition);
+    patched.patch(&state, [&addition].into_iter());
+    let found = patched.resolve("one.example", "/a/", Some("k3"));
+    assert!(matches!(found, RouteMatch::Matched(_, Some(_))));
+    let found = patched.resolve("one.example", "/a/", Some("k1"));
+    assert_eq!(found, RouteMatch::UnknownKey);
+}
+
+/// Guards deployments without tenants: where none was ever configured, no key is required.
+#[test]
+fn no_key_is_required_without_tenants() {
+    let tenants = r#""Tenants":{"ColumnNames":["Name","ApiKeys","Priority","RatePerS","BurstSize","Version"],"DataRows":[["t1",["k1","k2"],0,122,122,"00000007"]]},"#;
+    assert!(FIRST_CALL.contains(tenants));
+    let change = parse_amend(FIRST_CALL.replace(tenants, "").as_bytes()).expect("a valid call");
+    let mut state = ConfigState::default();
+    state.check(&change).expect("a consistent call");
+    state.apply(&change);
+    let table = RouteTable::from_items(&state);
+    for key in [Some("any"), None] {
+        let found = table.resolve("one.example", "/a/", key);
+        assert!(matches!(found, RouteMatch::Matched(_, None)), "{key:?}");
+    }
+}
--- a/crates/proxy/src/core/config.rs
+++ b/crates/proxy/src/core/config.rs
@@ -24,10 +24,11 @@
         self.update_route_table(update);
         self.config_index = index;
         out.push(Output::Log(format!(
-            "event=config_applied index={} routes={} tenants={}",
+            "event=config_applied index={} routes={} tenants={} requires_key={}",
             self.config_index,
             self.route_table.routes.len(),
-            self.route_table.tenants.len()
+            self.route_table.tenants.len(),
+            self.route_table.requires_key()
         )));
         self.refresh_quotas(now);
         self.quota_requested_at.clear();
