--- a/crates/controller/tests/stored_by_f933aca.rs
+++ b/crates/controller/tests/stored_by_f933aca.rs
@@ -443,6 +443,15 @@
     }
 }
 
+/// Returns how many log lines say that a configuration change was committed.
+fn count_committed(group: &Group) -> usize {
+    group
+        .log_lines
+        .iter()
+        .filter(|line| line.starts_with("event=committed "))
+        .count()
+}
+
 /// Guards an amendment that is repeated after a lost response: it is acknowledged, and no log has a
 /// new change.
 #[test]
@@ -451,6 +460,7 @@
         let mut group = Group::led_by(directory);
         let bodies = accepted_bodies();
         assert_eq!(bodies.len(), 304);
+        let committed = count_committed(&group);
         for body in bodies {
             assert_eq!(
                 group.amend(&body),
@@ -462,12 +472,10 @@
             group.call(Call::ReadConfig),
             CallResponse::Ok(read_data_file("config-read.json"))
         );
-        assert!(
-            !group
-                .log_lines
-                .iter()
-                .any(|line| line.starts_with("event=agreed index=316")),
-            "{:?}",
+        assert_eq!(
+            count_committed(&group),
+            committed,
+            "{directory}: {:?}",
             group.log_lines
         );
         for (name, stored) in group.into_stored() {
@@ -493,10 +501,12 @@
             version: 1,
             ..Item::default()
         };
+        let committed = count_committed(&group);
         assert_eq!(
             group.amend(&body_of(&service)),
             CallResponse::Ok("{}".to_owned())
         );
+        assert!(count_committed(&group) > committed);
         let all: Vec<String> = DIRECTORIES.map(|(_, address)| address.to_owned()).to_vec();
         assert_eq!(group.members(), vec![all.clone(), all.clone(), all]);
         for (name, stored) in group.into_stored() {
--- a/crates/proxy/tests/abandoned_requests.rs
+++ b/crates/proxy/tests/abandoned_requests.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::http::parse_request;
+use common::listener::listen_with;
 use common::slow_backend::run_local;
 use common::TestProxy;
 use std::cell::Cell;
@@ -12,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -41,14 +42,7 @@
 impl UnresponsiveBackend {
     /// Starts the backend on a loopback port.
     async fn listen(self: Rc<Self>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(self.clone().read_requests(stream));
-            }
-        });
-        address
+        listen_with(move |stream| self.clone().read_requests(stream)).await
     }
 
     async fn read_requests(self: Rc<Self>, mut stream: TcpStream) {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -1,9 +1,10 @@
 //! Shared by the tests: a proxy within the test process that has its configuration and backends, a
-//! plain HTTP parser, a backend that holds requests, and a seeded random number generator.
+//! plain HTTP parser, a server on a loopback port, a backend that holds requests, and a seeded random number generator.
 
 #![allow(dead_code, reason = "each test uses only some of it")]
 
 pub mod http;
+pub mod listener;
 pub mod random;
 pub mod slow_backend;
 
--- a/crates/proxy/tests/common/slow_backend.rs
+++ b/crates/proxy/tests/common/slow_backend.rs
@@ -1,6 +1,7 @@
 //! A backend that holds requests until it is notified, and a client for it.
 
 use super::http::{parse_request, parse_response, Message, ParseError};
+use super::listener::listen_with;
 use std::cell::Cell;
 use std::future::Future;
 use std::io::ErrorKind;
@@ -8,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// Maximum time of a test; reached only on a failure.
@@ -30,33 +31,27 @@
 
 /// Starts the backend on a loopback port.
 pub async fn listen(backend: Rc<SlowBackend>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    tokio::task::spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let backend = backend.clone();
-            tokio::task::spawn_local(async move {
-                let (mut buffer, mut chunk) = (Vec::new(), [0_u8; 4096]);
-                while let Ok(count @ 1..) = stream.read(&mut chunk).await {
-                    buffer.extend_from_slice(&chunk[..count]);
-                    let Ok((request, end)) = parse_request(&buffer, 0) else {
-                        continue;
-                    };
-                    buffer.drain(..end);
-                    backend.received.set(backend.received.get() + 1);
-                    if request.start.contains("held") {
-                        backend.request_held.notify_one();
-                        backend.release.notified().await;
-                    }
-                    tokio::time::sleep(backend.work_time.get()).await;
-                    let id = request.single("x-attempt-id").unwrap_or_default();
-                    let text = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok");
-                    let _ = stream.write_all(text.as_bytes()).await;
-                }
-            });
+    listen_with(move |stream| serve(backend.clone(), stream)).await
+}
+
+async fn serve(backend: Rc<SlowBackend>, mut stream: TcpStream) {
+    let (mut buffer, mut chunk) = (Vec::new(), [0_u8; 4096]);
+    while let Ok(count @ 1..) = stream.read(&mut chunk).await {
+        buffer.extend_from_slice(&chunk[..count]);
+        let Ok((request, end)) = parse_request(&buffer, 0) else {
+            continue;
+        };
+        buffer.drain(..end);
+        backend.received.set(backend.received.get() + 1);
+        if request.start.contains("held") {
+            backend.request_held.notify_one();
+            backend.release.notified().await;
         }
-    });
-    address
+        tokio::time::sleep(backend.work_time.get()).await;
+        let id = request.single("x-attempt-id").unwrap_or_default();
+        let text = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        let _ = stream.write_all(text.as_bytes()).await;
+    }
 }
 
 /// Sends a request to a proxy and reads the response.
--- a/crates/proxy/tests/early_backend_responses.rs
+++ b/crates/proxy/tests/early_backend_responses.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::http::{parse_request, Message};
+use common::listener::listen_with;
 use common::slow_backend::{read_response, run_local};
 use common::TestProxy;
 use std::cell::{Cell, RefCell};
@@ -13,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// Length of a request body: more than the kernel buffers on the way to a backend that does not
 /// read.
@@ -50,14 +51,7 @@
 
 impl EarlyBackend {
     async fn listen(self: Rc<Self>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(self.clone().serve(stream));
-            }
-        });
-        address
+        listen_with(move |stream| self.clone().serve(stream)).await
     }
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
--- a/crates/upstream/src/idle_age.rs
+++ b/crates/upstream/src/idle_age.rs
@@ -9,7 +9,7 @@
 /// Upper bound in milliseconds of the first band of idle ages; each further band reaches twice as
 /// far.
 const FIRST_BAND_MS: f64 = 4.0;
-/// Number of bands of idle ages: the last begins at about 16 s.
+/// Number of bands of idle ages: the last begins at about 8 s.
 const BANDS: usize = 13;
 /// Half-life of the observations of a band.
 const HALF_LIFE: Duration = Duration::from_secs(4);
--- a/crates/upstream/src/limits.rs
+++ b/crates/upstream/src/limits.rs
@@ -3,8 +3,8 @@
 /// Descriptors reserved for discovery, listeners and the runtime.
 const RESERVED_SOCKETS: usize = 24;
 
-/// Returns how many connections to backends `sockets` descriptors allow. Clients use at most a
-/// third of the descriptors for requests, and a request has one attempt in flight.
+/// Returns how many connections to backends `sockets` descriptors allow. Clients use at most
+/// three fifths of the descriptors, and a request has one attempt in flight.
 pub fn upstream_budget(sockets: usize) -> usize {
     sockets.saturating_sub(RESERVED_SOCKETS) * 2 / 5
 }
