--- a/benches/examples/slopes.rs
+++ b/benches/examples/slopes.rs
@@ -859,6 +859,7 @@
             incarnation: 1 + n as u64,
             is_controller: false,
             config_index: 0,
+            may_have_missed_updates: false,
         };
         proxy.write_all(&encode_frame(Frame::Hello(hello)))?;
         proxy.set_nonblocking(true)?;
--- a/benches/src/cluster.rs
+++ b/benches/src/cluster.rs
@@ -390,6 +390,7 @@
             incarnation: proxy.incarnation,
             is_controller: false,
             config_index,
+            may_have_missed_updates: false,
         };
         for controller in 0..controller_count {
             self.drive(controller, "connect", |core, now, out| {
--- a/crates/control-messages/src/messages.rs
+++ b/crates/control-messages/src/messages.rs
@@ -32,6 +32,10 @@
     /// changes after it.
     #[prost(uint64, tag = "6")]
     pub config_index: u64,
+    /// Whether a connection of this incarnation of a proxy to any controller has ended: the proxy
+    /// may have missed the ends of instances that it knows.
+    #[prost(bool, tag = "7")]
+    pub may_have_missed_updates: bool,
 }
 
 /// One committed change of the configuration.
--- a/crates/controller/src/core/instances.rs
+++ b/crates/controller/src/core/instances.rs
@@ -352,10 +352,10 @@
         self.send_all_instances(now, &incomplete, out);
     }
 
-    /// Sends proxies all instances, encoded once for all of them. Tombstones are included, since a
-    /// proxy that was disconnected may know an instance that has ended meanwhile. A controller
-    /// without quorum contact sends nothing: the instances may come from its disk, and other
-    /// controllers may know that some of them have ended.
+    /// Sends proxies all serving and draining instances, and the tombstones to those that may have
+    /// missed an end; each list is encoded once. A controller without quorum contact sends nothing:
+    /// the instances may come from its disk, and other controllers may know that some of them have
+    /// ended.
     pub(super) fn send_all_instances(
         &mut self,
         now: Millis,
@@ -366,12 +366,22 @@
             return;
         }
         let complete = self.has_all_instances(now);
-        let bytes = encode_instances(self.registry.records(now), complete, 0);
+        let all = self.registry.records(now);
+        let mut live = all.clone();
+        live.retain(|record| record.state().is_live());
+        let with_tombstones = encode_instances(all, complete, 0);
+        let without_tombstones = encode_instances(live, complete, 0);
         for connection in connections {
-            if let Some(proxy) = self.proxies.get_mut(connection) {
-                proxy.has_complete_instances = complete;
-                out.push(Output::SendToProxy(*connection, bytes.clone()));
-            }
+            let Some(proxy) = self.proxies.get_mut(connection) else {
+                continue;
+            };
+            proxy.has_complete_instances = complete;
+            let list = if proxy.needs_tombstones {
+                &with_tombstones
+            } else {
+                &without_tombstones
+            };
+            out.push(Output::SendToProxy(*connection, list.clone()));
         }
     }
 }
--- a/crates/controller/src/core/proxies.rs
+++ b/crates/controller/src/core/proxies.rs
@@ -14,6 +14,8 @@
     /// Index of the configuration that was last sent to the proxy, or that it reported when it
     /// connected.
     pub(super) config_index: u64,
+    /// Whether the proxy may know instances whose end it has missed.
+    pub(super) needs_tombstones: bool,
     /// Whether the proxy has a complete list of instances.
     pub(super) has_complete_instances: bool,
     /// Whether the proxy has no configuration and is to get one once this controller is in contact
@@ -51,6 +53,7 @@
             node: hello.node.clone(),
             incarnation: hello.incarnation,
             config_index: hello.config_index,
+            needs_tombstones: hello.may_have_missed_updates,
             has_complete_instances: false,
             config_withheld: false,
             unanswered: None,
--- a/crates/controller/src/net/controller.rs
+++ b/crates/controller/src/net/controller.rs
@@ -60,6 +60,7 @@
             incarnation: seed.max(1),
             is_controller: true,
             config_index: 0,
+            may_have_missed_updates: false,
         };
         let controller = Rc::new(Controller {
             core: RefCell::new(core),
--- a/crates/controller/tests/common/cluster.rs
+++ b/crates/controller/tests/common/cluster.rs
@@ -362,6 +362,16 @@
     }
 
     pub fn connect_proxy(&mut self, node: usize, index: u64) -> u64 {
+        self.connect_proxy_that(node, index, false)
+    }
+
+    /// Connects a proxy that may or may not have missed updates.
+    pub fn connect_proxy_that(
+        &mut self,
+        node: usize,
+        index: u64,
+        may_have_missed_updates: bool,
+    ) -> u64 {
         self.last_proxy += 1;
         let connection = self.last_proxy;
         let hello = Hello {
@@ -371,6 +381,7 @@
             incarnation: 1,
             is_controller: false,
             config_index: index,
+            may_have_missed_updates,
         };
         self.drive(node, |core, now, out| {
             core.proxy_connected(now, connection, &hello, out)
--- a/crates/controller/tests/common/lease_cluster.rs
+++ b/crates/controller/tests/common/lease_cluster.rs
@@ -206,6 +206,7 @@
             incarnation,
             is_controller: false,
             config_index: 0,
+            may_have_missed_updates: false,
         };
         self.drive(ip, |core, now, out| {
             core.proxy_connected(now, connection, &hello, out)
--- a/crates/controller/tests/common/processor/controller.rs
+++ b/crates/controller/tests/common/processor/controller.rs
@@ -130,5 +130,6 @@
         incarnation: proxy::incarnation(proxy),
         is_controller: false,
         config_index: 0,
+        may_have_missed_updates: false,
     }
 }
--- a/crates/proxy/src/controllers.rs
+++ b/crates/proxy/src/controllers.rs
@@ -110,6 +110,7 @@
         let mut queue = Some(queue);
         let hello = Hello {
             config_index: self.proxy.with_core(|core| core.config_index()),
+            may_have_missed_updates: self.proxy.with_core(|core| core.may_have_missed_updates()),
             ..self.hello.clone()
         };
         run_connection(stream, outgoing, Handshake::Initiator(hello), |event| {
--- a/crates/proxy/src/core/mod.rs
+++ b/crates/proxy/src/core/mod.rs
@@ -56,6 +56,9 @@
     token_client: TokenClient,
     /// Controllers with an established connection, by IP address.
     connected_controllers: BTreeSet<String>,
+    /// Whether a connection to a controller has ended since the start, after which updates may be
+    /// missing.
+    may_have_missed_updates: bool,
     /// All known controllers, by IP address.
     controllers: BTreeSet<String>,
     /// When leases were last requested outside of a tick.
@@ -95,6 +98,7 @@
             lease_client: LeaseClient::new(seed.max(1)),
             token_client: TokenClient::new(tokens::lifetime(&settings.bounds)),
             connected_controllers: BTreeSet::new(),
+            may_have_missed_updates: false,
             controllers: seed_controllers(settings).collect(),
             last_urgent_request: 0.0,
             urgent_request_pacer: Pacer::new(0.0, quota_leases::MAX_URGENT_CREDIT),
@@ -117,6 +121,11 @@
         self.config_index
     }
 
+    /// Returns whether a connection to a controller has ended since the start.
+    pub fn may_have_missed_updates(&self) -> bool {
+        self.may_have_missed_updates
+    }
+
     /// Returns the configured limits on clients' requests and connections.
     pub fn limits(&self) -> Limits {
         self.route_table.limits
--- a/crates/proxy/src/core/quota_leases.rs
+++ b/crates/proxy/src/core/quota_leases.rs
@@ -187,6 +187,7 @@
 
     /// Handles the end of the connection to a controller.
     pub fn controller_disconnected(&mut self, controller: &str) {
+        self.may_have_missed_updates = true;
         self.connected_controllers.remove(controller);
         self.token_client.disconnected(controller);
     }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -155,6 +155,7 @@
         incarnation: seed.max(1),
         is_controller: false,
         config_index: 0,
+        may_have_missed_updates: false,
     };
     tokio::task::spawn_local(proxy.clone().run_timers());
     tokio::task::spawn_local(proxy.clone().close_idle_periodically());
