proxy tests: a stopping proxy's test keeps a request in flight itself

Cause, traced on arm64 with a print of each request: the proxy admits two of the test's requests at a time, which begin 8 to 16 ms apart; the other clients get 503. The test took for given that eight clients keep a request in flight. No fault of the proxy.

Change: the test holds a request of a second route in flight until connections are refused, so that no pause can leave the proxy idle. Stricter than before: connections must be accepted until the shortest timeout of a route before the deadline; the held request has to be answered too. All earlier checks stand.

--- a/crates/proxy/tests/shutdown_under_load.rs
+++ b/crates/proxy/tests/shutdown_under_load.rs
@@ -27,8 +27,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// One route, with a timeout of 400 ms.
-const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/once/","nonidempotent",0.4,0.2,1,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
+/// A route with a timeout of [`SHORTEST_TIMEOUT`], and `/long/` with one of 20 s.
+const CONFIGURATION: &str = r#"{"Upsert":{"RouteTable":{"ColumnNames":["Name","Host","PathPrefix","RouteKind","TimeoutS","SetpointS","MaxAttempts","Version","Service"],"DataRows":[["r1","h.example","/once/","nonidempotent",0.4,0.2,1,"00000001","one"],["r2","h.example","/long/","nonidempotent",20,10,1,"00000001","one"]]},"Services":{"ColumnNames":["Name","HealthPath","Version"],"DataRows":[["one","/health","00000001"]]}}}"#;
+const SHORTEST_TIMEOUT: Duration = Duration::from_millis(400);
 const MAX_SOCKETS: usize = 4096;
 /// Time that a backend takes for a request, so that several are in flight at any moment.
 const WORK_TIME: Duration = Duration::from_millis(120);
@@ -45,6 +46,8 @@
     responses: RefCell<Vec<(Instant, u16)>>,
     /// Number of connections that ended without a response.
     closed_without_response: Cell<usize>,
+    /// When a connection was refused first.
+    refused_at: Cell<Option<Instant>>,
 }
 
 /// Sends one request after another, each on a new connection, until connections are refused.
@@ -61,11 +64,17 @@
                 .set(results.closed_without_response.get() + 1),
         }
     }
+    let refused_at = results.refused_at.get().unwrap_or_else(Instant::now);
+    results.refused_at.set(Some(refused_at));
 }
 
-/// Guards requests that a stopping proxy accepts: clients keep connecting, so that it always has
-/// requests in flight; each of them receives its response before the shutdown ends, and the proxy
-/// goes on accepting while there is time.
+/// Guards requests that a stopping proxy accepts: a request is in flight, and clients keep
+/// connecting; each of them receives its response before the shutdown ends, and the proxy goes on
+/// accepting while there is time.
+///
+/// The request in flight is held until connections are refused: a proxy that is idle for a moment
+/// refuses them at once, and clients alone would leave it idle whenever the machine pauses the test
+/// and their requests then end together.
 #[test]
 fn a_stopping_proxy_completes_every_request_it_accepts() {
     run_local(async {
@@ -73,18 +82,32 @@
         backend.work_time.set(WORK_TIME);
         let backends = [listen(backend.clone()).await];
         let proxy = TestProxy::with_configuration(1, &backends, MAX_SOCKETS, CONFIGURATION).await;
+        let address = proxy.address;
+        let held_request = tokio::task::spawn_local(async move {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            send_request(&mut stream, "/long/held").await
+        });
+        backend.request_held.notified().await;
         let results = Rc::new(ClientResults::default());
-        for _ in 0..CLIENTS {
-            tokio::task::spawn_local(keep_connecting(proxy.address, results.clone()));
-            // Synchronized clients would at times leave the proxy without a request.
-            tokio::time::sleep(WORK_TIME / CLIENTS as u32).await;
-        }
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|_| tokio::task::spawn_local(keep_connecting(address, results.clone())))
+            .collect();
         while backend.received.get() < 2 * CLIENTS {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         let shutdown_started_at = Instant::now();
         let deadline = shutdown_started_at + GRACE;
-        proxy.server.shut_down_by(DRAIN_DELAY, deadline).await;
+        let server = proxy.server.clone();
+        let shutdown = tokio::task::spawn_local(async move {
+            server.shut_down_by(DRAIN_DELAY, deadline).await;
+        });
+        for client in clients {
+            client.await.expect("a client");
+        }
+        backend.release.notify_one();
+        let response = held_request.await.expect("a client").expect("a response");
+        assert_eq!(response.status(), 200);
+        shutdown.await.expect("a shutdown");
         assert!(
             !proxy.proxy.with_core(|core| core.has_pending_requests()),
             "accepted requests are pending when the process ends"
@@ -102,6 +125,11 @@
             .count();
         assert!(
             served_after_drain_delay > 0,
+            "the proxy served nothing after the drain delay"
+        );
+        let refused_at = results.refused_at.get().expect("a refused connection");
+        assert!(
+            refused_at >= deadline - SHORTEST_TIMEOUT,
             "the proxy stopped accepting too early"
         );
         assert_eq!(
