--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod backend;
 pub mod client;
 pub mod counter;
+pub mod crowd;
 pub mod etcd;
 pub mod grpc;
 pub mod lateness;
 pub mod malformed_client;
+pub mod measured_process;
 pub mod relay;
 pub mod wire;
 
