--- a/crates/proxy/src/memory.rs
+++ b/crates/downstream/src/body_memory.rs
@@ -1,19 +1,27 @@
 //! Memory for bodies: reservations in the process's account, and waiting for them.
+//!
+//! Whoever waits, or is refused, makes the pool contended, so that connections which hold its memory
+//! and hardly move can be closed (`eviction`).
 
 use maplefall_memory_account::{Acquisition, Direction, MemoryAccount, PoolId, WaiterId};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 
 /// The tenant that memory is held for; `None` for requests without a known key.
 pub type MemoryTenant = Option<Rc<str>>;
 
-/// The account of all bodies of a proxy.
+/// The account of all bodies of a process.
 pub struct BodyMemory {
     account: RefCell<MemoryAccount<MemoryTenant>>,
     /// Those who wait, by pool and id. The account limits their number.
     waiting: RefCell<HashMap<(PoolId, WaiterId), oneshot::Sender<()>>>,
+    /// Pools that had too little memory for a body since the last call of
+    /// [`take_contended`](Self::take_contended).
+    refusing: RefCell<HashSet<PoolId>>,
+    /// Notified when somebody begins to wait or is refused.
+    contention: Notify,
     counters: Cell<Counters>,
 }
 
@@ -62,9 +70,20 @@
 impl BodyMemory {
     /// Creates an account of `total_bytes`, of which none are reserved.
     pub fn new(total_bytes: usize) -> Rc<BodyMemory> {
+        BodyMemory::with_account(MemoryAccount::new(total_bytes))
+    }
+
+    /// Creates an account of `total_bytes` for a process whose requests have short bodies only.
+    pub fn for_short_requests(total_bytes: usize) -> Rc<BodyMemory> {
+        BodyMemory::with_account(MemoryAccount::for_short_requests(total_bytes))
+    }
+
+    fn with_account(account: MemoryAccount<MemoryTenant>) -> Rc<BodyMemory> {
         Rc::new(BodyMemory {
-            account: RefCell::new(MemoryAccount::new(total_bytes)),
+            account: RefCell::new(account),
             waiting: RefCell::default(),
+            refusing: RefCell::default(),
+            contention: Notify::new(),
             counters: Cell::default(),
         })
     }
@@ -83,21 +102,32 @@
         ))
     }
 
+    /// Completes once somebody waits for memory, or has been refused.
+    pub async fn contention(&self) {
+        if self.waiting.borrow().is_empty() && self.refusing.borrow().is_empty() {
+            self.contention.notified().await;
+        }
+    }
+
+    /// Returns the pools for whose memory somebody waits, or was refused since the last call.
+    pub fn take_contended(&self) -> Vec<PoolId> {
+        let mut contended = self.refusing.take();
+        contended.extend(self.waiting.borrow().keys().map(|(pool, _)| *pool));
+        contended.into_iter().collect()
+    }
+
+    fn refused(&self, pool: PoolId) {
+        self.count(|counters| counters.refused += 1);
+        self.refusing.borrow_mut().insert(pool);
+        self.contention.notify_one();
+    }
+
     fn count(&self, change: impl FnOnce(&mut Counters)) {
         let mut counters = self.counters.get();
         change(&mut counters);
         self.counters.set(counters);
     }
 
-    /// Returns the maximum number of bytes that can be reserved for one body.
-    pub fn max_bytes(&self, direction: Direction) -> usize {
-        let pool = PoolId {
-            direction,
-            is_large: true,
-        };
-        self.account.borrow().pool(pool).limit()
-    }
-
     /// Reserves memory, waiting until it is free. Dropping the future gives up the wait.
     ///
     /// # Errors
@@ -108,13 +138,14 @@
         tenant: MemoryTenant,
         bytes: usize,
     ) -> Result<Reservation, ReserveError> {
-        if bytes > self.max_bytes(direction) {
+        let pool = PoolId::for_charge(direction, bytes);
+        if bytes > self.account.borrow().pool(pool).limit() {
             self.count(|counters| counters.refused += 1);
             return Err(ReserveError::TooLarge);
         }
         let claim = Claim {
             memory: self.clone(),
-            pool: PoolId::for_charge(direction, bytes),
+            pool,
             tenant,
         };
         let acquisition = {
@@ -129,7 +160,7 @@
                 Ok(claim.wait(id, bytes).await)
             }
             Err(_) => {
-                self.count(|counters| counters.refused += 1);
+                self.refused(claim.pool);
                 Err(ReserveError::Exhausted)
             }
         }
@@ -151,6 +182,7 @@
         let (sender, granted) = oneshot::channel();
         let key = (self.pool, id);
         self.memory.waiting.borrow_mut().insert(key, sender);
+        self.memory.contention.notify_one();
         let mut wait = Wait {
             claim: self.clone(),
             id,
@@ -191,6 +223,11 @@
 }
 
 impl Reservation {
+    /// Returns the pool that the memory belongs to.
+    pub fn pool(&self) -> PoolId {
+        self.claim.pool
+    }
+
     /// Returns whether the memory is that for long bodies.
     pub fn is_large(&self) -> bool {
         self.claim.pool.is_large
@@ -213,7 +250,7 @@
             pool.try_acquire(&self.claim.tenant, additional)
         };
         if !acquired {
-            self.claim.memory.count(|counters| counters.refused += 1);
+            self.claim.memory.refused(pool);
             return false;
         }
         if pool != self.claim.pool {
--- a/crates/memory-account/src/account.rs
+++ b/crates/memory-account/src/account.rs
@@ -63,6 +63,16 @@
         MemoryAccount { pools }
     }
 
+    /// Creates an account for a process whose requests have short bodies only: all memory is for
+    /// them.
+    pub fn for_short_requests(total_bytes: usize) -> MemoryAccount<T> {
+        let requests = [total_bytes, 0].map(MemoryPool::new);
+        let responses = [0, 0].map(MemoryPool::new);
+        MemoryAccount {
+            pools: [requests, responses],
+        }
+    }
+
     /// Returns a pool.
     pub fn pool(&self, id: PoolId) -> &MemoryPool<T> {
         let (direction, kind) = id.indices();
--- a/crates/memory-account/src/block_buffer.rs
+++ b/crates/memory-account/src/block_buffer.rs
@@ -21,6 +21,8 @@
 pub struct BlockBuffer {
     /// Length of the body, if it is known.
     announced: Option<usize>,
+    /// Size of the largest block, in bytes.
+    max_block_bytes: usize,
     full_blocks: Vec<Bytes>,
     last_block: Vec<u8>,
     /// Number of bytes in all blocks.
@@ -34,6 +36,7 @@
     pub fn new(announced: Option<usize>) -> BlockBuffer {
         BlockBuffer {
             announced,
+            max_block_bytes: BLOCK_BYTES,
             full_blocks: Vec::new(),
             last_block: Vec::new(),
             length: 0,
@@ -41,6 +44,14 @@
         }
     }
 
+    /// Creates a buffer that holds a body of known length in one block.
+    pub fn contiguous(announced: Option<usize>) -> BlockBuffer {
+        BlockBuffer {
+            max_block_bytes: announced.unwrap_or(0).max(BLOCK_BYTES),
+            ..BlockBuffer::new(announced)
+        }
+    }
+
     /// Returns the number of bytes that were appended.
     pub fn length(&self) -> usize {
         self.length
@@ -84,7 +95,9 @@
     /// Returns the size of a block that begins at this position of the body.
     fn block_size(&self, position: usize) -> usize {
         match self.announced {
-            Some(announced) if announced > position => (announced - position).min(BLOCK_BYTES),
+            Some(announced) if announced > position => {
+                (announced - position).min(self.max_block_bytes)
+            }
             _ => position.clamp(FIRST_BLOCK_BYTES, BLOCK_BYTES),
         }
     }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,14 +1,18 @@
 //! One connection of a client, from accept to close.
 
 use super::connection_state::{CloseDeadline, CloseMode, ConnectionState};
-use super::socket::ObservedSocket;
 use super::DownstreamServer;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use maplefall_downstream::{ConnectionGuard, ShutdownPhase};
+use maplefall_downstream::{
+    ClientSocket, ConnectionGuard, HasTransfer, ShutdownPhase, SocketObserver, Transfer,
+};
+use maplefall_memory_account::{charge, Direction, PoolId};
 use maplefall_policy::Millis;
+use maplefall_upstream::Clock;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -27,7 +31,10 @@
 
 /// A client's connection, shared by its task, its socket and the accept loop.
 pub(super) struct ClientConnection {
+    clock: Clock,
     state: RefCell<ConnectionState>,
+    /// What moves through the connection.
+    pub transfer: Transfer,
     /// Whether closing the connection was requested.
     closing: Cell<bool>,
     /// Notified when the close deadline may have changed.
@@ -35,9 +42,12 @@
 }
 
 impl ClientConnection {
-    pub fn new(now: Millis) -> ClientConnection {
+    pub fn new(clock: Clock) -> ClientConnection {
+        let now = clock.now();
         ClientConnection {
+            clock,
             state: RefCell::new(ConnectionState::new(now)),
+            transfer: Transfer::new(now),
             closing: Cell::new(false),
             deadline_changed: Notify::new(),
         }
@@ -51,9 +61,10 @@
     }
 
     /// Returns since when the connection has been idle; `None` while a request is being read or
-    /// processed.
+    /// processed, or its response written.
     pub fn idle_since(&self) -> Option<Millis> {
-        self.state.borrow().idle_since()
+        let is_sending = self.transfer.is_send_blocked();
+        self.state.borrow().idle_since().filter(|_| !is_sending)
     }
 
     /// Returns whether nothing has been received on the connection.
@@ -61,22 +72,45 @@
         self.state.borrow().is_unused()
     }
 
-    pub fn bytes_received(&self, now: Millis) {
-        if self.state.borrow_mut().bytes_received(now) {
-            self.deadline_changed.notify_one();
-        }
-    }
-
     pub fn head_received(&self) {
         self.state.borrow_mut().head_received();
     }
 
-    pub fn response_ready(&self, now: Millis) {
+    /// Records that a response is written from now on, with a body of this length.
+    pub fn response_ready(&self, body_bytes: usize) {
+        let now = self.clock.now();
+        let pool = PoolId::for_charge(Direction::Response, charge(body_bytes));
+        self.transfer
+            .begin_sending((body_bytes > 0).then_some(pool), now);
         self.state.borrow_mut().response_ready(now);
         self.deadline_changed.notify_one();
     }
 }
 
+impl HasTransfer for ClientConnection {
+    fn transfer(&self) -> &Transfer {
+        &self.transfer
+    }
+}
+
+impl SocketObserver for ClientConnection {
+    fn bytes_received(&self, count: usize) -> io::Result<()> {
+        self.transfer.bytes_received(count);
+        if self.state.borrow_mut().bytes_received(self.clock.now()) {
+            self.deadline_changed.notify_one();
+        }
+        Ok(())
+    }
+
+    fn bytes_sent(&self, count: usize) {
+        self.transfer.bytes_sent(count);
+    }
+
+    fn send_blocked(&self) {
+        self.transfer.send_blocked(self.clock.now());
+    }
+}
+
 impl DownstreamServer {
     /// Serves a connection until it is closed by either side, its close deadline, or the shutdown.
     pub(super) async fn serve_connection(
@@ -88,7 +122,7 @@
         // If `TCP_NODELAY` cannot be set, responses are late, not wrong.
         let _ = stream.set_nodelay(true);
         let max_head_bytes = self.proxy.with_core(|core| core.limits().header_bytes);
-        let socket = ObservedSocket::new(stream, connection.clone(), self.proxy.clock);
+        let socket = ClientSocket::new(stream, connection.clone());
         let service = service_fn(|request| {
             let (server, connection) = (self.clone(), connection.clone());
             async move { Ok::<_, Infallible>(server.handle(request, &connection).await) }
@@ -114,6 +148,7 @@
                 // An error means that the client disconnected or did not send HTTP; the library has
                 // responded to the latter.
                 _ = http.as_mut() => return,
+                () = connection.transfer.send_evicted() => return,
                 _ = phase.wait_for(|phase| *phase == ShutdownPhase::ClosingIdle), if !closing_idle => {
                     closing_idle = true;
                     if connection.is_unused() {
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -3,6 +3,7 @@
 
 use super::connection::ClientConnection;
 use super::DownstreamServer;
+use maplefall_downstream::evict_slow_transfers;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -14,9 +15,23 @@
 /// system's default backlog.
 const MAX_BACKLOG: usize = 4096;
 
+/// A connection that is closed for a new one.
+enum Dispensable {
+    /// It has no request.
+    Idle(Rc<ClientConnection>),
+    /// Its client hardly moves a body or a response.
+    Slow(Rc<ClientConnection>),
+}
+
 impl DownstreamServer {
     /// Accepts connections in a task until [`close_listener`](Self::close_listener).
     pub fn serve(self: &Rc<Self>, listener: TcpListener) {
+        let clock = self.proxy.clock;
+        tokio::task::spawn_local(evict_slow_transfers(
+            self.connections.clone(),
+            self.proxy.body_memory.clone(),
+            move || clock.now(),
+        ));
         let task = tokio::task::spawn_local(self.clone().accept_until_stopped(listener));
         *self.accept_task.borrow_mut() = Some(task);
     }
@@ -73,23 +88,35 @@
     }
 
     fn start_connection(self: &Rc<Self>, stream: TcpStream) {
-        let connection = ClientConnection::new(self.proxy.clock.now());
+        let connection = ClientConnection::new(self.proxy.clock);
         let guard = self.connections.insert(connection);
         tokio::task::spawn_local(self.clone().serve_connection(stream, guard));
     }
 
     /// At the connection limit, requests the closing of the connection that has been idle longest,
-    /// since regular clients return sooner.
+    /// since regular clients return sooner; if none is idle, of one whose client hardly moves a body
+    /// or a response.
     async fn wait_for_capacity(&self) {
         self.connections
             .wait_for_capacity(
                 |connections| {
-                    connections
-                        .filter_map(|connection| Some((connection.idle_since()?, connection)))
-                        .min_by(|a, b| a.0.total_cmp(&b.0))
-                        .map(|(_, connection)| connection.clone())
+                    let now = self.proxy.clock.now();
+                    let mut slow = None;
+                    let idle = connections
+                        .filter_map(|connection| {
+                            if connection.transfer.is_slow(now) {
+                                slow = Some(connection.clone());
+                            }
+                            Some((connection.idle_since()?, connection))
+                        })
+                        .min_by(|a, b| a.0.total_cmp(&b.0));
+                    let idle = idle.map(|(_, connection)| Dispensable::Idle(connection.clone()));
+                    idle.or(slow.map(Dispensable::Slow))
+                },
+                |dispensable| match dispensable {
+                    Dispensable::Idle(connection) => connection.close_gracefully(),
+                    Dispensable::Slow(connection) => connection.transfer.evict(),
                 },
-                |connection| connection.close_gracefully(),
             )
             .await;
     }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -8,7 +8,6 @@
 mod request;
 mod response;
 mod shutdown;
-mod socket;
 
 use crate::driver::Proxy;
 use connection::ClientConnection;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -1,6 +1,5 @@
 //! Client requests: validation, reading, admission and response.
 
-use super::body::BodyDeadlines;
 use super::connection::ClientConnection;
 use super::response::{backend_response, error_response, local_response};
 use super::DownstreamServer;
@@ -12,15 +11,19 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Response, Uri};
-use maplefall_downstream::ShutdownPhase;
+use maplefall_downstream::{BodyDeadlines, ShutdownPhase};
 use maplefall_policy::{Millis, RequestId};
 use maplefall_upstream::BlockBody;
 use std::rc::Rc;
 
 /// Timeout for reading a body if the client does not state its remaining time.
 const DEFAULT_BODY_TIMEOUT: Millis = 10_000.0;
+/// Maximum time for reading a body, whatever the client states as its remaining time.
+const MAX_BODY_TIMEOUT: Millis = 60_000.0;
 /// Fraction of the time for reading a body for which it may wait for memory.
 const MEMORY_WAIT_FRACTION: f64 = 0.5;
+/// Maximum time for which a body may wait for memory, whatever the client states.
+const MAX_MEMORY_WAIT: Millis = 5000.0;
 /// Fraction of the client's remaining time for which a request may wait to be admitted.
 const ADMISSION_WAIT_FRACTION: f64 = 0.1;
 /// Maximum time after its receipt that a request may wait to be admitted, all repeats of `admit`
@@ -141,7 +144,7 @@
     ) -> Response<BlockBody> {
         connection.head_received();
         let attempt_id = request.headers().get(ATTEMPT_ID).cloned();
-        let result = self.process(request).await;
+        let result = self.process(request, connection).await;
         // After an invalid request, the bytes that follow on the connection cannot be trusted to be
         // a request.
         let close = result.is_err()
@@ -157,17 +160,23 @@
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        connection.response_ready(self.proxy.clock.now());
+        connection.response_ready(response.body().len());
         response
     }
 
-    async fn process(&self, request: Request<Incoming>) -> Result<ClientResponse, RequestError> {
+    async fn process(
+        &self,
+        request: Request<Incoming>,
+        connection: &ClientConnection,
+    ) -> Result<ClientResponse, RequestError> {
         let received_at = self.proxy.clock.now();
         let (parts, body) = request.into_parts();
         let head = RequestHead::validate(&parts)?;
         let api_key = api_key(&parts.headers)?;
         let deadlines = self.body_deadlines(received_at, &head);
-        let body = self.read_body(body, api_key.as_deref(), deadlines).await?;
+        let body = self
+            .read_body(body, api_key.as_deref(), deadlines, connection)
+            .await?;
         let incoming = IncomingRequest {
             host: &head.host,
             path: head.path.path(),
@@ -198,9 +207,11 @@
 
     fn body_deadlines(&self, received_at: Millis, head: &RequestHead) -> BodyDeadlines {
         let timeout = head.remaining.unwrap_or(DEFAULT_BODY_TIMEOUT);
+        let timeout = timeout.min(MAX_BODY_TIMEOUT);
+        let memory_wait = (timeout * MEMORY_WAIT_FRACTION).min(MAX_MEMORY_WAIT);
         let clock = &self.proxy.clock;
         BodyDeadlines {
-            memory_wait: clock.instant(received_at + timeout * MEMORY_WAIT_FRACTION),
+            memory_wait: clock.instant(received_at + memory_wait),
             read: clock.instant(received_at + timeout),
         }
     }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -5,10 +5,10 @@
     AdmittedRequest, AttemptEnd, Core, IncomingRequest, LocalResponse, Output, Rejection,
 };
 use crate::forward::{status_implies_not_run, BackendResponse, ForwardedRequest};
-use crate::memory::BodyMemory;
 use crate::services::PoolCommand;
 use bytes::Bytes;
 use maplefall_control_messages::encode_frame;
+use maplefall_downstream::BodyMemory;
 use maplefall_node_settings::Settings;
 use maplefall_policy::{BackendId, Millis, Outcome, RequestId, SendMode};
 use maplefall_settings::ConnectionTimeouts;
@@ -31,9 +31,9 @@
 /// the configuration and the allocator.
 const BODY_MEMORY_PERCENT: u64 = 78;
 
-/// Returns the memory for bodies in a process with this limit, in bytes.
-fn body_memory_bytes(memory_mb: u64) -> usize {
-    let bytes = memory_mb.saturating_mul(1 << 20) / 100 * BODY_MEMORY_PERCENT;
+/// Returns a part of a process's memory limit, in bytes.
+fn memory_part(memory_mb: u64, percent: u64) -> usize {
+    let bytes = memory_mb.saturating_mul(1 << 20) / 100 * percent;
     usize::try_from(bytes).unwrap_or(usize::MAX)
 }
 
@@ -115,6 +115,7 @@
             .limits
             .file_limit
             .saturating_sub(RESERVED_DESCRIPTORS);
+        let memory_mb = settings.limits.memory_mb;
         let timeouts = ConnectionTimeouts {
             dial_timeout: CONNECT_TIMEOUT,
             idle_close: BACKEND_IDLE_TIMEOUT,
@@ -124,7 +125,7 @@
             core: RefCell::new(Core::new(settings, seed)),
             pools: Pools::new(timeouts, upstream_budget(max_sockets)),
             pending: RefCell::default(),
-            body_memory: BodyMemory::new(body_memory_bytes(settings.limits.memory_mb)),
+            body_memory: BodyMemory::new(memory_part(memory_mb, BODY_MEMORY_PERCENT)),
             timer_set: Notify::new(),
             next_wakeup: Cell::new(f64::INFINITY),
             controller_queues: RefCell::default(),
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -3,7 +3,6 @@
 //! request's own attempt.
 
 use crate::core::AdmittedRequest;
-use crate::memory::{BodyMemory, MemoryTenant};
 use crate::response_body::read_response_body;
 use hyper::body::Incoming;
 use hyper::header::{
@@ -11,6 +10,7 @@
     HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use maplefall_downstream::{BodyMemory, MemoryTenant};
 use maplefall_policy::{Millis, Outcome};
 use maplefall_upstream::BlockBody;
 use std::rc::Rc;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,15 +1,13 @@
 //! The proxy of the data plane. [`Core`] decides without I/O which route and tenant a request has,
 //! whether it is admitted, which backend it goes to and which response is sent. [`driver`] executes
 //! these decisions; [`downstream`] serves clients; [`controllers`] maintains the connections to the
-//! controllers; [`forward`] converts requests and responses; [`memory`] limits what their
-//! bodies take; [`readiness`] responds to the platform's readiness probe.
+//! controllers; [`forward`] converts requests and responses; [`readiness`] responds to the platform's readiness probe.
 
 pub mod controllers;
 mod core;
 pub mod downstream;
 pub mod driver;
 pub mod forward;
-pub mod memory;
 pub mod readiness;
 mod response_body;
 mod services;
--- a/crates/proxy/src/response_body.rs
+++ b/crates/proxy/src/response_body.rs
@@ -1,9 +1,9 @@
 //! Response bodies: read completely before any of it is forwarded, within the memory for bodies. A
 //! body for which there is no memory stays with its backend, unread, until the attempt ends.
 
-use crate::memory::{BodyMemory, MemoryTenant, Reservation};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use maplefall_downstream::{BodyMemory, MemoryTenant, Reservation};
 use maplefall_memory_account::{charge, BlockBuffer, Direction, MAX_SMALL_BYTES};
 use maplefall_upstream::BlockBody;
 use std::rc::Rc;
