--- a/crates/downstream/src/lib.rs
+++ b/crates/downstream/src/lib.rs
@@ -6,6 +6,7 @@
 mod client_socket;
 mod connection_table;
 mod eviction;
+mod head_memory;
 mod request_body;
 mod retry_after;
 mod shutdown;
@@ -18,6 +19,7 @@
     CloseNotification, ConnectionGuard, ConnectionTable, CLOSE_RESPONSE_TIMEOUT,
 };
 pub use eviction::{evict_slow_transfers, evict_slowest, HasTransfer};
+pub use head_memory::{HeadCharge, HeadMemory};
 pub use request_body::{read_request_body, BodyDeadlines, BodyError, BodyPolicy, RequestBody};
 pub use retry_after::retry_after_value;
 pub use shutdown::ShutdownPhase;
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -5,7 +5,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use maplefall_downstream::{
-    ClientSocket, ConnectionGuard, HasTransfer, ShutdownPhase, SocketObserver, Transfer,
+    ClientSocket, ConnectionGuard, HasTransfer, HeadCharge, HeadMemory, ShutdownPhase,
+    SocketObserver, Transfer,
 };
 use maplefall_memory_account::{charge, Direction, PoolId};
 use maplefall_policy::Millis;
@@ -35,6 +36,8 @@
     state: RefCell<ConnectionState>,
     /// What moves through the connection.
     pub transfer: Transfer,
+    /// What its heads take.
+    heads: HeadCharge,
     /// Whether closing the connection was requested.
     closing: Cell<bool>,
     /// Notified when the close deadline may have changed.
@@ -42,12 +45,13 @@
 }
 
 impl ClientConnection {
-    pub fn new(clock: Clock) -> ClientConnection {
+    pub fn new(clock: Clock, head_memory: Rc<HeadMemory>) -> ClientConnection {
         let now = clock.now();
         ClientConnection {
             clock,
             state: RefCell::new(ConnectionState::new(now)),
             transfer: Transfer::new(now),
+            heads: HeadCharge::new(head_memory),
             closing: Cell::new(false),
             deadline_changed: Notify::new(),
         }
@@ -73,6 +77,7 @@
     }
 
     pub fn head_received(&self) {
+        self.heads.head_complete();
         self.state.borrow_mut().head_received();
     }
 
@@ -99,6 +104,10 @@
         if self.state.borrow_mut().bytes_received(self.clock.now()) {
             self.deadline_changed.notify_one();
         }
+        let is_head = !self.state.borrow().is_response_pending();
+        if is_head && !self.heads.head_bytes_received(count) {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
         Ok(())
     }
 
--- a/crates/proxy/src/downstream/connection_state.rs
+++ b/crates/proxy/src/downstream/connection_state.rs
@@ -102,6 +102,11 @@
         is_idle.then_some(self.idle_since)
     }
 
+    /// Returns whether a request's head has arrived and its response is not ready.
+    pub fn is_response_pending(&self) -> bool {
+        self.response_pending
+    }
+
     /// Returns whether nothing has been received on the connection.
     pub fn is_unused(&self) -> bool {
         !self.has_requested && self.head_started_at.is_none()
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -88,7 +88,7 @@
     }
 
     fn start_connection(self: &Rc<Self>, stream: TcpStream) {
-        let connection = ClientConnection::new(self.proxy.clock);
+        let connection = ClientConnection::new(self.proxy.clock, self.proxy.head_memory.clone());
         let guard = self.connections.insert(connection);
         tokio::task::spawn_local(self.clone().serve_connection(stream, guard));
     }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -8,7 +8,7 @@
 use crate::services::PoolCommand;
 use bytes::Bytes;
 use maplefall_control_messages::encode_frame;
-use maplefall_downstream::BodyMemory;
+use maplefall_downstream::{BodyMemory, HeadMemory};
 use maplefall_node_settings::Settings;
 use maplefall_policy::{BackendId, Millis, Outcome, RequestId, SendMode};
 use maplefall_settings::ConnectionTimeouts;
@@ -31,6 +31,9 @@
 /// the configuration and the allocator.
 const BODY_MEMORY_PERCENT: u64 = 78;
 
+/// Percentage of the process's memory limit that is for heads beyond 8 KiB for each connection.
+const HEAD_MEMORY_PERCENT: u64 = 10;
+
 /// Returns a part of a process's memory limit, in bytes.
 fn memory_part(memory_mb: u64, percent: u64) -> usize {
     let bytes = memory_mb.saturating_mul(1 << 20) / 100 * percent;
@@ -97,6 +100,8 @@
     pending: RefCell<HashMap<RequestId, PendingRequest>>,
     /// The memory for the bodies of requests and responses.
     pub body_memory: Rc<BodyMemory>,
+    /// The memory for long heads of requests.
+    pub head_memory: Rc<HeadMemory>,
     /// Notified when a timer was set that is due before `next_wakeup`.
     timer_set: Notify,
     next_wakeup: Cell<Millis>,
@@ -126,6 +131,7 @@
             pools: Pools::new(timeouts, upstream_budget(max_sockets)),
             pending: RefCell::default(),
             body_memory: BodyMemory::new(memory_part(memory_mb, BODY_MEMORY_PERCENT)),
+            head_memory: HeadMemory::new(memory_part(memory_mb, HEAD_MEMORY_PERCENT)),
             timer_set: Notify::new(),
             next_wakeup: Cell::new(f64::INFINITY),
             controller_queues: RefCell::default(),
