--- a/crates/controller/src/net/api.rs
+++ b/crates/controller/src/net/api.rs
@@ -29,6 +29,8 @@
 /// Maximum time for the head of a request to arrive on an API connection, including idle time
 /// before it.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of bytes that a connection buffers in each direction, and of a head.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 type HttpResponse = Response<Full<Bytes>>;
 
@@ -61,6 +63,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(REQUEST_HEAD_TIMEOUT)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     // A client that closes its connection or does not send HTTP is not logged.
     let _ = connection.await;
