--- a/crates/controller/src/net/api.rs
+++ b/crates/controller/src/net/api.rs
@@ -1,5 +1,6 @@
 //! The HTTP/1.1 API for backends and the operator: `POST /api/rpc?call=...`.
 
+use super::api_connection::{wait_for_capacity, ApiConnection};
 use super::controller::Controller;
 use super::ACCEPT_RETRY_INTERVAL;
 use crate::core::{Call, CallResponse};
@@ -11,12 +12,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use maplefall_downstream::{
+    ClientSocket, CloseNotification, ConnectionGuard, ConnectionTable, HeadMemory,
+};
+use maplefall_node_settings::Limits;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 
 /// The path of all calls.
 const RPC_PATH: &str = "/api/rpc";
@@ -24,49 +27,135 @@
 const MAX_BODY_BYTES: usize = 32 << 20;
 /// Maximum time for the body of a call to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum number of API connections; further ones wait in the system's accept queue.
+/// Maximum number of API connections; for a further one, an idle one is closed.
 const MAX_API_CONNECTIONS: usize = 1024;
+/// Descriptors reserved for files.
+const RESERVED_DESCRIPTORS: usize = 200;
+/// Percentage of the other descriptors that is for API connections. The rest is for proxies and
+/// other controllers.
+const API_DESCRIPTORS_PERCENT: usize = 60;
+/// Percentage of the process's memory limit that is for heads beyond 8 KiB for each connection.
+const HEAD_MEMORY_PERCENT: u64 = 10;
+/// Maximum number of bytes that a connection buffers in each direction, and of a head.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum time for the head of a request to arrive on an API connection, including idle time
 /// before it.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of bytes that a connection buffers in each direction, and of a head.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 type HttpResponse = Response<Full<Bytes>>;
 
 /// Accepts API connections until the process ends.
-pub(super) async fn accept_connections(controller: Rc<Controller>, listener: TcpListener) {
-    let permits = Arc::new(Semaphore::new(MAX_API_CONNECTIONS));
+pub(super) async fn accept_connections(
+    controller: Rc<Controller>,
+    listener: TcpListener,
+    limits: Limits,
+) {
+    let server = Rc::new(ApiServer::new(controller, limits));
+    let started_at = server.started_at;
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else {
-            return;
-        };
+        wait_for_capacity(&server.connections).await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                let controller = controller.clone();
-                tokio::task::spawn_local(async move {
-                    serve_api_connection(controller, stream).await;
-                    drop(permit);
-                });
+                let connection = ApiConnection::new(started_at, server.head_memory.clone());
+                let guard = server.connections.insert(connection);
+                tokio::task::spawn_local(server.clone().serve_connection(stream, guard));
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await,
         }
     }
 }
 
-async fn serve_api_connection(controller: Rc<Controller>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(|request| {
-        let controller = controller.clone();
-        async move { Ok::<_, Infallible>(serve_request(&controller, request).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(REQUEST_HEAD_TIMEOUT)
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    // A client that closes its connection or does not send HTTP is not logged.
-    let _ = connection.await;
+/// The server of all API connections.
+struct ApiServer {
+    controller: Rc<Controller>,
+    connections: Rc<ConnectionTable<ApiConnection>>,
+    head_memory: Rc<HeadMemory>,
+    started_at: Instant,
+}
+
+impl ApiServer {
+    fn new(controller: Rc<Controller>, limits: Limits) -> ApiServer {
+        let descriptors = limits.file_limit.saturating_sub(RESERVED_DESCRIPTORS);
+        let max_connections = descriptors * API_DESCRIPTORS_PERCENT / 100;
+        let memory_part = |percent| {
+            let bytes = limits.memory_mb.saturating_mul(1 << 20) / 100 * percent;
+            usize::try_from(bytes).unwrap_or(usize::MAX)
+        };
+        ApiServer {
+            controller,
+            connections: ConnectionTable::new(
+                max_connections.clamp(1, MAX_API_CONNECTIONS),
+                CloseNotification::Waiting,
+            ),
+            head_memory: HeadMemory::new(memory_part(HEAD_MEMORY_PERCENT)),
+            started_at: Instant::now(),
+        }
+    }
+
+    async fn serve_connection(
+        self: Rc<Self>,
+        stream: TcpStream,
+        guard: ConnectionGuard<ApiConnection>,
+    ) {
+        let connection = guard.state();
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| {
+            let (server, connection) = (self.clone(), connection.clone());
+            async move { Ok::<_, Infallible>(server.respond(request, &connection).await) }
+        });
+        let http = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(REQUEST_HEAD_TIMEOUT)
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .serve_connection(
+                TokioIo::new(ClientSocket::new(stream, connection.clone())),
+                service,
+            );
+        tokio::select! {
+            // A client that closes its connection or does not send HTTP is not logged.
+            _ = http => {}
+            () = connection.closed() => {}
+        }
+    }
+
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        connection: &ApiConnection,
+    ) -> HttpResponse {
+        connection.head_received();
+        let response = self.serve_request(request).await;
+        connection.response_ready();
+        response
+    }
+
+    async fn serve_request(&self, request: Request<Incoming>) -> HttpResponse {
+        let (head, body) = request.into_parts();
+        let call = match Self::read_call(&head, body).await {
+            Ok(call) => call,
+            Err(error) => return text_response(error.status(), error.to_string()),
+        };
+        match self.controller.call(call).await {
+            CallResponse::Ok(json) => json_response(json.into()),
+            CallResponse::Rejected(status, reason) => {
+                let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+                text_response(status, reason)
+            }
+            CallResponse::Redirect(ip) => redirect_response(&head, &ip, self.controller.api_port),
+            CallResponse::Unavailable => {
+                text_response(StatusCode::SERVICE_UNAVAILABLE, "step=agree")
+            }
+        }
+    }
+
+    async fn read_call(head: &Parts, body: Incoming) -> Result<Call, BadRequest> {
+        let body = Limited::new(body, MAX_BODY_BYTES).collect();
+        let body = tokio::time::timeout(BODY_TIMEOUT, body)
+            .await
+            .map_err(|_| BadRequest::BodyTimeout)?
+            .map_err(|_| BadRequest::Body)?;
+        parse_call(head, body.to_bytes())
+    }
 }
 
 /// Why a request is not a valid call. The texts are the bodies of the responses.
@@ -97,32 +186,6 @@
     }
 }
 
-async fn serve_request(controller: &Rc<Controller>, request: Request<Incoming>) -> HttpResponse {
-    let (head, body) = request.into_parts();
-    let call = match read_call(&head, body).await {
-        Ok(call) => call,
-        Err(error) => return text_response(error.status(), error.to_string()),
-    };
-    match controller.call(call).await {
-        CallResponse::Ok(json) => json_response(json),
-        CallResponse::Rejected(status, reason) => {
-            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
-            text_response(status, reason)
-        }
-        CallResponse::Redirect(ip) => redirect_response(&head, &ip, controller.api_port),
-        CallResponse::Unavailable => text_response(StatusCode::SERVICE_UNAVAILABLE, "step=agree"),
-    }
-}
-
-async fn read_call(head: &Parts, body: Incoming) -> Result<Call, BadRequest> {
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = tokio::time::timeout(BODY_TIMEOUT, body)
-        .await
-        .map_err(|_| BadRequest::BodyTimeout)?
-        .map_err(|_| BadRequest::Body)?;
-    parse_call(head, body.to_bytes())
-}
-
 fn parse_call(head: &Parts, body: Bytes) -> Result<Call, BadRequest> {
     if head.uri.path() != RPC_PATH {
         return Err(BadRequest::Path);
@@ -150,7 +213,7 @@
         .map(|(_, value)| value)
 }
 
-fn json_response(json: String) -> HttpResponse {
+fn json_response(json: Bytes) -> HttpResponse {
     let mut response = text_response(StatusCode::OK, json);
     let content_type = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, content_type);
--- a/crates/controller/src/net/mod.rs
+++ b/crates/controller/src/net/mod.rs
@@ -6,13 +6,14 @@
 //! - `controller`: the core and the execution of its outputs;
 //! - `peers`: connections that this controller opens to other controllers;
 //! - `internal_connections`: connections that proxies and other controllers open to this one;
-//! - `api`: the calls of backends and of the operator over HTTP;
+//! - `api`, `api_connection`: the calls of backends and of the operator over HTTP;
 //! - `disk_thread`: the thread that owns the store;
 //! - `lease_requests`: processes lease requests when no other input is pending;
 //! - `load`: the time that the thread spends on each kind of input, for the log;
 //! - `settings_reload`, `shutdown`: changes of the settings file, and graceful shutdown.
 
 mod api;
+mod api_connection;
 mod controller;
 mod disk_thread;
 mod internal_connections;
@@ -132,7 +133,11 @@
         stored.raft.identity,
     );
     let controller = Controller::start(&settings, addresses.api, seed, stored, disk.writer);
-    tokio::task::spawn_local(api::accept_connections(controller.clone(), api_listener));
+    tokio::task::spawn_local(api::accept_connections(
+        controller.clone(),
+        api_listener,
+        settings.limits,
+    ));
     tokio::task::spawn_local(internal_connections::accept(
         controller.clone(),
         internal_listener,
