--- a/crates/controller/src/net/api.rs
+++ b/crates/controller/src/net/api.rs
@@ -5,7 +5,7 @@
 use super::ACCEPT_RETRY_INTERVAL;
 use crate::core::{Call, CallResponse};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE, LOCATION};
 use hyper::http::request::Parts;
@@ -13,7 +13,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use maplefall_downstream::{
-    ClientSocket, CloseNotification, ConnectionGuard, ConnectionTable, HeadMemory,
+    evict_slow_transfers, read_request_body, BodyDeadlines, BodyError, BodyMemory, BodyPolicy,
+    ClientSocket, CloseNotification, ConnectionGuard, ConnectionTable, HeadMemory, Reservation,
 };
 use maplefall_node_settings::Limits;
 use std::convert::Infallible;
@@ -27,6 +28,8 @@
 const MAX_BODY_BYTES: usize = 32 << 20;
 /// Maximum time for the body of a call to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time for which the body of a call waits for memory.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(2500);
 /// Maximum number of API connections; for a further one, an idle one is closed.
 const MAX_API_CONNECTIONS: usize = 1024;
 /// Descriptors reserved for files.
@@ -34,6 +37,8 @@
 /// Percentage of the other descriptors that is for API connections. The rest is for proxies and
 /// other controllers.
 const API_DESCRIPTORS_PERCENT: usize = 60;
+/// Percentage of the process's memory limit that is for the bodies of calls.
+const BODY_MEMORY_PERCENT: u64 = 78;
 /// Percentage of the process's memory limit that is for heads beyond 8 KiB for each connection.
 const HEAD_MEMORY_PERCENT: u64 = 10;
 /// Maximum number of bytes that a connection buffers in each direction, and of a head.
@@ -52,11 +57,17 @@
 ) {
     let server = Rc::new(ApiServer::new(controller, limits));
     let started_at = server.started_at;
+    tokio::task::spawn_local(evict_slow_transfers(
+        server.connections.clone(),
+        server.body_memory.clone(),
+        move || started_at.elapsed().as_secs_f64() * 1000.0,
+    ));
     loop {
         wait_for_capacity(&server.connections).await;
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = ApiConnection::new(started_at, server.head_memory.clone());
+            Ok((stream, from)) => {
+                let connection =
+                    ApiConnection::new(started_at, from.ip(), server.head_memory.clone());
                 let guard = server.connections.insert(connection);
                 tokio::task::spawn_local(server.clone().serve_connection(stream, guard));
             }
@@ -69,6 +80,7 @@
 struct ApiServer {
     controller: Rc<Controller>,
     connections: Rc<ConnectionTable<ApiConnection>>,
+    body_memory: Rc<BodyMemory>,
     head_memory: Rc<HeadMemory>,
     started_at: Instant,
 }
@@ -87,6 +99,7 @@
                 max_connections.clamp(1, MAX_API_CONNECTIONS),
                 CloseNotification::Waiting,
             ),
+            body_memory: BodyMemory::new(memory_part(BODY_MEMORY_PERCENT)),
             head_memory: HeadMemory::new(memory_part(HEAD_MEMORY_PERCENT)),
             started_at: Instant::now(),
         }
@@ -124,14 +137,19 @@
         connection: &ApiConnection,
     ) -> HttpResponse {
         connection.head_received();
-        let response = self.serve_request(request).await;
+        let response = self.serve_request(request, connection).await;
         connection.response_ready();
         response
     }
 
-    async fn serve_request(&self, request: Request<Incoming>) -> HttpResponse {
+    async fn serve_request(
+        &self,
+        request: Request<Incoming>,
+        connection: &ApiConnection,
+    ) -> HttpResponse {
         let (head, body) = request.into_parts();
-        let call = match Self::read_call(&head, body).await {
+        // The memory of the body is reserved until the call has its response.
+        let (call, _reservation) = match self.read_call(&head, body, connection).await {
             Ok(call) => call,
             Err(error) => return text_response(error.status(), error.to_string()),
         };
@@ -148,13 +166,37 @@
         }
     }
 
-    async fn read_call(head: &Parts, body: Incoming) -> Result<Call, BadRequest> {
-        let body = Limited::new(body, MAX_BODY_BYTES).collect();
-        let body = tokio::time::timeout(BODY_TIMEOUT, body)
-            .await
-            .map_err(|_| BadRequest::BodyTimeout)?
-            .map_err(|_| BadRequest::Body)?;
-        parse_call(head, body.to_bytes())
+    async fn read_call(
+        &self,
+        head: &Parts,
+        body: Incoming,
+        connection: &ApiConnection,
+    ) -> Result<(Call, Option<Reservation>), BadRequest> {
+        let now = tokio::time::Instant::now();
+        let policy = BodyPolicy {
+            memory: &self.body_memory,
+            tenant: connection.tenant.clone(),
+            max_bytes: MAX_BODY_BYTES,
+            deadlines: BodyDeadlines {
+                memory_wait: now + MAX_MEMORY_WAIT,
+                read: now + BODY_TIMEOUT,
+            },
+            is_contiguous: true,
+        };
+        let body =
+            read_request_body(body, policy, &connection.transfer, || connection.now()).await?;
+        let call = parse_call(head, body.blocks.into_iter().next().unwrap_or_default())?;
+        Ok((call, body.reservation))
+    }
+}
+
+impl From<BodyError> for BadRequest {
+    fn from(error: BodyError) -> BadRequest {
+        match error {
+            BodyError::Invalid | BodyError::TooLong => BadRequest::Body,
+            BodyError::Timeout => BadRequest::BodyTimeout,
+            BodyError::OutOfMemory => BadRequest::OutOfMemory,
+        }
     }
 }
 
@@ -167,6 +209,9 @@
     /// call was applied.
     #[error("step=read field=body late")]
     BodyTimeout,
+    /// There is currently no memory for the body, none of which was applied.
+    #[error("step=read field=room")]
+    OutOfMemory,
     #[error("step=route")]
     Path,
     #[error("step=route field=method")]
@@ -180,6 +225,7 @@
         match self {
             BadRequest::Body | BadRequest::Call => StatusCode::BAD_REQUEST,
             BadRequest::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            BadRequest::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             BadRequest::Path => StatusCode::NOT_FOUND,
             BadRequest::Method => StatusCode::METHOD_NOT_ALLOWED,
         }
--- a/crates/controller/src/net/api_connection.rs
+++ b/crates/controller/src/net/api_connection.rs
@@ -2,10 +2,11 @@
 
 use crate::core::Millis;
 use maplefall_downstream::{
-    ConnectionTable, HasTransfer, HeadCharge, HeadMemory, SocketObserver, Transfer,
+    ConnectionTable, HasTransfer, HeadCharge, HeadMemory, MemoryTenant, SocketObserver, Transfer,
 };
 use std::cell::Cell;
 use std::io;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Instant;
 use tokio::sync::Notify;
@@ -16,6 +17,8 @@
 /// An API connection, shared by its task, its socket and the accept loop.
 pub(super) struct ApiConnection {
     started_at: Instant,
+    /// Whom the memory of its calls is held for: its address.
+    pub(super) tenant: MemoryTenant,
     pub(super) transfer: Transfer,
     heads: HeadCharge,
     /// When the connection was accepted or its last response was ready; `None` while a call is
@@ -27,9 +30,10 @@
 }
 
 impl ApiConnection {
-    pub(super) fn new(started_at: Instant, heads: Rc<HeadMemory>) -> ApiConnection {
+    pub(super) fn new(started_at: Instant, from: IpAddr, heads: Rc<HeadMemory>) -> ApiConnection {
         let connection = ApiConnection {
             started_at,
+            tenant: Some(from.to_string().into()),
             transfer: Transfer::new(0.0),
             heads: HeadCharge::new(heads),
             idle_since: Cell::new(None),
