--- a/crates/controller/src/net/api.rs
+++ b/crates/controller/src/net/api.rs
@@ -17,6 +17,7 @@
     ClientSocket, CloseNotification, ConnectionGuard, ConnectionTable, HeadMemory, Reservation,
 };
 use maplefall_node_settings::Limits;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -47,6 +48,9 @@
 /// before it.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Length from which responses with the same content share their memory.
+const MIN_SHARED_BYTES: usize = 16 << 10;
+
 type HttpResponse = Response<Full<Bytes>>;
 
 /// Accepts API connections until the process ends.
@@ -83,6 +87,8 @@
     body_memory: Rc<BodyMemory>,
     head_memory: Rc<HeadMemory>,
     started_at: Instant,
+    /// The latest long response, which others with the same content share.
+    latest_long_response: RefCell<Bytes>,
 }
 
 impl ApiServer {
@@ -102,6 +108,7 @@
             body_memory: BodyMemory::new(memory_part(BODY_MEMORY_PERCENT)),
             head_memory: HeadMemory::new(memory_part(HEAD_MEMORY_PERCENT)),
             started_at: Instant::now(),
+            latest_long_response: RefCell::default(),
         }
     }
 
@@ -154,7 +161,7 @@
             Err(error) => return text_response(error.status(), error.to_string()),
         };
         match self.controller.call(call).await {
-            CallResponse::Ok(json) => json_response(json.into()),
+            CallResponse::Ok(json) => json_response(self.share(json)),
             CallResponse::Rejected(status, reason) => {
                 let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
                 text_response(status, reason)
@@ -188,6 +195,19 @@
         let call = parse_call(head, body.blocks.into_iter().next().unwrap_or_default())?;
         Ok((call, body.reservation))
     }
+
+    /// Returns the content of a response. Long ones with the same content share their memory, so
+    /// that each client that reads slowly does not hold a copy of the configuration.
+    fn share(&self, json: String) -> Bytes {
+        if json.len() < MIN_SHARED_BYTES {
+            return json.into();
+        }
+        let mut latest = self.latest_long_response.borrow_mut();
+        if *latest != json.as_bytes() {
+            *latest = json.into();
+        }
+        latest.clone()
+    }
 }
 
 impl From<BodyError> for BadRequest {
