--- a/crates/maplefall/src/net/clients/connection.rs
+++ b/crates/maplefall/src/net/clients/connection.rs
@@ -1,6 +1,7 @@
 //! The phase of a client's connection, its time limit in that phase, and which connection is closed
 //! first when the connection limit is reached. Times are in milliseconds of the process's clock.
 
+use maplefall_downstream::{HasTransfer, Transfer};
 use maplefall_policy::Millis;
 use std::cell::Cell;
 use std::net::IpAddr;
@@ -42,6 +43,8 @@
 pub(super) struct ClientConnection {
     opened_at: Millis,
     pub address: IpAddr,
+    /// What moves through the connection.
+    pub transfer: Transfer,
     /// Arrival of the first byte of the request that is being read.
     first_byte_at: Cell<Option<Millis>>,
     /// Arrival of the last byte received so far.
@@ -59,6 +62,7 @@
         ClientConnection {
             opened_at: now,
             address,
+            transfer: Transfer::new(now),
             first_byte_at: Cell::default(),
             last_byte_at: Cell::new(now),
             response_pending: Cell::default(),
@@ -68,7 +72,8 @@
         }
     }
 
-    pub fn bytes_received(&self, now: Millis) {
+    pub fn bytes_received(&self, count: usize, now: Millis) {
+        self.transfer.bytes_received(count);
         self.last_byte_at.set(now);
         self.first_byte_at
             .set(self.first_byte_at.get().or(Some(now)));
@@ -149,3 +154,9 @@
         self.close_mode.get()
     }
 }
+
+impl HasTransfer for ClientConnection {
+    fn transfer(&self) -> &Transfer {
+        &self.transfer
+    }
+}
--- a/crates/maplefall/src/net/clients/mod.rs
+++ b/crates/maplefall/src/net/clients/mod.rs
@@ -7,6 +7,7 @@
 use super::auth::{Auth, AuthResponse, CheckOutcome};
 #[cfg(feature = "breakages")]
 use super::breakages;
+use super::config::Limits;
 use super::driver::Driver;
 use super::request::{read_body, read_head, RequestError};
 use connection::{ClientConnection, CloseMode, ClosePriority, REQUEST_READ_TIMEOUT};
@@ -17,7 +18,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplefall_downstream::{
-    retry_after_value, CloseNotification, ConnectionGuard, ConnectionTable, ShutdownPhase,
+    evict_slow_transfers, retry_after_value, BodyDeadlines, BodyMemory, CloseNotification,
+    ConnectionGuard, ConnectionTable, ShutdownPhase,
 };
 use maplefall_policy::{Millis, RequestId};
 use maplefall_protocol::FinalResponse;
@@ -43,6 +45,10 @@
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// How often connections are checked for time limits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
+/// The bodies of requests may take this fraction (1/n) of the memory.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+/// Maximum time from the first byte of a request for which its body waits for memory.
+const MAX_MEMORY_WAIT: Millis = 1000.0;
 /// `Retry-After` of a rejection because the authentication service gave no verdict: by default the
 /// first backoff of the service's circuit breaker has ended by then.
 const CHECK_UNAVAILABLE_RETRY_AFTER: Millis = 1000.0;
@@ -54,19 +60,24 @@
     auth: Option<Rc<Auth>>,
     connections: Rc<ConnectionTable<ClientConnection>>,
     phase: watch::Sender<ShutdownPhase>,
+    /// The memory for the bodies of requests.
+    body_memory: Rc<BodyMemory>,
 }
 
 impl Clients {
-    /// Creates the clients' side of `driver`, in a process of `sockets` descriptors.
-    pub fn new(driver: Rc<Driver>, auth: Option<Rc<Auth>>, sockets: usize) -> Rc<Clients> {
+    /// Creates the clients' side of `driver`, in a process with these limits.
+    pub fn new(driver: Rc<Driver>, auth: Option<Rc<Auth>>, limits: Limits) -> Rc<Clients> {
         Rc::new(Clients {
             driver,
             auth,
             connections: ConnectionTable::new(
-                downstream_budget(sockets),
+                downstream_budget(limits.sockets),
                 CloseNotification::Waiting,
             ),
             phase: watch::Sender::new(ShutdownPhase::Serving),
+            body_memory: BodyMemory::for_short_requests(
+                (limits.memory_mb << 20) / REQUEST_MEMORY_DIVISOR,
+            ),
         })
     }
 
@@ -107,8 +118,15 @@
             .await;
     }
 
-    /// Closes connections whose time limit is over, for as long as the process runs.
+    /// Closes connections whose time limit is over, or whose clients hardly move what others need
+    /// the memory of, for as long as the process runs.
     pub async fn sweep(self: Rc<Self>) {
+        let clock = self.driver.clock;
+        tokio::task::spawn_local(evict_slow_transfers(
+            self.connections.clone(),
+            self.body_memory.clone(),
+            move || clock.now(),
+        ));
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
             let now = self.driver.clock.now();
@@ -231,11 +249,24 @@
         let first = connection.first_byte_at();
         let (head, body) = request.into_parts();
         let mut incoming = read_head(&self.driver.settings, &self.driver.names, &head, first)?;
-        let end = self
-            .driver
-            .clock
-            .instant(connection.read_started_at() + REQUEST_READ_TIMEOUT);
-        incoming.forwarded.body = read_body(body, &head.method, end).await?;
+        let clock = self.driver.clock;
+        let read_started_at = connection.read_started_at();
+        let deadlines = BodyDeadlines {
+            memory_wait: clock.instant(read_started_at + MAX_MEMORY_WAIT),
+            read: clock.instant(read_started_at + REQUEST_READ_TIMEOUT),
+        };
+        let body = read_body(
+            body,
+            &head.method,
+            &self.body_memory,
+            deadlines,
+            &connection.transfer,
+            || clock.now(),
+        )
+        .await?;
+        // The memory is reserved until the request has its response.
+        let _reservation = body.reservation;
+        incoming.forwarded.body = body.blocks.into_iter().next().unwrap_or_default();
         incoming.at = connection.last_byte_at();
         connection.request_complete();
         let (class, plan, deadline) = (incoming.class, incoming.plan.0, incoming.deadline);
--- a/crates/maplefall/src/net/clients/socket.rs
+++ b/crates/maplefall/src/net/clients/socket.rs
@@ -36,8 +36,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.connection.bytes_received(self.clock.now());
+        let count = buf.filled().len() - before;
+        if count > 0 {
+            self.connection.bytes_received(count, self.clock.now());
         }
         read
     }
--- a/crates/maplefall/src/net/mod.rs
+++ b/crates/maplefall/src/net/mod.rs
@@ -81,7 +81,7 @@
     tokio::task::spawn_local(driver.clone().close_idle_connections());
     let agent_address = watch::Sender::new(config.discovery[0]);
     let membership = start_membership(&config, &driver, sources, &agent_address);
-    let clients = Clients::new(driver.clone(), auth.clone(), config.limits.sockets);
+    let clients = Clients::new(driver.clone(), auth.clone(), config.limits);
     tokio::task::spawn_local(clients.clone().accept(listener));
     tokio::task::spawn_local(clients.clone().sweep());
     eprintln!("{}: serving on {bound}", config.name);
--- a/crates/maplefall/src/net/request.rs
+++ b/crates/maplefall/src/net/request.rs
@@ -1,17 +1,20 @@
 //! Validation of a client's request before the decision module sees it. The checks are strict: a
 //! request that a client of this service would not have written is rejected.
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming as IncomingBody};
 use hyper::header::{HeaderName, CONTENT_TYPE, COOKIE, HOST, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode, Uri};
+use maplefall_downstream::{
+    read_request_body, BodyDeadlines, BodyError, BodyMemory, BodyPolicy, RequestBody, Transfer,
+};
 use maplefall_policy::{ClassId, CustomerId, Idempotency, Millis, PlanId, Settings};
 use maplefall_protocol::headers::{
     API_PLAN, API_TERMS, IDEMPOTENCY_KEY, REQUEST_CLASS, REQUEST_ID, REQUEST_TIMEOUT,
 };
 use maplefall_protocol::{ForwardedRequest, Incoming, MAX_BODY_BYTES};
 use maplefall_settings::{wire_value, Names};
+use std::rc::Rc;
 
 /// Exclusive upper bound of customer numbers.
 const CUSTOMER_ID_LIMIT: u64 = 1 << 33;
@@ -48,6 +51,9 @@
     /// The body was not complete in time.
     #[error("the body did not come in time")]
     BodyTimeout,
+    /// There is currently no memory for the body.
+    #[error("there is no memory for the body")]
+    OutOfMemory,
     /// The request id is in use, or was used recently.
     #[error("a request with this id has come before")]
     DuplicateId,
@@ -60,6 +66,7 @@
             RequestError::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::LengthRequired => StatusCode::LENGTH_REQUIRED,
             RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            RequestError::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::DuplicateId => StatusCode::CONFLICT,
             _ => StatusCode::BAD_REQUEST,
         }
@@ -255,25 +262,35 @@
     names.next().is_none().then_some(CustomerId(number))
 }
 
-/// Reads a body, which must be complete by `end`.
+impl From<BodyError> for RequestError {
+    fn from(error: BodyError) -> RequestError {
+        match error {
+            BodyError::Invalid => RequestError::Body,
+            BodyError::TooLong => RequestError::BodyTooLong,
+            BodyError::Timeout => RequestError::BodyTimeout,
+            BodyError::OutOfMemory => RequestError::OutOfMemory,
+        }
+    }
+}
+
+/// Reads a body in memory of `memory`. `now` returns the time of `transfer`.
 pub async fn read_body(
     body: IncomingBody,
     method: &Method,
-    end: tokio::time::Instant,
-) -> Result<Bytes, RequestError> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if method == Method::GET {
+    memory: &Rc<BodyMemory>,
+    deadlines: BodyDeadlines,
+    transfer: &Transfer,
+    now: impl Fn() -> Millis,
+) -> Result<RequestBody, RequestError> {
+    if method == Method::GET && !body.is_end_stream() {
         return Err(RequestError::Method);
     }
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(RequestError::BodyTooLong);
-    }
-    let read = tokio::time::timeout_at(end, Limited::new(body, MAX_BODY_BYTES).collect()).await;
-    match read.map_err(|_| RequestError::BodyTimeout)? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLong),
-        Err(_) => Err(RequestError::Body),
-    }
+    let policy = BodyPolicy {
+        memory,
+        tenant: None,
+        max_bytes: MAX_BODY_BYTES,
+        deadlines,
+        is_contiguous: true,
+    };
+    Ok(read_request_body(body, policy, transfer, now).await?)
 }
