--- a/crates/maplefall/src/net/backends.rs
+++ b/crates/maplefall/src/net/backends.rs
@@ -15,7 +15,7 @@
 use maplefall_protocol::{EndedAttempt, ForwardedRequest, MAX_BODY_BYTES};
 use maplefall_settings::{self as settings, Metric, ParsedSettings};
 use maplefall_upstream::{send_request, AttemptHandle, BlockBody, Pools, RequestOptions};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 
 /// Maximum length of a response's body in bytes. Some backends send far more than the agreed 64
@@ -27,15 +27,34 @@
 /// A reported usage over this percentage is ignored.
 pub const MAX_USAGE_PERCENT: f64 = 100_000.0;
 
-/// The bytes that are left for long responses.
+/// The memory for long responses.
+struct ResponseMemoryState {
+    /// Number of bytes that are left.
+    available: AtomicUsize,
+    /// Whether a reservation failed since this was looked at.
+    is_exhausted: AtomicBool,
+}
+
+/// The memory for long responses, shared by all that hold some of it.
 #[derive(Clone)]
-struct ResponseMemory(Arc<AtomicUsize>);
+struct ResponseMemory(Arc<ResponseMemoryState>);
 
 impl ResponseMemory {
+    fn new(bytes: usize) -> ResponseMemory {
+        ResponseMemory(Arc::new(ResponseMemoryState {
+            available: AtomicUsize::new(bytes),
+            is_exhausted: AtomicBool::new(false),
+        }))
+    }
+
     /// Reserves `length` bytes; `None` if fewer are left.
     fn reserve(&self, length: usize) -> Option<ReservedBody> {
-        let available = self.0.load(Ordering::Relaxed).checked_sub(length)?;
-        self.0.store(available, Ordering::Relaxed);
+        let available = self.0.available.load(Ordering::Relaxed);
+        let Some(left) = available.checked_sub(length) else {
+            self.0.is_exhausted.store(true, Ordering::Relaxed);
+            return None;
+        };
+        self.0.available.store(left, Ordering::Relaxed);
         Some(ReservedBody {
             length,
             memory: self.clone(),
@@ -60,7 +79,8 @@
 
 impl Drop for ReservedBody {
     fn drop(&mut self) {
-        self.memory.0.fetch_add(self.length, Ordering::Relaxed);
+        let available = &self.memory.0.available;
+        available.fetch_add(self.length, Ordering::Relaxed);
     }
 }
 
@@ -82,10 +102,15 @@
             metric_names: settings_file.names.metrics.clone(),
             metrics: settings_file.metrics.clone(),
             max_units: settings_file.settings.max_units,
-            memory: ResponseMemory(Arc::new(AtomicUsize::new(memory / RESPONSE_MEMORY_DIVISOR))),
+            memory: ResponseMemory::new(memory / RESPONSE_MEMORY_DIVISOR),
         }
     }
 
+    /// Returns whether there was no memory for a long response since the last call.
+    pub fn take_memory_exhausted(&self) -> bool {
+        self.memory.0.is_exhausted.swap(false, Ordering::Relaxed)
+    }
+
     fn parse_report(&self, text: &str) -> Report {
         let mut report = Report::default();
         for (name, value) in text
--- a/crates/maplefall/src/net/backends/tests.rs
+++ b/crates/maplefall/src/net/backends/tests.rs
@@ -20,7 +20,7 @@
         metric_names: names,
         metrics,
         max_units: 8.0,
-        memory: ResponseMemory(Arc::default()),
+        memory: ResponseMemory::new(0),
     };
     let report = reader.parse_report("other=3, depth=2,load_share=0.61,broken");
     assert_eq!((report.queue, report.in_flight), (Some(2.0), None));
@@ -44,7 +44,7 @@
         metric_names: Vec::new(),
         metrics: Vec::new(),
         max_units: 8.0,
-        memory: ResponseMemory(Arc::default()),
+        memory: ResponseMemory::new(0),
     };
     (Pools::new(timeouts, 8), reader)
 }
--- a/crates/maplefall/src/net/clients/connection.rs
+++ b/crates/maplefall/src/net/clients/connection.rs
@@ -2,6 +2,7 @@
 //! first when the connection limit is reached. Times are in milliseconds of the process's clock.
 
 use maplefall_downstream::{HasTransfer, Transfer};
+use maplefall_memory_account::{charge, Direction, PoolId};
 use maplefall_policy::Millis;
 use std::cell::Cell;
 use std::net::IpAddr;
@@ -30,6 +31,8 @@
 /// Kinds of connections that may be closed to free capacity, in ascending priority for closing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum ClosePriority {
+    /// A response is being read slowly.
+    SlowResponse,
     /// A request is being received slowly.
     SlowRequest,
     /// The connection is between two requests.
@@ -96,7 +99,11 @@
         self.first_byte_at.set(None);
     }
 
-    pub fn response_ready(&self, now: Millis) {
+    /// Records that a response is written from now on, with a body of this length.
+    pub fn response_ready(&self, body_bytes: usize, now: Millis) {
+        let pool = PoolId::for_charge(Direction::Response, charge(body_bytes));
+        self.transfer
+            .begin_sending((body_bytes > 0).then_some(pool), now);
         self.response_pending.set(false);
         self.idle_since.set(Some(now));
     }
@@ -113,6 +120,10 @@
 
     /// How the connection must be closed because its time limit is over; `None` before.
     pub fn overdue_close(&self, now: Millis) -> Option<CloseMode> {
+        if self.transfer.is_send_blocked() {
+            let is_stalled = self.transfer.is_stalled(now);
+            return is_stalled.then_some(CloseMode::Immediate);
+        }
         let is_reading = self.idle_since.get().is_none() || self.first_byte_at.get().is_some();
         let (timeout, mode) = if is_reading {
             (
@@ -133,6 +144,10 @@
             return None;
         }
         let age = now - self.read_started_at();
+        if self.transfer.is_send_blocked() {
+            let is_slow = self.transfer.is_slow(now);
+            return is_slow.then_some((ClosePriority::SlowResponse, age));
+        }
         match (self.idle_since.get(), self.first_byte_at.get()) {
             (None, None) => Some((ClosePriority::Unused, age)),
             (Some(_), None) => Some((ClosePriority::Idle, age)),
--- a/crates/maplefall/src/net/clients/mod.rs
+++ b/crates/maplefall/src/net/clients/mod.rs
@@ -12,15 +12,16 @@
 use super::request::{read_body, read_head, RequestError};
 use connection::{ClientConnection, CloseMode, ClosePriority, REQUEST_READ_TIMEOUT};
 use http_body_util::Full;
-use hyper::body::{Bytes, Incoming as IncomingBody};
+use hyper::body::{Body, Bytes, Incoming as IncomingBody};
 use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplefall_downstream::{
-    evict_slow_transfers, retry_after_value, BodyDeadlines, BodyMemory, CloseNotification,
-    ConnectionGuard, ConnectionTable, ShutdownPhase,
+    evict_slow_transfers, evict_slowest, retry_after_value, BodyDeadlines, BodyMemory,
+    CloseNotification, ConnectionGuard, ConnectionTable, ShutdownPhase,
 };
+use maplefall_memory_account::{Direction, PoolId};
 use maplefall_policy::{Millis, RequestId};
 use maplefall_protocol::FinalResponse;
 use maplefall_upstream::{downstream_budget, MAX_BUFFER_BYTES};
@@ -49,6 +50,11 @@
 const REQUEST_MEMORY_DIVISOR: usize = 4;
 /// Maximum time from the first byte of a request for which its body waits for memory.
 const MAX_MEMORY_WAIT: Millis = 1000.0;
+/// What [`Transfer`](maplefall_downstream::Transfer) calls the memory of long responses.
+const LONG_RESPONSES: PoolId = PoolId {
+    direction: Direction::Response,
+    is_large: true,
+};
 /// `Retry-After` of a rejection because the authentication service gave no verdict: by default the
 /// first backoff of the service's circuit breaker has ended by then.
 const CHECK_UNAVAILABLE_RETRY_AFTER: Millis = 1000.0;
@@ -135,6 +141,9 @@
                     connection.close(mode);
                 }
             });
+            if self.driver.take_response_memory_exhausted() {
+                evict_slowest(&self.connections, LONG_RESPONSES, now);
+            }
         }
     }
 
@@ -163,6 +172,7 @@
                 // responded to the latter.
                 _ = http.as_mut() => return,
                 _ = phase.wait_for(|phase| *phase == ShutdownPhase::ClosingIdle), if !closing => {}
+                () = connection.transfer.send_evicted() => return,
                 mode = connection.close_requested() => if mode == Some(CloseMode::Immediate) { return },
             }
             closing = true;
@@ -229,7 +239,8 @@
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        connection.response_ready(self.driver.clock.now());
+        let body_bytes = response.body().size_hint().exact().unwrap_or(0) as usize;
+        connection.response_ready(body_bytes, self.driver.clock.now());
         response
     }
 
--- a/crates/maplefall/src/net/clients/socket.rs
+++ b/crates/maplefall/src/net/clients/socket.rs
@@ -1,5 +1,5 @@
-//! A client's socket that records when bytes arrive: the HTTP library does not report this before a
-//! head is complete.
+//! A client's socket that records when bytes arrive, which the HTTP library does not report before a
+//! head is complete, and whether the client takes what is written.
 
 use super::connection::ClientConnection;
 #[cfg(feature = "breakages")]
@@ -26,6 +26,15 @@
             clock,
         }
     }
+
+    fn report_write(&self, written: &Poll<io::Result<usize>>) {
+        let transfer = &self.connection.transfer;
+        match written {
+            Poll::Pending => transfer.send_blocked(self.clock.now()),
+            Poll::Ready(Ok(count)) => transfer.bytes_sent(*count),
+            Poll::Ready(Err(_)) => {}
+        }
+    }
 }
 
 impl AsyncRead for ObservedSocket {
@@ -62,7 +71,9 @@
             let _ = self.stream.try_write(buf);
             return wrote;
         }
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.report_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -78,7 +89,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.report_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/maplefall/src/net/driver/mod.rs
+++ b/crates/maplefall/src/net/driver/mod.rs
@@ -129,6 +129,11 @@
         let _ = self.shared_counts.set(counts);
     }
 
+    /// Returns whether there was no memory for a long response since the last call.
+    pub fn take_response_memory_exhausted(&self) -> bool {
+        self.response_reader.take_memory_exhausted()
+    }
+
     /// Returns whether any backend is known.
     pub fn ready(&self) -> bool {
         self.state.borrow().has_backends()
