--- a/crates/control-messages/src/framing.rs
+++ b/crates/control-messages/src/framing.rs
@@ -14,7 +14,8 @@
 /// the next frame is unknown.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
-    /// The length in the prefix, given here in bytes, is above [`MAX_FRAME_BYTES`].
+    /// The length in the prefix, given here in bytes, is above [`MAX_FRAME_BYTES`], or above what
+    /// the peer may send.
     #[error("step=frame length={0}")]
     TooLong(usize),
     /// The bytes cannot be decoded, or the message is of an unknown kind.
@@ -40,10 +41,22 @@
 ///
 /// Returns [`FrameError`] if the bytes are not a frame of this protocol.
 pub fn decode_frame(received: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+    decode_frame_up_to(received, MAX_FRAME_BYTES)
+}
+
+/// As [`decode_frame`], for a peer that may send messages of at most `max_bytes`.
+///
+/// # Errors
+///
+/// Returns [`FrameError`] if the bytes are not a frame of this protocol, or one that is longer.
+pub fn decode_frame_up_to(
+    received: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<Option<Frame>, FrameError> {
     let Some(length) = peek_length(received) else {
         return Ok(None);
     };
-    if length > MAX_FRAME_BYTES {
+    if length > max_bytes {
         return Err(FrameError::TooLong(length));
     }
     if received.len() < LENGTH_PREFIX_BYTES + length {
--- a/crates/control-messages/src/lib.rs
+++ b/crates/control-messages/src/lib.rs
@@ -10,7 +10,10 @@
 mod framing;
 mod messages;
 
-pub use framing::{decode_frame, encode_frame, FrameError, LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES};
+pub use framing::{
+    decode_frame, decode_frame_up_to, encode_frame, FrameError, LENGTH_PREFIX_BYTES,
+    MAX_FRAME_BYTES,
+};
 pub use messages::{
     Chunk, ConfigUpdate, Envelope, Frame, Heartbeat, Heartbeats, Hello, IndexedChange,
     InstanceUpdates, PROTOCOL_VERSION,
--- a/crates/control-transport/src/connection.rs
+++ b/crates/control-transport/src/connection.rs
@@ -10,7 +10,9 @@
 use crate::write::write_all;
 use crate::ConnectionError;
 use bytes::{Bytes, BytesMut};
-use maplefall_control_messages::{decode_frame, encode_frame, Frame, Hello};
+use maplefall_control_messages::{
+    decode_frame_up_to, encode_frame, Frame, FrameError, Hello, MAX_FRAME_BYTES,
+};
 use socket2::SockRef;
 use std::cell::RefCell;
 use std::convert::Infallible;
@@ -30,6 +32,9 @@
 /// write.
 const IO_BUFFER_BYTES: usize = 16 << 10;
 
+/// Maximum size of a message before the handshake is complete, in bytes. A hello is far shorter.
+const MAX_HANDSHAKE_FRAME_BYTES: usize = 64 << 10;
+
 /// The role of this end in the handshake of a connection.
 #[derive(Clone, Debug)]
 pub enum Handshake {
@@ -189,15 +194,38 @@
                 Ok(_) => {}
                 Err(error) => return Err(ConnectionError::Io(error)),
             }
-            while let Some(frame) = decode_frame(&mut received)? {
-                if let Some(frame) = self.chunks.push(frame)? {
-                    self.handle_frame(frame)?;
-                }
+            while let Some(frame) = decode_frame_up_to(&mut received, self.max_frame_bytes())? {
+                self.receive_frame(frame)?;
             }
             received.reserve(IO_BUFFER_BYTES);
         }
     }
 
+    fn is_established(&self) -> bool {
+        self.connection.probes.borrow().liveness.is_established()
+    }
+
+    /// Returns the maximum size of the next message: whoever has not proven to be a process of the
+    /// system makes this end hold little.
+    fn max_frame_bytes(&self) -> usize {
+        if self.is_established() {
+            MAX_FRAME_BYTES
+        } else {
+            MAX_HANDSHAKE_FRAME_BYTES
+        }
+    }
+
+    fn receive_frame(&mut self, frame: Frame) -> Result<(), ConnectionError> {
+        // Chunks before the handshake is complete would add up to a long message.
+        if matches!(frame, Frame::Chunk(_)) && !self.is_established() {
+            return Err(FrameError::Malformed.into());
+        }
+        match self.chunks.push(frame)? {
+            Some(frame) => self.handle_frame(frame),
+            None => Ok(()),
+        }
+    }
+
     fn handle_frame(&mut self, frame: Frame) -> Result<(), ConnectionError> {
         let actions = self.update_liveness(&frame)?;
         let Some(event) = self.event_for(frame, actions) else {
--- a/crates/controller/tests/misbehaving_clients.rs
+++ b/crates/controller/tests/misbehaving_clients.rs
@@ -34,6 +34,7 @@
     process: MeasuredProcess,
     limits: ProcessLimits,
     api: SocketAddr,
+    internal: SocketAddr,
     _directory: TestDirectory,
     _turn: MutexGuard<'static, ()>,
 }
@@ -71,6 +72,7 @@
             process,
             limits,
             api: format!("{ip}:{API_PORT}").parse().expect("an address"),
+            internal: format!("{ip}:{INTERNAL_PORT}").parse().expect("an address"),
             _directory: TestDirectory(directory),
             _turn: turn,
         };
@@ -84,6 +86,13 @@
         crowd
     }
 
+    /// Starts a crowd at the port for proxies and other controllers.
+    fn internal_crowd(&self, size: usize, client: &CrowdClient) -> Crowd {
+        let crowd = Crowd::start(self.internal, vec![client.clone(); size]);
+        crowd.wait_until_sent(SENDING_TIME);
+        crowd
+    }
+
     /// Returns the committed configuration.
     fn read_config(&self) -> Vec<u8> {
         send_until_answered(self.api, 200, || call("config.read", "")).body
@@ -236,3 +245,14 @@
     drop(slow_crowd);
     controller.check_beside_and_after(crowd);
 }
+
+/// The length prefix of a frame of 48 MiB.
+const LONG_FRAME_PREFIX: &str = "\x03\0\0\0";
+
+#[test]
+fn controller_long_frames_before_a_hello() {
+    let controller = TestController::start(LIMITS);
+    let client = CrowdClient::new(LONG_FRAME_PREFIX).with_content(40 * MIB);
+    let crowd = controller.internal_crowd(20, &client);
+    controller.check_beside_and_after(crowd);
+}
