--- a/crates/controller/src/net/api.rs
+++ b/crates/controller/src/net/api.rs
@@ -2,6 +2,7 @@
 
 use super::api_connection::{wait_for_capacity, ApiConnection};
 use super::controller::Controller;
+use super::descriptors::DescriptorBudget;
 use super::ACCEPT_RETRY_INTERVAL;
 use crate::core::{Call, CallResponse};
 use bytes::Bytes;
@@ -33,11 +34,6 @@
 const MAX_MEMORY_WAIT: Duration = Duration::from_millis(2500);
 /// Maximum number of API connections; for a further one, an idle one is closed.
 const MAX_API_CONNECTIONS: usize = 1024;
-/// Descriptors reserved for files.
-const RESERVED_DESCRIPTORS: usize = 200;
-/// Percentage of the other descriptors that is for API connections. The rest is for proxies and
-/// other controllers.
-const API_DESCRIPTORS_PERCENT: usize = 60;
 /// Percentage of the process's memory limit that is for the bodies of calls.
 const BODY_MEMORY_PERCENT: u64 = 78;
 /// Percentage of the process's memory limit that is for heads beyond 8 KiB for each connection.
@@ -93,8 +89,7 @@
 
 impl ApiServer {
     fn new(controller: Rc<Controller>, limits: Limits) -> ApiServer {
-        let descriptors = limits.file_limit.saturating_sub(RESERVED_DESCRIPTORS);
-        let max_connections = descriptors * API_DESCRIPTORS_PERCENT / 100;
+        let max_connections = DescriptorBudget::new(limits.file_limit).api;
         let memory_part = |percent| {
             let bytes = limits.memory_mb.saturating_mul(1 << 20) / 100 * percent;
             usize::try_from(bytes).unwrap_or(usize::MAX)
@@ -102,7 +97,7 @@
         ApiServer {
             controller,
             connections: ConnectionTable::new(
-                max_connections.clamp(1, MAX_API_CONNECTIONS),
+                max_connections.min(MAX_API_CONNECTIONS),
                 CloseNotification::Waiting,
             ),
             body_memory: BodyMemory::new(memory_part(BODY_MEMORY_PERCENT)),
--- a/crates/controller/src/net/internal_connections.rs
+++ b/crates/controller/src/net/internal_connections.rs
@@ -9,10 +9,13 @@
 use maplefall_control_transport::{
     run_connection, ConnectionError, Event, Handshake, OUTGOING_QUEUE_FRAMES,
 };
+use maplefall_downstream::{CloseNotification, ConnectionGuard, ConnectionTable};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 
 /// The process at the other end of a connection, identified by the address of its machine.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -31,19 +34,58 @@
     }
 }
 
-/// Accepts connections until the process ends.
-pub(super) async fn accept(controller: Rc<Controller>, listener: TcpListener) {
+/// An open connection: whether its peer may be disconnected for another.
+struct OpenConnection {
+    accepted_at: Instant,
+    /// Whether the peer has proven to be a process of the system.
+    is_verified: Cell<bool>,
+    close: Notify,
+}
+
+/// Accepts connections until the process ends. Beyond `max_connections` the oldest one whose peer
+/// has not completed the handshake is closed for a further one.
+pub(super) async fn accept(
+    controller: Rc<Controller>,
+    listener: TcpListener,
+    max_connections: usize,
+) {
+    let connections = ConnectionTable::new(max_connections, CloseNotification::Waiting);
     loop {
+        wait_for_capacity(&connections).await;
         match listener.accept().await {
             Ok((stream, from)) => {
-                tokio::task::spawn_local(serve(controller.clone(), stream, from));
+                let guard = connections.insert(OpenConnection {
+                    accepted_at: Instant::now(),
+                    is_verified: Cell::new(false),
+                    close: Notify::new(),
+                });
+                tokio::task::spawn_local(serve(controller.clone(), stream, from, guard));
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await,
         }
     }
 }
 
-async fn serve(controller: Rc<Controller>, stream: TcpStream, from: SocketAddr) {
+async fn wait_for_capacity(connections: &ConnectionTable<OpenConnection>) {
+    connections
+        .wait_for_capacity(
+            |open| {
+                let unverified = open.filter(|connection| !connection.is_verified.get());
+                unverified
+                    .min_by_key(|connection| connection.accepted_at)
+                    .cloned()
+            },
+            |connection| connection.close.notify_one(),
+        )
+        .await;
+}
+
+async fn serve(
+    controller: Rc<Controller>,
+    stream: TcpStream,
+    from: SocketAddr,
+    guard: ConnectionGuard<OpenConnection>,
+) {
     let (sender, outgoing) = mpsc::channel(OUTGOING_QUEUE_FRAMES);
     let mut connection = InternalConnection {
         controller,
@@ -52,10 +94,16 @@
         remote: None,
         queue: Some(sender),
     };
-    let error = run_connection(stream, outgoing, Handshake::Acceptor, |event| {
-        connection.handle(event)
-    })
-    .await;
+    let open = guard.state();
+    let run = run_connection(stream, outgoing, Handshake::Acceptor, |event| {
+        let is_kept = connection.handle(event);
+        open.is_verified.set(connection.remote.is_some());
+        is_kept
+    });
+    let error = tokio::select! {
+        error = run => error,
+        () = open.close.notified() => ConnectionError::Dropped,
+    };
     connection.closed();
     log::debug!("event=connection_closed from={from} {error}");
     if let ConnectionError::Frame(frame_error) = error {
--- a/crates/controller/src/net/mod.rs
+++ b/crates/controller/src/net/mod.rs
@@ -4,6 +4,7 @@
 //! Everything except the disk runs on one thread, which serializes the core's inputs. Modules:
 //!
 //! - `controller`: the core and the execution of its outputs;
+//! - `descriptors`: how many connections the listeners may have open;
 //! - `peers`: connections that this controller opens to other controllers;
 //! - `internal_connections`: connections that proxies and other controllers open to this one;
 //! - `api`, `api_connection`: the calls of backends and of the operator over HTTP;
@@ -15,6 +16,7 @@
 mod api;
 mod api_connection;
 mod controller;
+mod descriptors;
 mod disk_thread;
 mod internal_connections;
 mod lease_requests;
@@ -26,6 +28,7 @@
 use crate::core::TICK;
 use crate::store::Error as StoreError;
 use controller::Controller;
+use descriptors::DescriptorBudget;
 use disk_thread::{DiskThread, WriteResult};
 use load::InputKind;
 use maplefall_node_settings::{Settings, SettingsFile};
@@ -141,6 +144,7 @@
     tokio::task::spawn_local(internal_connections::accept(
         controller.clone(),
         internal_listener,
+        DescriptorBudget::new(settings.limits.file_limit).internal,
     ));
     tokio::task::spawn_local(lease_requests::process(controller.clone()));
     let max_shutdown = shutdown::max_duration(&settings);
--- a/crates/controller/tests/misbehaving_clients.rs
+++ b/crates/controller/tests/misbehaving_clients.rs
@@ -256,3 +256,10 @@
     let crowd = controller.internal_crowd(20, &client);
     controller.check_beside_and_after(crowd);
 }
+
+#[test]
+fn controller_more_idle_internal_connections_than_descriptors() {
+    let controller = TestController::start(LIMITS);
+    let crowd = controller.internal_crowd(800, &CrowdClient::new(""));
+    controller.check_beside_and_after(crowd);
+}
